--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,32 @@
+"""Tests of the closed list of error kinds."""
+
+import pytest
+
+from tamarackhaven.errors import (
+    ANSWER_BY_KIND,
+    ErrorKind,
+    Ran,
+    Repeat,
+    TamarackhavenError,
+)
+
+
+@pytest.mark.parametrize("kind", ErrorKind)
+def test_every_kind_has_one_answer(kind):
+    answer = ANSWER_BY_KIND[kind]
+    assert 400 <= answer.http_status <= 599
+    assert 1 <= answer.exit_code <= 125
+    assert answer.sentence.endswith(".")
+
+
+@pytest.mark.parametrize("kind", ErrorKind)
+def test_only_what_did_not_run_may_be_repeated_freely(kind):
+    answer = ANSWER_BY_KIND[kind]
+    if answer.repeat is Repeat.LATER:
+        assert answer.ran is Ran.NO
+
+
+def test_error_names_its_code_and_detail():
+    text = str(TamarackhavenError(ErrorKind.NO_OWNER, "shard 3"))
+    assert text.startswith("TH201 NO_OWNER:")
+    assert text.endswith("shard 3")
