--- a/tamarackhaven/_gate_messages.py
+++ b/tamarackhaven/_gate_messages.py
@@ -1,4 +1,4 @@
-"""What the gate of a target takes in and gives out; nothing here does input or output."""
+"""What the gate of a target takes in and gives out; it does no input or output."""
 
 import enum
 
