--- a/tamarackhaven/_changes.py
+++ b/tamarackhaven/_changes.py
@@ -48,7 +48,15 @@
 
 @attrs.frozen
 class JoinTarget:
-    """A daemon announces its target; the outcome holds its epoch."""
+    """A daemon announces its target; the outcome holds its epoch.
+
+    Parameters
+    ----------
+    expected_epoch : int
+        Epoch of the other instance that this one replaces, 0 if there is none. The
+        leader fills it in once that instance is silent; so of two claimants to one
+        name the one that renews keeps it.
+    """
 
     service: str
     target: str
@@ -57,6 +65,7 @@
     incarnation: str
     peer: Address
     capacity: int = 1
+    expected_epoch: int = 0
 
 
 @attrs.frozen
@@ -151,6 +160,20 @@
 )
 
 
+@attrs.frozen
+class Command:
+    """What a log entry holds: a change, and when the leader took it.
+
+    Parameters
+    ----------
+    at_unix_s : float
+        Wall-clock time at the leader, in seconds; only told to people.
+    """
+
+    change: Change
+    at_unix_s: float = 0.0
+
+
 @attrs.frozen
 class Outcome:
     """What became of a change.
--- /dev/null
+++ b/tamarackhaven/_view.py
@@ -0,0 +1,212 @@
+"""A daemon's copy of the state, compact and never going back.
+
+At 65,536 shards a record each would take many megabytes of the 64 a daemon may use;
+so shards are kept in typed arrays, and records are made when asked for.
+"""
+
+import threading
+from array import array
+
+import attrs
+
+from tamarackhaven import _keys
+from tamarackhaven._events import (
+    MembershipChanged,
+    ResourceChanged,
+    ResourceDeleted,
+    ShardChanged,
+    ShardRemoved,
+    TargetChanged,
+)
+from tamarackhaven._members import Membership
+from tamarackhaven._model import Service, ShardGrant, TargetMember
+
+
+@attrs.frozen
+class Located:
+    """Where a key is.
+
+    Parameters
+    ----------
+    service : Service
+        Its service.
+    grant : ShardGrant
+        The grant of its shard, or of the key itself if it is pinned.
+    owner : TargetMember or None
+        The owning target.
+    """
+
+    service: Service
+    grant: ShardGrant
+    owner: TargetMember | None
+
+
+class _Shards:
+    """The grants of one service: 32 bytes a shard."""
+
+    def __init__(self):
+        self._names = [""]
+        self._number_by_name = {"": 0}
+        self._owners = array("H")
+        self._moving = array("H")
+        self._epochs = array("Q")
+        self._grants = array("Q")
+        self._versions = array("Q")
+        self._hash_by_shard = {}
+        self.shard_by_hash = {}
+
+    def put(self, grant):
+        while len(self._owners) <= grant.shard:
+            for column in (self._owners, self._moving):
+                column.append(0)
+            for column in (self._epochs, self._grants, self._versions):
+                column.append(0)
+        self._owners[grant.shard] = self._number(grant.owner)
+        self._moving[grant.shard] = self._number(grant.moving_to)
+        self._epochs[grant.shard] = grant.epoch
+        self._grants[grant.shard] = grant.grant
+        self._versions[grant.shard] = grant.version
+        if grant.key_hash:
+            self._hash_by_shard[grant.shard] = grant.key_hash
+            self.shard_by_hash[grant.key_hash] = grant.shard
+
+    def remove(self, shard):
+        key_hash = self._hash_by_shard.pop(shard, None)
+        self.shard_by_hash.pop(key_hash, None)
+        if shard < len(self._grants):
+            self.put(ShardGrant("", shard))
+
+    def get(self, service, shard):
+        if shard >= len(self._owners):
+            return ShardGrant(service, shard)
+        return ShardGrant(
+            service=service,
+            shard=shard,
+            owner=self._names[self._owners[shard]],
+            epoch=self._epochs[shard],
+            grant=self._grants[shard],
+            moving_to=self._names[self._moving[shard]],
+            key_hash=self._hash_by_shard.get(shard, 0),
+            version=self._versions[shard],
+        )
+
+    def owned_by(self, target):
+        number = self._number_by_name.get(target)
+        if number is None:
+            return []
+        return [shard for shard, owner in enumerate(self._owners) if owner == number]
+
+    def _number(self, name):
+        number = self._number_by_name.get(name)
+        if number is None:
+            number = len(self._names)
+            self._names.append(name)
+            self._number_by_name[name] = number
+        return number
+
+
+class View:
+    """What a daemon knows; all methods are safe to call from any thread."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._clear()
+        self._membership = Membership(())
+        self._version = 0
+
+    def _clear(self):
+        self._resources_by_key = {}
+        self._members_by_key = {}
+        self._shards_by_service = {}
+
+    @property
+    def version(self):
+        """Version of the state that this view has."""
+        return self._version
+
+    @property
+    def membership(self):
+        """Newest ``Membership`` of the control group."""
+        return self._membership
+
+    def apply(self, feed):
+        """Apply a ``Feed``; return False if it is not newer and was ignored.
+
+        A feed of an older version comes from a control VM that lags, or late. Acting
+        on it would revert a configuration already in force, so it is dropped: what
+        it tells is contained in what is known.
+        """
+        with self._lock:
+            if feed.version <= self._version:
+                return False
+            if feed.snapshot:
+                self._clear()
+            for event in feed.events:
+                if feed.snapshot or event.version > self._version:
+                    self._apply(event)
+            self._version = feed.version
+            return True
+
+    def _apply(self, event):
+        if isinstance(event, ShardChanged):
+            shards = self._shards_by_service.setdefault(event.grant.service, _Shards())
+            shards.put(event.grant)
+        elif isinstance(event, TargetChanged):
+            member = event.member
+            self._members_by_key[member.service, member.target] = member
+        elif isinstance(event, ResourceChanged):
+            kind = type(event.resource).__name__
+            self._resources_by_key[kind, event.resource.name] = event.resource
+        elif isinstance(event, ResourceDeleted):
+            self._delete(event)
+        elif isinstance(event, ShardRemoved):
+            shards = self._shards_by_service.get(event.service)
+            if shards is not None:
+                shards.remove(event.shard)
+        elif isinstance(event, MembershipChanged):
+            if event.membership.version >= self._membership.version:
+                self._membership = event.membership
+
+    def _delete(self, event):
+        self._resources_by_key.pop((event.kind, event.name), None)
+        if event.kind == "Service":
+            self._shards_by_service.pop(event.name, None)
+            for key in [k for k in self._members_by_key if k[0] == event.name]:
+                del self._members_by_key[key]
+
+    def locate(self, service, key_hash):
+        """Return where a key is, or None if there is no such service."""
+        with self._lock:
+            resource = self._resources_by_key.get(("Service", service))
+            shards = self._shards_by_service.get(service)
+            if resource is None or shards is None:
+                return None
+            shard = shards.shard_by_hash.get(key_hash)
+            if shard is None:
+                shard = _keys.shard_of(key_hash, resource.shard_count)
+            grant = shards.get(service, shard)
+            owner = self._members_by_key.get((service, grant.owner))
+            return Located(resource, grant, owner)
+
+    def owned_by(self, service, target):
+        """Return the grants of a target."""
+        with self._lock:
+            shards = self._shards_by_service.get(service)
+            if shards is None:
+                return []
+            return [shards.get(service, shard) for shard in shards.owned_by(target)]
+
+    def member(self, service, target):
+        """Return a target, or None."""
+        with self._lock:
+            return self._members_by_key.get((service, target))
+
+    def members(self, service):
+        """Return the targets of a service."""
+        with self._lock:
+            return [m for m in self._members_by_key.values() if m.service == service]
+
+    def resource(self, kind, name):
+        """Return the resource of class name ``kind``, or None."""
+        with self._lock:
+            return self._resources_by_key.get((kind, name))
