--- a/tamarackhaven/__main__.py
+++ b/tamarackhaven/__main__.py
@@ -2,10 +2,48 @@
 
 import sys
 
+import defopt
 
-def main():
-    """Run the subcommand named on the command line."""
-    sys.exit(2)
+from tamarackhaven import __version__, porcelain
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+COMMANDS = [
+    porcelain.daemon,
+    porcelain.control,
+    porcelain.apply,
+    porcelain.delete,
+    porcelain.get,
+    porcelain.watch,
+    porcelain.explain,
+    porcelain.status,
+    porcelain.check,
+]
+
+
+def main(arguments=None):
+    """Run the subcommand named on the command line and exit with its code."""
+    try:
+        defopt.run(
+            COMMANDS,
+            argv=arguments,
+            version=f"tamarackhaven {__version__}",
+            cli_options="all",
+        )
+    except TamarackhavenError as error:
+        _fail(error)
+    except KeyboardInterrupt:
+        sys.exit(0)
+    except BrokenPipeError:
+        sys.exit(0)
+    except Exception as error:
+        _fail(
+            TamarackhavenError(ErrorKind.INTERNAL, f"{type(error).__name__}: {error}")
+        )
+
+
+def _fail(error):
+    print(str(error), file=sys.stderr)
+    sys.exit(error.answer.exit_code)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tamarackhaven/_control.py
@@ -0,0 +1,213 @@
+"""One control VM: storage, consensus, leases, the leader's duties and the calls."""
+
+import concurrent.futures
+import os
+import random
+from pathlib import Path
+
+from grpclib.server import Server
+
+from tamarackhaven import _clock
+from tamarackhaven._consensus import Consensus
+from tamarackhaven._control_services import ControlService, PeerService, Versions
+from tamarackhaven._fences import FenceFile
+from tamarackhaven._leader import LeaderDuties
+from tamarackhaven._lease_promises import LeasePromises, LeaseView
+from tamarackhaven._lease_server import LeaseServer
+from tamarackhaven._loop import LoopThread
+from tamarackhaven._machine import Machine
+from tamarackhaven._members import Member, Membership
+from tamarackhaven._model import TargetState, ZoneState
+from tamarackhaven._peers import FenceAnswer, Peers
+from tamarackhaven._settings import Listen
+from tamarackhaven._storage import Storage
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+FENCE_THREADS = 4
+CALL_TIMEOUT_S = 10.0
+
+
+class Control:
+    """A control VM's process.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Checked settings.
+    log : Log
+        Of the part ``control``.
+    on_fatal : callable
+        ``on_fatal(error)`` once this member can't go on; the process must exit.
+
+    Raises
+    ------
+    TamarackhavenError
+        If a port is taken or the data folder can't be used.
+    """
+
+    def __init__(self, settings, log, on_fatal):
+        self._settings = settings
+        self._log = log
+        self._member = _own_member(settings)
+        membership = _first_membership(settings)
+        folder = Path(settings.data_folder)
+        self._storage = Storage.open(folder)
+        self._fences = FenceFile.open(folder)
+        self._fencing = concurrent.futures.ThreadPoolExecutor(FENCE_THREADS)
+        self._loop = LoopThread("control")
+        self.machine = Machine(membership)
+        self._zone_out_since = {}
+        self._promises = LeasePromises(
+            settings.name,
+            settings.lease,
+            _clock.boot_s(),
+            self._fences.epochs_by_target,
+        )
+        self.peers = Peers(settings.name, self._loop, membership)
+        self.consensus = Consensus(
+            settings.name,
+            settings.raft,
+            self._storage,
+            membership,
+            self.peers.send,
+            self.machine,
+            _clock.boot_s,
+            random.Random(os.urandom(16)),
+            on_fatal,
+        )
+        self.leases = LeaseServer(
+            Listen(self._member.host, self._member.lease_port),
+            settings.lease,
+            self._promises,
+            self._lease_view,
+            self._fences.fence,
+        )
+        self.leader = LeaderDuties(
+            settings,
+            self.consensus,
+            self.machine,
+            self.peers,
+            self.leases,
+            _clock,
+            log,
+        )
+        self._versions = Versions(self.machine, self._loop.loop)
+        self.machine.on_applied(self._applied)
+        self._was_voter = self._is_voter(membership)
+
+    def start(self):
+        """Start the member and answer calls."""
+        self.consensus.start()
+        self.leader.start()
+        self._loop.call(self._listen(), CALL_TIMEOUT_S)
+        self._log.info("started", member=self._settings.name)
+
+    async def _listen(self):
+        services = [
+            PeerService(self.consensus, self._fence, self._fencing),
+            ControlService(
+                self.consensus,
+                self.machine,
+                self.peers,
+                self.leader,
+                self._versions,
+            ),
+        ]
+        self._server = Server(services)
+        try:
+            await self._server.start(self._member.host, self._member.port)
+        except OSError as error:
+            raise TamarackhavenError(
+                ErrorKind.PORT_TAKEN,
+                f"members.port: {self._member.host}:{self._member.port}: {error}",
+            ) from error
+
+    def _fence(self, service, target, epoch):
+        fenced = self.leases.fence(service, target, epoch)
+        return FenceAnswer(fenced.ok, fenced.remaining_ms / 1000)
+
+    def _applied(self, version):
+        membership = self.machine.membership
+        if membership.version == version:
+            self._membership_applied(membership)
+        for zone in self.machine.state.zones:
+            if zone.state is ZoneState.OUT:
+                self._zone_out_since.setdefault(zone.name, _clock.boot_s())
+            else:
+                self._zone_out_since.pop(zone.name, None)
+        self.leases.hint(version)
+
+    def _membership_applied(self, membership):
+        self.peers.set_membership(membership)
+        self.leases.membership_changed()
+        is_voter = self._is_voter(membership)
+        if is_voter and not self._was_voter:
+            self.leases.joined()
+        self._was_voter = is_voter
+
+    def _is_voter(self, membership):
+        return self._settings.name in membership.voters
+
+    def _lease_view(self, service, target):
+        """Return what this control VM knows of a target, for one renewal."""
+        membership = self.consensus.status().membership
+        with self.machine.lock:
+            member = self.machine.state.member(service, target)
+            version = self.machine.version
+            zone_out = member is not None and self._is_out(member.zone)
+        return LeaseView(
+            membership_version=membership.version,
+            state_version=version,
+            voter=self._is_voter(membership),
+            epoch=member.epoch if member else 0,
+            retired=member is not None and member.state is TargetState.LOST,
+            zone_out=zone_out,
+        )
+
+    def _is_out(self, zone):
+        """Whether a zone has been out for longer than its targets may take work.
+
+        Renewals go on for a moment, so that a daemon that hears can hand over its
+        shards one by one; one that can't hear stops when its lease then ends.
+        """
+        since = self._zone_out_since.get(zone)
+        grace_s = self._settings.lease.zone_grace_ms / 1000
+        return since is not None and _clock.boot_s() - since >= grace_s
+
+    def stop(self):
+        """Stop everything this process started."""
+        self.leader.stop()
+        self._loop.call(self._close(), CALL_TIMEOUT_S)
+        self.consensus.stop()
+        self.leases.stop()
+        self.peers.close()
+        self._fencing.shutdown()
+        self._loop.stop()
+        self._storage.close()
+        self._log.info("stopped", member=self._settings.name)
+
+    async def _close(self):
+        self._server.close()
+
+
+def _own_member(settings):
+    for member in settings.members:
+        if member.name == settings.name:
+            return member
+    raise TamarackhavenError(
+        ErrorKind.SETTINGS_OUT_OF_RANGE, f"name: {settings.name!r} is not in members"
+    )
+
+
+def _first_membership(settings):
+    """Return the membership at the group's first start.
+
+    A member that joins a running group is not in it: it learns the real one from the
+    leader, and until then it neither votes nor counts as a voter.
+    """
+    members = [
+        Member(m.name, m.host, m.port, m.lease_port)
+        for m in settings.members
+        if not (settings.join and m.name == settings.name)
+    ]
+    return Membership(tuple(members))
--- /dev/null
+++ b/tamarackhaven/_control_client.py
@@ -0,0 +1,238 @@
+"""Calls from daemons and operators to the control VMs, whichever answers."""
+
+import asyncio
+
+import attrs
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from tamarackhaven import _codec, _wire_pb2 as pb
+from tamarackhaven._changes import Change, Outcome
+from tamarackhaven._decisions import Decision
+from tamarackhaven._events import Event, LoadReport
+from tamarackhaven._history import Feed
+from tamarackhaven._loop import LoopThread
+from tamarackhaven._members import Membership, Step
+from tamarackhaven._wire_grpc import ControlStub
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+# One try gets a part of the caller's time, so that a control VM which takes the
+# connection and then says nothing (frozen, or cut off one way) leaves time to ask
+# the next one.
+TRY_PART = 0.4
+PAUSE_S = 0.05
+CALL_FAILURES = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    OSError,
+    TimeoutError,
+    asyncio.TimeoutError,
+)
+
+
+@attrs.frozen
+class MemberStatus:
+    """What one control VM says of the consensus group."""
+
+    member: str
+    role: str
+    leader: str
+    term: int
+    applied: int
+    membership: Membership
+
+
+class ControlClient:
+    """Calls to a group of control VMs; safe to use from any thread.
+
+    Parameters
+    ----------
+    members : sequence of ControlMember or Member
+        Where to ask; ``set_members`` replaces them.
+    """
+
+    def __init__(self, members):
+        self._loop = LoopThread("control-client")
+        self._channel_by_address = {}
+        self._members = list(members)
+        self._preferred = 0
+
+    def set_members(self, members):
+        """Ask these control VMs from now on."""
+        if members:
+            self._members = list(members)
+
+    def change(self, change, timeout_s):
+        """Send a change and return its ``Outcome``.
+
+        It is sent again to another control VM when one gives no answer: a change
+        with a change id gets its first outcome, the others are harmless twice.
+
+        Raises
+        ------
+        TamarackhavenError
+            CONTROL_UNREACHABLE if none took the call, CHANGE_UNCONFIRMED if one took
+            it and the outcome isn't known.
+        """
+        request = pb.ChangeRequest(change=_codec.dumps(change, Change))
+
+        async def call(stub, try_s):
+            request.timeout_ms = max(1, int(try_s * 1000))
+            reply = await stub.Change(request, timeout=try_s)
+            outcome = _codec.loads(reply.outcome, Outcome)
+            return None if _passing(outcome.code) else outcome
+
+        return self._until_answered(call, timeout_s, ErrorKind.CHANGE_UNCONFIRMED)
+
+    def change_membership(self, step, timeout_s):
+        """Add, promote or remove a member; return the ``Outcome``."""
+        request = pb.MembershipRequest(step=_codec.dumps(step, Step))
+
+        async def call(stub, try_s):
+            request.timeout_ms = max(1, int(try_s * 1000))
+            reply = await stub.Membership(request, timeout=try_s)
+            outcome = _codec.loads(reply.outcome, Outcome)
+            return None if _passing(outcome.code) else outcome
+
+        return self._until_answered(call, timeout_s, ErrorKind.CHANGE_UNCONFIRMED)
+
+    def fetch(self, from_version, timeout_s, linearizable=False):
+        """Return the ``Feed`` since a version; a linearizable one asks the leader."""
+        request = pb.FetchRequest(from_version=from_version, linearizable=linearizable)
+
+        async def call(stub, try_s):
+            return _feed(await stub.Fetch(request, timeout=try_s))
+
+        return self._until_answered(call, timeout_s, ErrorKind.CONTROL_UNREACHABLE)
+
+    def explain(self, service, key, decision_id, limit, timeout_s):
+        """Return recorded decisions, newest first."""
+        request = pb.ExplainRequest(
+            service=service, key=key, decision_id=decision_id, limit=limit
+        )
+
+        async def call(stub, try_s):
+            reply = await stub.Explain(request, timeout=try_s)
+            return _codec.loads(reply.decisions, list[Decision])
+
+        return self._until_answered(call, timeout_s, ErrorKind.CONTROL_UNREACHABLE)
+
+    def report(self, report, timeout_s):
+        """Send a ``LoadReport``; the control VM passes it to the leader."""
+        request = pb.ReportRequest(report=_codec.dumps(report, LoadReport))
+
+        async def call(stub, try_s):
+            return await stub.Report(request, timeout=try_s)
+
+        self._until_answered(call, timeout_s, ErrorKind.CONTROL_UNREACHABLE)
+
+    def status(self, member, timeout_s):
+        """Return the ``MemberStatus`` of one control VM.
+
+        Raises
+        ------
+        TamarackhavenError
+            CONTROL_UNREACHABLE if it does not answer.
+        """
+
+        async def call():
+            stub = ControlStub(self._channel(member))
+            return await stub.Status(pb.StatusRequest(), timeout=timeout_s)
+
+        try:
+            reply = self._loop.call(call(), timeout_s + 1)
+        except CALL_FAILURES as error:
+            raise TamarackhavenError(
+                ErrorKind.CONTROL_UNREACHABLE, f"{member.name}: {error!r}"
+            ) from error
+        return MemberStatus(
+            reply.member,
+            reply.role,
+            reply.leader,
+            reply.term,
+            reply.applied,
+            _codec.loads(reply.membership, Membership),
+        )
+
+    def watch(self, from_version, timeout_s):
+        """Yield a ``Feed`` after another, for ever, from whichever member answers.
+
+        A feed that is not newer than the last one is left out, so a member that lags
+        never takes the watcher back.
+        """
+        version = from_version
+        while True:
+            feed = self._next_feed(version, timeout_s)
+            if feed.version > version:
+                version = feed.version
+                yield feed
+
+    def _next_feed(self, version, timeout_s):
+        wait_s = timeout_s * TRY_PART / 2
+        request = pb.FetchRequest(from_version=version, wait_ms=int(wait_s * 1000))
+
+        async def call(stub, try_s):
+            return _feed(await stub.Fetch(request, timeout=try_s))
+
+        return self._until_answered(call, timeout_s, ErrorKind.CONTROL_UNREACHABLE)
+
+    def close(self):
+        """Close all connections."""
+
+        async def close():
+            for channel in self._channel_by_address.values():
+                channel.close()
+
+        self._loop.call(close(), 5)
+        self._loop.stop()
+
+    def _until_answered(self, call, timeout_s, unanswered):
+        try:
+            return self._loop.call(
+                self._try_members(call, timeout_s, unanswered), timeout_s + 5
+            )
+        except TimeoutError as error:
+            raise TamarackhavenError(unanswered, "No control VM answered.") from error
+
+    async def _try_members(self, call, timeout_s, unanswered):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        last = "No control VM answered."
+        tried = 0
+        while (left := end - loop.time()) > 0:
+            tried += 1
+            members = self._members
+            member = members[self._preferred % len(members)]
+            try_s = min(left, max(timeout_s * TRY_PART, 0.05))
+            try:
+                answer = await asyncio.wait_for(
+                    call(ControlStub(self._channel(member)), try_s), try_s
+                )
+                if answer is not None:
+                    return answer
+                last = f"{member.name} has no leader."
+            except CALL_FAILURES as error:
+                last = f"{member.name}: {type(error).__name__} {error}"
+            self._preferred += 1
+            if tried % len(members) == 0:
+                await asyncio.sleep(PAUSE_S)
+        raise TamarackhavenError(unanswered, last)
+
+    def _channel(self, member):
+        address = member.host, member.port
+        channel = self._channel_by_address.get(address)
+        if channel is None:
+            channel = Channel(member.host, member.port, loop=self._loop.loop)
+            self._channel_by_address[address] = channel
+        return channel
+
+
+def _feed(reply):
+    events = _codec.loads(reply.events, list[Event])
+    return Feed(reply.version, reply.snapshot, events)
+
+
+def _passing(code):
+    """Whether another control VM, or the same one soon, may answer better."""
+    return code in (ErrorKind.NO_QUORUM.value, ErrorKind.CHANGE_UNCONFIRMED.value)
--- /dev/null
+++ b/tamarackhaven/_control_services.py
@@ -0,0 +1,292 @@
+"""The calls that a control VM answers, over ``grpclib``."""
+
+import asyncio
+
+from grpclib import GRPCError, Status
+
+from tamarackhaven import _codec, _keys, _wire_pb2 as pb
+from tamarackhaven._changes import Change, Command, JoinTarget, Outcome
+from tamarackhaven._clock import unix_s
+from tamarackhaven._control_client import CALL_FAILURES
+from tamarackhaven._decisions import Decision
+from tamarackhaven._events import LoadReport
+from tamarackhaven._machine import encode_events
+from tamarackhaven._members import Membership, Step
+from tamarackhaven._raft_wire import from_wire
+from tamarackhaven._state import encode_command
+from tamarackhaven._wire_grpc import ControlBase, PeerBase
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+WAIT_MS_MAX = 30_000
+# A watcher hears at least this often that nothing changed, so silence means a loss.
+BOOKMARK_S = 5.0
+EXPLAIN_LIMIT_MAX = 500
+
+
+class PeerService(PeerBase):
+    """Calls from other control VMs.
+
+    Parameters
+    ----------
+    consensus : Consensus
+        Takes the messages.
+    fence : callable
+        ``fence(service, target, epoch) -> FenceAnswer``; it syncs a file.
+    executor : concurrent.futures.Executor
+        Where ``fence`` runs, away from the event loop.
+    """
+
+    def __init__(self, consensus, fence, executor):
+        self._consensus = consensus
+        self._fence = fence
+        self._executor = executor
+
+    async def Step(self, stream):  # noqa: N802
+        """Take consensus messages."""
+        request = await stream.recv_message()
+        self._consensus.deliver([from_wire(message) for message in request.messages])
+        await stream.send_message(pb.StepReply())
+
+    async def Fence(self, stream):  # noqa: N802
+        """Refuse an epoch from now on, if its promise has run out."""
+        request = await stream.recv_message()
+        answer = await asyncio.get_running_loop().run_in_executor(
+            self._executor, self._fence, request.service, request.target, request.epoch
+        )
+        remaining_ms = int(answer.remaining_s * 1000) + 1
+        await stream.send_message(
+            pb.FenceReply(fenced=answer.fenced, remaining_ms=remaining_ms)
+        )
+
+
+class Versions:
+    """Lets coroutines wait until an entry is applied."""
+
+    def __init__(self, machine, loop):
+        self._machine = machine
+        self._loop = loop
+        self._waiting = set()
+        machine.on_applied(self._applied)
+
+    def _applied(self, version):
+        if self._waiting:
+            self._loop.call_soon_threadsafe(self._wake)
+
+    def _wake(self):
+        for future in self._waiting:
+            if not future.done():
+                future.set_result(None)
+        self._waiting.clear()
+
+    async def newer_than(self, version, timeout_s):
+        """Return once the applied version is higher, or after ``timeout_s``."""
+        end = self._loop.time() + timeout_s
+        while self._machine.version <= version:
+            left = end - self._loop.time()
+            if left <= 0:
+                return
+            future = self._loop.create_future()
+            self._waiting.add(future)
+            # An entry applied before the line above told nobody.
+            if self._machine.version > version:
+                return
+            await asyncio.wait([future], timeout=left)
+            self._waiting.discard(future)
+
+
+class ControlService(ControlBase):
+    """Calls from daemons and operators.
+
+    Parameters
+    ----------
+    consensus : Consensus
+        The replicated log.
+    machine : Machine
+        What is applied of it here.
+    peers : Peers
+        The way to the leader.
+    leader : LeaderDuties
+        What the leader knows beyond the log: reports and silent targets.
+    versions : Versions
+        For watchers.
+    """
+
+    def __init__(self, consensus, machine, peers, leader, versions):
+        self._consensus = consensus
+        self._machine = machine
+        self._peers = peers
+        self._leader = leader
+        self._versions = versions
+
+    async def Change(self, stream):  # noqa: N802
+        """Commit a change; passed to the leader once if this is not it."""
+        request = await stream.recv_message()
+        outcome = await self._change(request)
+        await stream.send_message(
+            pb.ChangeReply(outcome=_codec.dumps(outcome, Outcome))
+        )
+
+    async def _change(self, request):
+        leader = self._leader_stub()
+        if leader is not None:
+            if request.forwarded:
+                return _outcome(ErrorKind.NO_QUORUM, "leadership is moving")
+            request.forwarded = True
+            try:
+                reply = await leader.Change(request, timeout=request.timeout_ms / 1000)
+            except CALL_FAILURES as error:
+                return _outcome(ErrorKind.CHANGE_UNCONFIRMED, repr(error))
+            return _codec.loads(reply.outcome, Outcome)
+        try:
+            change = _codec.loads(request.change, Change)
+        except Exception as error:
+            return _outcome(ErrorKind.INVALID_RESOURCE, _first_line(error))
+        try:
+            change = self._named(change)
+            command = encode_command(Command(change, unix_s()))
+            return await self._committed(
+                self._consensus.propose(command), request.timeout_ms
+            )
+        except TamarackhavenError as error:
+            return _outcome(error.kind, error.detail)
+
+    def _named(self, change):
+        if isinstance(change, JoinTarget):
+            return self._leader.checked_join(change)
+        return change
+
+    async def _committed(self, future, timeout_ms):
+        try:
+            return await asyncio.wait_for(
+                asyncio.wrap_future(future), timeout_ms / 1000
+            )
+        except TimeoutError:
+            return _outcome(ErrorKind.CHANGE_UNCONFIRMED, "no majority in time")
+
+    async def Membership(self, stream):  # noqa: N802
+        """Add, promote or remove a member of the group."""
+        request = await stream.recv_message()
+        leader = self._leader_stub()
+        if leader is not None:
+            await stream.send_message(await leader.Membership(request))
+            return
+        try:
+            step = _codec.loads(request.step, Step)
+            self._leader.check_membership_step(step)
+            await self._committed(
+                self._consensus.change_membership(step), request.timeout_ms
+            )
+            outcome = Outcome(version=self._machine.version)
+        except TamarackhavenError as error:
+            outcome = _outcome(error.kind, error.detail)
+        await stream.send_message(
+            pb.MembershipReply(outcome=_codec.dumps(outcome, Outcome))
+        )
+
+    async def Fetch(self, stream):  # noqa: N802
+        """Answer the events since a version, waiting for some if asked to."""
+        request = await stream.recv_message()
+        if request.linearizable:
+            leader = self._leader_stub()
+            if leader is not None:
+                await stream.send_message(await leader.Fetch(request))
+                return
+            await self._read_barrier()
+        wait_s = min(request.wait_ms, WAIT_MS_MAX) / 1000
+        if wait_s:
+            await self._versions.newer_than(request.from_version, wait_s)
+        await stream.send_message(self._reply(request.from_version))
+
+    async def _read_barrier(self):
+        try:
+            await asyncio.wait_for(asyncio.wrap_future(self._consensus.read()), 2)
+        except (TamarackhavenError, TimeoutError) as error:
+            raise GRPCError(Status.UNAVAILABLE, str(error)) from error
+
+    async def Watch(self, stream):  # noqa: N802
+        """Stream events; the stream keeps a version only, however slow its reader."""
+        request = await stream.recv_message()
+        version = request.from_version
+        while True:
+            reply = self._reply(version)
+            await stream.send_message(reply)
+            version = reply.version
+            await self._versions.newer_than(version, BOOKMARK_S)
+
+    def _reply(self, from_version):
+        feed = self._machine.feed(from_version)
+        return pb.FetchReply(
+            version=feed.version,
+            snapshot=feed.snapshot,
+            events=encode_events(feed.events),
+        )
+
+    async def Explain(self, stream):  # noqa: N802
+        """Answer recorded decisions; the leader also knows the moves not made."""
+        request = await stream.recv_message()
+        decisions = self._explain(request)
+        await stream.send_message(
+            pb.ExplainReply(decisions=_codec.dumps(decisions, list[Decision]))
+        )
+
+    def _explain(self, request):
+        limit = min(request.limit or 50, EXPLAIN_LIMIT_MAX)
+        with self._machine.lock:
+            shard = self._shard(request.service, request.key)
+            found = self._machine.state.decisions.find(
+                request.service, shard, request.decision_id, limit
+            )
+        refused = self._leader.refusals.find(
+            request.service, shard, request.decision_id, limit
+        )
+        return (found + refused)[:limit]
+
+    def _shard(self, service, key):
+        resource = self._machine.state.resource("Service", service)
+        if resource is None or not key:
+            return None
+        key_hash = _keys.hash_key(service, key)
+        for grant in self._machine.state.grants(service).values():
+            if grant.key_hash == key_hash:
+                return grant.shard
+        return _keys.shard_of(key_hash, resource.shard_count)
+
+    async def Report(self, stream):  # noqa: N802
+        """Take a daemon's report of load."""
+        request = await stream.recv_message()
+        leader = self._leader_stub()
+        if leader is not None:
+            await leader.Report(request, timeout=1)
+        else:
+            self._leader.report(_codec.loads(request.report, LoadReport))
+        await stream.send_message(pb.ReportReply())
+
+    async def Status(self, stream):  # noqa: N802
+        """Answer what this member knows of the group."""
+        await stream.recv_message()
+        status = self._consensus.status()
+        await stream.send_message(
+            pb.StatusReply(
+                member=status.name,
+                role=status.role.value,
+                leader=status.leader,
+                term=status.term,
+                applied=self._machine.version,
+                membership=_codec.dumps(self._machine.membership, Membership),
+            )
+        )
+
+    def _leader_stub(self):
+        """Return the leader's stub, or None if this member has to answer itself."""
+        status = self._consensus.status()
+        if not status.leader or status.leader == status.name:
+            return None
+        return self._peers.control_stub(status.leader)
+
+
+def _outcome(kind, detail):
+    return Outcome(kind.value, str(TamarackhavenError(kind, detail)), 0)
+
+
+def _first_line(error):
+    return str(error).splitlines()[0] if str(error) else type(error).__name__
--- a/tamarackhaven/_history.py
+++ b/tamarackhaven/_history.py
@@ -78,10 +78,3 @@
                 break
             events[:0] = some
         return events
-
-    def feed(self, version, state):
-        """Return the ``Feed`` for a watcher at ``version``; a snapshot if need be."""
-        events = self.since(version)
-        if events is None:
-            return Feed(state.version, True, state.as_events())
-        return Feed(self.version, False, events)
--- /dev/null
+++ b/tamarackhaven/_leader.py
@@ -0,0 +1,313 @@
+"""What the leader does beyond replicating: retire the silent, place, pin.
+
+All decisions are made by pure modules (``_fence_round``, ``_placement``, ``_pins``);
+this one gathers their inputs and proposes what comes out. A proposal names the epoch
+or grant that it was made for, so one made from an old state changes nothing.
+"""
+
+import threading
+import time
+
+import attrs
+
+from tamarackhaven._changes import Command, MoveShards, RetireTarget
+from tamarackhaven._decisions import Decision, DecisionRecord
+from tamarackhaven._fence_round import FenceRounds
+from tamarackhaven._model import TargetState
+from tamarackhaven._pins import PinPlanner
+from tamarackhaven._placement import plan
+from tamarackhaven._plan import PlacementInputs
+from tamarackhaven._raft import Role
+from tamarackhaven._state import encode_command
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+# Well below the lease, so that noticing a silent target adds little to the time
+# without an owner; a tick costs little, since it looks at members, not at shards.
+TICK_S = 0.02
+PIN_EVERY_S = 1.0
+# Plans without a change of state, for loads that shift.
+REPLAN_EVERY_S = 1.0
+COLD_WARMTH = 0.3
+REFUSALS_KEPT = 200
+
+
+class LeaderDuties:
+    """Runs on every control VM, acts only where the leader is.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Of this control VM.
+    consensus, machine, peers, leases
+        The parts of this control VM.
+    clock : module
+        Gives ``boot_s`` and ``unix_s``.
+    log : Log
+        Of the part ``leader``.
+    """
+
+    def __init__(self, settings, consensus, machine, peers, leases, clock, log):
+        self._settings = settings
+        self._consensus = consensus
+        self._machine = machine
+        self._peers = peers
+        self._leases = leases
+        self._clock = clock
+        self._log = log
+        self._lock = threading.RLock()
+        self._stopping = threading.Event()
+        self._wake = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="leader", daemon=True)
+        self.refusals = DecisionRecord(REFUSALS_KEPT)
+        self._refused = 0
+        self._term = 0
+        self._start_term()
+
+    def _start_term(self):
+        self._leading_since = self._clock.boot_s()
+        self._rounds = FenceRounds(self._settings.lease, self._settings.name)
+        self._pins = PinPlanner(self._settings.placement)
+        self._report_by_target = {}
+        self._planned_by_service = {}
+        self._proposed_by_service = {}
+        self._holds_by_service = {}
+        self._retiring = {}
+        self._pinned_at = 0.0
+
+    def start(self):
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self):
+        """Stop the thread and wait for it."""
+        self._stopping.set()
+        self._wake.set()
+        self._thread.join()
+
+    def _run(self):
+        while not self._stopping.is_set():
+            self._wake.wait(TICK_S)
+            self._wake.clear()
+            try:
+                self._tick(self._clock.boot_s())
+            except TamarackhavenError as error:
+                # Leadership was lost in the middle: the next leader goes on.
+                self._log.info("step given up", code=error.kind.value)
+            except Exception as error:  # the leader must not die of one bad input
+                self._log.error("step failed", error=repr(error))
+                time.sleep(TICK_S)
+
+    def _tick(self, now):
+        status = self._consensus.status()
+        if status.role is not Role.LEADER:
+            self._term = 0
+            return
+        with self._lock:
+            if status.term != self._term:
+                self._term = status.term
+                self._start_term()
+                self._leases.membership_changed()
+            self._fence(now, status.membership.voters)
+            self._retire_left()
+            self._place(now)
+            self._pin(now)
+
+    # --- silent targets ---------------------------------------------------------
+
+    def _fence(self, now, voters):
+        with self._machine.lock:
+            members = self._machine.state.members
+        asks = self._rounds.tick(now, members, self._leases.promise_end, voters)
+        for ask in asks:
+            if ask.member == self._settings.name:
+                fenced = self._leases.fence(ask.service, ask.target, ask.epoch)
+                self._answered(ask, fenced.ok, fenced.remaining_ms)
+            else:
+                future = self._peers.fence(
+                    ask.member, ask.service, ask.target, ask.epoch
+                )
+                future.add_done_callback(lambda f, ask=ask: self._fence_reply(ask, f))
+
+    def _fence_reply(self, ask, future):
+        answer = None if future.cancelled() else future.result()
+        if answer is not None:
+            remaining_ms = int(answer.remaining_s * 1000)
+            self._answered(ask, answer.fenced, remaining_ms)
+
+    def _answered(self, ask, fenced, remaining_ms):
+        now = self._clock.boot_s()
+        with self._lock:
+            retire = self._rounds.answered(ask.member, ask, fenced, remaining_ms, now)
+        if retire is not None:
+            self._log.info(
+                "retiring a silent target",
+                service=retire.service,
+                target=retire.target,
+                epoch=retire.epoch,
+            )
+            change = RetireTarget(
+                retire.service, retire.target, retire.epoch, "its lease ran out"
+            )
+            self._propose(change)
+
+    def _propose(self, change):
+        try:
+            future = self._consensus.propose(
+                encode_command(Command(change, self._clock.unix_s()))
+            )
+        except TamarackhavenError as error:
+            self._log.info("proposal refused", code=error.kind.value)
+            return None
+        # The next step of a placement follows the last one at once.
+        future.add_done_callback(lambda _: self._wake.set())
+        return future
+
+    def _retire_left(self):
+        """Retire targets that left and own nothing; nobody has to fence those."""
+        with self._machine.lock:
+            state = self._machine.state
+            left = [
+                member
+                for member in state.members
+                if member.state is TargetState.LEAVING and not _owns_any(state, member)
+            ]
+        for member in left:
+            key = member.service, member.target, member.epoch
+            if not _running(self._retiring.get(key)):
+                self._retiring[key] = self._propose(
+                    RetireTarget(*key, "it left and owns nothing")
+                )
+
+    # --- placement --------------------------------------------------------------
+
+    def _place(self, now):
+        with self._machine.lock:
+            state = self._machine.state
+            version = state.version
+            services = [
+                service
+                for service in state.services
+                if self._due(service, now, version)
+            ]
+            steps = [(service, self._inputs(state, service)) for service in services]
+        for service, inputs in steps:
+            step = plan(inputs, self._settings.placement)
+            self._planned_by_service[service.name] = version, now
+            self._record_holds(service, step, version)
+            for change in step.changes():
+                self._proposed_by_service[service.name] = self._propose(change)
+
+    def _due(self, service, now, version):
+        if _running(self._proposed_by_service.get(service.name)):
+            return False
+        planned, at = self._planned_by_service.get(service.name, (-1, 0.0))
+        return planned != version or now - at >= REPLAN_EVERY_S
+
+    def _inputs(self, state, service):
+        reports = self._report_by_target
+        return PlacementInputs(
+            service=service,
+            policy=state.resource("OwnershipPolicy", service.policy),
+            zones_by_name={zone.name: zone for zone in state.zones},
+            members=state.members,
+            grants_by_shard=dict(state.grants(service.name)),
+            warmth_by_target={
+                report.target: COLD_WARMTH
+                for report in reports.values()
+                if report.service == service.name and report.cold
+            },
+        )
+
+    def _record_holds(self, service, step, version):
+        if step.holds == self._holds_by_service.get(service.name, []):
+            return
+        self._holds_by_service[service.name] = step.holds
+        for hold in step.holds:
+            self._refused += 1
+            self.refusals.add(
+                Decision(
+                    f"p{self._refused}",
+                    version,
+                    self._clock.unix_s(),
+                    service.name,
+                    hold.cause.value,
+                    f"{hold.count} shards not moved, shard {hold.shard} first",
+                    [hold.shard],
+                )
+            )
+
+    # --- hot keys ---------------------------------------------------------------
+
+    def _pin(self, now):
+        if now - self._pinned_at < PIN_EVERY_S:
+            return
+        self._pinned_at = now
+        with self._machine.lock:
+            state = self._machine.state
+            rows = [
+                (
+                    service,
+                    state.resource("OwnershipPolicy", service.policy),
+                    dict(state.grants(service.name)),
+                )
+                for service in state.services
+            ]
+        for service, policy, grants in rows:
+            decision = self._pins.decide(service, policy, grants, now)
+            for change in decision.changes:
+                self._propose(change)
+            if decision.moves:
+                self._propose(
+                    MoveShards(service.name, decision.moves, "pin no longer hot")
+                )
+
+    def report(self, report):
+        """Take a daemon's ``LoadReport``."""
+        with self._lock:
+            self._report_by_target[report.service, report.target] = report
+            self._pins.report(report, self._clock.boot_s())
+
+    # --- checks before a proposal -----------------------------------------------
+
+    def checked_join(self, change):
+        """Return a ``JoinTarget`` that may be proposed.
+
+        Raises
+        ------
+        TamarackhavenError
+            NAME_CLAIMED while another process renews the lease of that target.
+        """
+        with self._machine.lock:
+            old = self._machine.state.member(change.service, change.target)
+        if old is None or old.instance == change.instance:
+            return change
+        if old.state is TargetState.LOST:
+            return change
+        now = self._clock.boot_s()
+        end = self._leases.promise_end(change.service, change.target, old.epoch)
+        if end is None:
+            # This leader never promised it anything; a former one may have.
+            end = self._leading_since + self._settings.lease.lease_ms / 1000 * 2
+        if now < end:
+            raise TamarackhavenError(
+                ErrorKind.NAME_CLAIMED,
+                f"{change.target!r} is held by instance {old.instance!r}.",
+                end - now,
+            )
+        return attrs.evolve(change, expected_epoch=old.epoch)
+
+    def check_membership_step(self, step):
+        """Refuse a change of membership while leases of an older one may hold."""
+        if not self._leases.ready_for_membership_change():
+            raise TamarackhavenError(
+                ErrorKind.NO_QUORUM, "The last change is less than a lease ago."
+            )
+
+
+def _owns_any(state, member):
+    grants = state.grants(member.service).values()
+    return any(grant.owner == member.target for grant in grants)
+
+
+def _running(future):
+    return future is not None and not future.done()
--- /dev/null
+++ b/tamarackhaven/_loop.py
@@ -0,0 +1,46 @@
+"""An asyncio event loop in a thread, for the calls that ``grpclib`` makes.
+
+The rest of the program is built on ``concurrent.futures``; this is the one seam
+between the two.
+"""
+
+import asyncio
+import concurrent.futures
+import threading
+
+
+class LoopThread:
+    """Runs one event loop until ``stop``."""
+
+    def __init__(self, name):
+        self.loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._thread.start()
+
+    def _run(self):
+        asyncio.set_event_loop(self.loop)
+        self.loop.run_forever()
+
+    def submit(self, coroutine):
+        """Start a coroutine; return its ``concurrent.futures.Future``."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop)
+
+    def call(self, coroutine, timeout_s):
+        """Run a coroutine and return its result.
+
+        Raises
+        ------
+        TimeoutError
+            If it takes longer than ``timeout_s`` seconds; it is cancelled then.
+        """
+        future = self.submit(coroutine)
+        try:
+            return future.result(timeout_s)
+        except concurrent.futures.TimeoutError:
+            future.cancel()
+            raise TimeoutError from None
+
+    def stop(self):
+        """Stop the loop and wait for its thread."""
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join()
--- /dev/null
+++ b/tamarackhaven/_machine.py
@@ -0,0 +1,103 @@
+"""The state machine under the replicated log: state, history, and who waits for it.
+
+The consensus worker applies entries; calls from daemons and operators read. One lock
+keeps the two apart, so a reader never sees half of an entry.
+"""
+
+import threading
+
+import attrs
+
+from tamarackhaven import _codec
+from tamarackhaven._changes import Outcome
+from tamarackhaven._events import Event, MembershipChanged
+from tamarackhaven._history import Feed, History
+from tamarackhaven._members import Membership
+from tamarackhaven._raft_messages import EntryKind
+from tamarackhaven._state import ClusterState, StateSnapshot, decode_command
+
+
+class Machine:
+    """Applied state of one control VM.
+
+    Parameters
+    ----------
+    membership : Membership
+        The group at its first start.
+    """
+
+    def __init__(self, membership):
+        self.lock = threading.RLock()
+        self.state = ClusterState()
+        self.history = History()
+        self._membership = membership
+        self._listeners = []
+
+    @property
+    def version(self):
+        """Index of the last applied entry."""
+        return self.history.version
+
+    @property
+    def membership(self):
+        """The committed ``Membership``."""
+        return self._membership
+
+    def on_applied(self, listener):
+        """Call ``listener(version)`` after each applied entry, on the worker thread."""
+        self._listeners.append(listener)
+
+    def apply(self, entry):
+        """Apply a committed entry and return its ``Outcome``."""
+        with self.lock:
+            outcome, events = self._apply(entry)
+            self.history.add(entry.index, events)
+        self._tell(entry.index)
+        return outcome
+
+    def _apply(self, entry):
+        if entry.kind is EntryKind.CHANGE:
+            return self.state.apply(entry.index, decode_command(entry.command))
+        self.state.version = entry.index
+        if entry.kind is EntryKind.MEMBERSHIP:
+            membership = _codec.loads(entry.command, Membership)
+            self._membership = attrs.evolve(membership, version=entry.index)
+            event = MembershipChanged(entry.index, self._membership)
+            return Outcome(version=entry.index), [event]
+        return Outcome(version=entry.index), []
+
+    def snapshot(self):
+        """Return the state as bytes."""
+        with self.lock:
+            return _codec.dumps(self.state.snapshot(), StateSnapshot)
+
+    def restore(self, snapshot):
+        """Replace the state by a ``Snapshot`` of the log; index 0 is an empty one."""
+        with self.lock:
+            self._membership = snapshot.membership
+            if snapshot.data:
+                self.state = ClusterState.restored(
+                    _codec.loads(snapshot.data, StateSnapshot)
+                )
+            self.state.version = snapshot.index
+            self.history.restart(snapshot.index)
+        self._tell(snapshot.index)
+
+    def feed(self, from_version):
+        """Return the ``Feed`` for a watcher; one at version 0 knows no members yet."""
+        with self.lock:
+            version = self.history.version
+            events = None if from_version == 0 else self.history.since(from_version)
+            if events is not None:
+                return Feed(version, False, events)
+            members = MembershipChanged(version, self._membership)
+            return Feed(version, True, [members, *self.state.as_events()])
+
+    def _tell(self, version):
+        for listener in self._listeners:
+            listener(version)
+
+
+def encode_events(events):
+    """Return events as the bytes of a ``FetchReply``."""
+    return _codec.dumps(events, list[Event])
--- /dev/null
+++ b/tamarackhaven/_peers.py
@@ -0,0 +1,117 @@
+"""Sends consensus messages and fence requests to the other control VMs.
+
+A message that can't be sent is dropped: the consensus state machine repeats what
+matters, and a queue for a VM that is cut off would only grow.
+"""
+
+import asyncio
+
+import attrs
+from grpclib.client import Channel
+
+from tamarackhaven import _wire_pb2 as pb
+from tamarackhaven._control_client import CALL_FAILURES
+from tamarackhaven._raft_wire import to_wire
+from tamarackhaven._wire_grpc import ControlStub, PeerStub
+
+# At 50 ms heartbeats this is some seconds of messages; older ones are useless.
+QUEUE_MESSAGES = 256
+STEP_TIMEOUT_S = 2.0
+FENCE_TIMEOUT_S = 0.5
+
+
+@attrs.frozen
+class FenceAnswer:
+    """What one control VM answered to a fence request; times in seconds."""
+
+    fenced: bool
+    remaining_s: float
+
+
+class Peers:
+    """Connections from one control VM to the others."""
+
+    def __init__(self, name, loop_thread, membership):
+        self._name = name
+        self._loop_thread = loop_thread
+        self._member_by_name = membership.by_name
+        self._channel_by_name = {}
+        self._queue_by_name = {}
+
+    def set_membership(self, membership):
+        """Send to these members from now on; removed ones can still be reached."""
+        self._member_by_name = self._member_by_name | membership.by_name
+
+    def send(self, messages):
+        """Queue consensus messages; returns at once."""
+        self._loop_thread.loop.call_soon_threadsafe(self._enqueue, messages)
+
+    def _enqueue(self, messages):
+        for message in messages:
+            queue = self._queue(message.receiver)
+            if queue is None:
+                continue
+            if queue.full():
+                queue.get_nowait()
+            queue.put_nowait(message)
+
+    def _queue(self, name):
+        queue = self._queue_by_name.get(name)
+        if queue is None and name in self._member_by_name and name != self._name:
+            queue = asyncio.Queue(QUEUE_MESSAGES)
+            self._queue_by_name[name] = queue
+            self._loop_thread.loop.create_task(self._send_queue(name, queue))
+        return queue
+
+    async def _send_queue(self, name, queue):
+        while True:
+            batch = [await queue.get()]
+            while not queue.empty():
+                batch.append(queue.get_nowait())
+            request = pb.StepRequest(messages=[to_wire(message) for message in batch])
+            try:
+                stub = PeerStub(self._channel(name))
+                await stub.Step(request, timeout=STEP_TIMEOUT_S)
+            except CALL_FAILURES:
+                # Refused at once when the VM is down: without a pause this would
+                # spin on one core until it comes back.
+                await asyncio.sleep(0.02)
+
+    def fence(self, name, service, target, epoch):
+        """Ask a control VM to fence an epoch.
+
+        Returns
+        -------
+        concurrent.futures.Future
+            Of a ``FenceAnswer``, or None if the VM gave no answer.
+        """
+        return self._loop_thread.submit(self._fence(name, service, target, epoch))
+
+    async def _fence(self, name, service, target, epoch):
+        request = pb.FenceRequest(service=service, target=target, epoch=epoch)
+        try:
+            stub = PeerStub(self._channel(name))
+            reply = await stub.Fence(request, timeout=FENCE_TIMEOUT_S)
+        except CALL_FAILURES:
+            return None
+        return FenceAnswer(reply.fenced, reply.remaining_ms / 1000)
+
+    def control_stub(self, name):
+        """Return the stub of a member's service for daemons and operators, or None."""
+        if name not in self._member_by_name:
+            return None
+        return ControlStub(self._channel(name))
+
+    def _channel(self, name):
+        member = self._member_by_name[name]
+        channel = self._channel_by_name.get(name)
+        if channel is None:
+            loop = self._loop_thread.loop
+            channel = Channel(member.host, member.port, loop=loop)
+            self._channel_by_name[name] = channel
+        return channel
+
+    def close(self):
+        """Close all connections."""
+        for channel in self._channel_by_name.values():
+            self._loop_thread.loop.call_soon_threadsafe(channel.close)
--- a/tamarackhaven/_settings.py
+++ b/tamarackhaven/_settings.py
@@ -71,11 +71,15 @@
         datagram costs no lease.
     drift : float
         Largest difference of two clocks' rates that is tolerated, as a part of 1.
+    zone_grace_ms : int
+        How long a target goes on after its availability zone was taken out, so that
+        its shards can leave in steps.
     """
 
     lease_ms: int = _whole(400, 50, 10_000)
     renew_ms: int = _whole(100, 10, 2_000)
     drift: float = _number(0.01, 0.0, 0.2)
+    zone_grace_ms: int = _whole(2000, 0, 60_000)
 
 
 @attrs.frozen
@@ -249,8 +253,15 @@
 
 @attrs.frozen
 class OperatorSettings:
-    """The operators' commands: which control VMs to ask."""
+    """The operators' commands: which control VMs to ask.
 
+    Parameters
+    ----------
+    data_folder : str
+        Where the program unpacks itself.
+    """
+
+    data_folder: str = _text()
     control: list[ControlMember] = attrs.field(
         validator=deep_iterable(instance_of(ControlMember), and_(min_len(1)))
     )
--- a/tamarackhaven/_view.py
+++ b/tamarackhaven/_view.py
@@ -164,8 +164,11 @@
             if shards is not None:
                 shards.remove(event.shard)
         elif isinstance(event, MembershipChanged):
-            if event.membership.version >= self._membership.version:
-                self._membership = event.membership
+            self._take_membership(event.membership)
+
+    def _take_membership(self, membership):
+        if membership.version >= self._membership.version:
+            self._membership = membership
 
     def _delete(self, event):
         self._resources_by_key.pop((event.kind, event.name), None)
--- /dev/null
+++ b/tamarackhaven/plumbing.py
@@ -0,0 +1,182 @@
+"""The library calls under the commands; programs may use them, too.
+
+Everything raises ``TamarackhavenError`` and prints nothing.
+"""
+
+import tomllib
+import uuid
+
+import attrs
+
+from tamarackhaven import _codec, _events
+from tamarackhaven._changes import DeleteResource, PutResource
+from tamarackhaven._control_client import ControlClient
+from tamarackhaven._model import AvailabilityZone, OwnershipPolicy, Service
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+# In the order in which resources refer to one another.
+KIND_BY_NAME = {
+    "zone": AvailabilityZone,
+    "policy": OwnershipPolicy,
+    "service": Service,
+}
+
+__all__ = [
+    "KIND_BY_NAME",
+    "Applied",
+    "ControlClient",
+    "apply_resource",
+    "delete_resource",
+    "kind_named",
+    "new_change_id",
+    "read_resources",
+    "records",
+]
+
+
+@attrs.frozen
+class Applied:
+    """What became of one resource: ``result`` is created, changed or unchanged."""
+
+    kind: str
+    name: str
+    result: str
+    version: int
+    change_id: str
+
+
+def new_change_id():
+    """Return a change id that nobody else has."""
+    return uuid.uuid4().hex
+
+
+def kind_named(name):
+    """Return the resource class that operators call ``name``.
+
+    Raises
+    ------
+    TamarackhavenError
+        USAGE if there is none.
+    """
+    kind = KIND_BY_NAME.get(name)
+    if kind is None:
+        names = ", ".join(KIND_BY_NAME)
+        raise TamarackhavenError(ErrorKind.USAGE, f"{name!r} is not one of {names}.")
+    return kind
+
+
+def read_resources(path):
+    """Return the resources of a TOML file, in the order to apply them.
+
+    The file has tables ``[[zone]]``, ``[[policy]]`` and ``[[service]]``.
+
+    Raises
+    ------
+    TamarackhavenError
+        SETTINGS_MISSING, SETTINGS_SYNTAX or INVALID_RESOURCE, naming the file.
+    """
+    try:
+        with open(path, "rb") as file:
+            tables = tomllib.load(file)
+    except OSError as error:
+        raise TamarackhavenError(
+            ErrorKind.SETTINGS_MISSING, f"{path}: {error.strerror}"
+        ) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise TamarackhavenError(
+            ErrorKind.SETTINGS_SYNTAX, f"{path}: {error}"
+        ) from error
+    unknown = set(tables) - set(KIND_BY_NAME)
+    if unknown:
+        raise TamarackhavenError(
+            ErrorKind.INVALID_RESOURCE, f"{path}: unknown table {min(unknown)!r}."
+        )
+    resources = []
+    for name, kind in KIND_BY_NAME.items():
+        for row in tables.get(name, []):
+            resources.append(_read_row(path, name, kind, row))
+    return resources
+
+
+def _read_row(path, name, kind, row):
+    known = {field.name: field for field in attrs.fields(kind)}
+    for key, value in row.items():
+        if key not in known:
+            detail = f"{path}: {name} has no {key!r}."
+            raise TamarackhavenError(ErrorKind.INVALID_RESOURCE, detail)
+        wanted = known[key].type
+        if wanted in (int, str) and type(value) is not wanted:
+            detail = f"{path}: {name}.{key} must be {_type_name(wanted)}."
+            raise TamarackhavenError(ErrorKind.INVALID_RESOURCE, detail)
+    try:
+        return _codec.from_plain(row, kind)
+    except Exception as error:
+        detail = f"{path}: {name} {row.get('name', '')!r} is not valid: {error}"
+        raise TamarackhavenError(ErrorKind.INVALID_RESOURCE, detail) from error
+
+
+def _type_name(wanted):
+    return "a whole number" if wanted is int else "a text"
+
+
+def records(client, timeout_s, linearizable=True):
+    """Return the version and all records in force: resources, targets and grants."""
+    feed = client.fetch(0, timeout_s, linearizable)
+    found = []
+    for event in feed.events:
+        if isinstance(event, _events.ResourceChanged):
+            found.append(event.resource)
+        elif isinstance(event, _events.TargetChanged):
+            found.append(event.member)
+        elif isinstance(event, _events.ShardChanged):
+            found.append(event.grant)
+    return feed.version, found
+
+
+def apply_resource(client, resource, change_id, timeout_s, allow_last_zone_out=False):
+    """Create or change one resource and return ``Applied``.
+
+    A resource that names a ``version`` is changed only if that is the present one.
+    Without it, the version read here is taken: of two racing operators one then gets
+    a conflict, and none overwrites what it has not seen.
+
+    Raises
+    ------
+    TamarackhavenError
+        With the kind of the refusal.
+    """
+    old = _present(client, type(resource), resource.name, timeout_s)
+    kind = type(resource).__name__
+    expected = resource.version or (old.version if old else 0)
+    wanted = attrs.evolve(resource, version=0)
+    if old and expected == old.version and attrs.evolve(old, version=0) == wanted:
+        return Applied(kind, resource.name, "unchanged", old.version, change_id)
+    change = PutResource(change_id, wanted, expected, allow_last_zone_out)
+    outcome = checked(client.change(change, timeout_s))
+    result = "changed" if expected else "created"
+    return Applied(kind, resource.name, result, outcome.version, change_id)
+
+
+def delete_resource(client, kind, name, change_id, timeout_s):
+    """Delete one resource and return ``Applied``."""
+    old = _present(client, kind, name, timeout_s)
+    if old is None:
+        raise TamarackhavenError(ErrorKind.NOT_FOUND, f"{kind.__name__} {name!r}")
+    change = DeleteResource(change_id, kind.__name__, name, old.version)
+    outcome = checked(client.change(change, timeout_s))
+    return Applied(kind.__name__, name, "deleted", outcome.version, change_id)
+
+
+def checked(outcome):
+    """Return an ``Outcome`` that was applied; raise the error of another one."""
+    if outcome.code:
+        raise TamarackhavenError(ErrorKind(outcome.code), outcome.detail)
+    return outcome
+
+
+def _present(client, kind, name, timeout_s):
+    _, found = records(client, timeout_s)
+    for record in found:
+        if type(record) is kind and record.name == name:
+            return record
+    return None
--- /dev/null
+++ b/tamarackhaven/porcelain.py
@@ -0,0 +1,283 @@
+"""The commands: a thin layer over ``plumbing`` that prints for people or programs."""
+
+import enum
+import json
+import signal
+import sys
+import threading
+
+from tamarackhaven import _codec, plumbing
+from tamarackhaven._model import ShardGrant, TargetMember
+from tamarackhaven._settings import ControlSettings, DaemonSettings, OperatorSettings
+from tamarackhaven._settings_file import read_settings
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+
+class Output(enum.Enum):
+    """How a command prints."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class Role(enum.Enum):
+    """Whose settings a file holds."""
+
+    DAEMON = "daemon"
+    CONTROL = "control"
+    OPERATOR = "operator"
+
+
+SETTINGS_BY_ROLE = {
+    Role.DAEMON: DaemonSettings,
+    Role.CONTROL: ControlSettings,
+    Role.OPERATOR: OperatorSettings,
+}
+
+
+def daemon(*, settings: str):
+    """Run the daemon beside a target until SIGTERM.
+
+    :param settings: Path of the daemon's TOML file.
+    """
+    from tamarackhaven._daemon_process import DaemonProcess
+
+    stop = _stop_event()
+    process = DaemonProcess(read_settings(settings, DaemonSettings))
+    process.start()
+    stop.wait()
+    process.leave()
+
+
+def control(*, settings: str, first_start: bool = False):
+    """Run a control VM until SIGTERM.
+
+    :param settings: Path of the control VM's TOML file.
+    :param first_start: Start a new group. Only for the very first start: an empty data
+        folder without it is a lost one, and a member that lost its folder may not vote.
+    """
+    from tamarackhaven._control_process import run_control
+
+    run_control(read_settings(settings, ControlSettings), first_start, _stop_event())
+
+
+def apply(
+    file: str,
+    *,
+    settings: str,
+    change_id: str = "",
+    allow_last_zone_out: bool = False,
+    output: Output = Output.TEXT,
+):
+    """Create or change the resources of a TOML file.
+
+    :param file: Path of the file with [[zone]], [[policy]] and [[service]] tables.
+    :param settings: Path of the operator's TOML file.
+    :param change_id: Repeat it to resend a change whose answer was lost.
+    :param allow_last_zone_out: Take out even the last availability zone.
+    :param output: text or json.
+    """
+    resources = plumbing.read_resources(file)
+    change_id = change_id or plumbing.new_change_id()
+    with _Client(settings) as client:
+        for resource in resources:
+            applied = plumbing.apply_resource(
+                client.calls,
+                resource,
+                f"{change_id}/{type(resource).__name__}/{resource.name}",
+                client.timeout_s,
+                allow_last_zone_out,
+            )
+            _print(applied, output, _applied_text(applied))
+
+
+def delete(
+    kind: str,
+    name: str,
+    *,
+    settings: str,
+    change_id: str = "",
+    output: Output = Output.TEXT,
+):
+    """Delete a resource.
+
+    :param kind: zone, policy or service.
+    :param name: Its name.
+    :param settings: Path of the operator's TOML file.
+    :param change_id: Repeat it to resend a change whose answer was lost.
+    :param output: text or json.
+    """
+    resource_kind = plumbing.kind_named(kind)
+    with _Client(settings) as client:
+        applied = plumbing.delete_resource(
+            client.calls,
+            resource_kind,
+            name,
+            change_id or plumbing.new_change_id(),
+            client.timeout_s,
+        )
+    _print(applied, output, _applied_text(applied))
+
+
+def get(
+    kind: str = "",
+    name: str = "",
+    *,
+    settings: str,
+    output: Output = Output.TEXT,
+):
+    """Print what is in force.
+
+    :param kind: zone, policy, service, target or shard; empty for all but shards.
+    :param name: Only the record of this name.
+    :param settings: Path of the operator's TOML file.
+    :param output: text or json.
+    """
+    kinds = plumbing.KIND_BY_NAME | {"target": TargetMember, "shard": ShardGrant}
+    if kind and kind not in kinds:
+        raise TamarackhavenError(
+            ErrorKind.USAGE, f"{kind!r} is not one of {', '.join(kinds)}."
+        )
+    with _Client(settings) as client:
+        _, found = plumbing.records(client.calls, client.timeout_s)
+    shown = 0
+    for record in found:
+        wanted = isinstance(record, kinds[kind]) if kind else _is_listed(record)
+        if wanted and name in ("", _name(record)):
+            shown += 1
+            _print(record, output, str(record))
+    if name and not shown:
+        raise TamarackhavenError(ErrorKind.NOT_FOUND, f"{kind} {name!r}")
+
+
+def watch(
+    *,
+    settings: str,
+    from_version: int = 0,
+    until_version: int = 0,
+    output: Output = Output.TEXT,
+):
+    """Stream every change from a version on, until interrupted.
+
+    :param settings: Path of the operator's TOML file.
+    :param from_version: 0 starts with all that is in force.
+    :param until_version: Stop once this version is in force; 0 goes on for ever.
+    :param output: text or json.
+    """
+    with _Client(settings) as client:
+        for feed in client.calls.watch(from_version, client.timeout_s):
+            if feed.snapshot:
+                line = {"version": feed.version, "snapshot": True}
+                _print_line(line, output, f"{feed.version} snapshot")
+            for event in feed.events:
+                _print(event, output, f"{event.version} {event}")
+            sys.stdout.flush()
+            if until_version and feed.version >= until_version:
+                return
+
+
+def explain(
+    subject: str = "",
+    key: str = "",
+    *,
+    settings: str,
+    decision: str = "",
+    limit: int = 20,
+    output: Output = Output.TEXT,
+):
+    """Print why: the recorded decisions about a service, a key or a resource.
+
+    :param subject: A service, or a resource as Kind/name; empty for all.
+    :param key: Only decisions about this key of the service.
+    :param settings: Path of the operator's TOML file.
+    :param decision: Only the decision of this id.
+    :param limit: Most decisions printed.
+    :param output: text or json.
+    """
+    with _Client(settings) as client:
+        decisions = client.calls.explain(
+            subject, key, decision, limit, client.timeout_s
+        )
+    for row in decisions:
+        text = f"{row.decision_id} {row.subject}: {row.cause}: {row.result}"
+        _print(row, output, text)
+    if decision and not decisions:
+        raise TamarackhavenError(ErrorKind.NOT_FOUND, f"decision {decision!r}")
+
+
+def status(*, settings: str, output: Output = Output.TEXT):
+    """Print what each control VM says of the group.
+
+    :param settings: Path of the operator's TOML file.
+    :param output: text or json.
+    """
+    answered = 0
+    with _Client(settings) as client:
+        for member in client.members:
+            try:
+                row = client.calls.status(member, client.timeout_s / 5)
+            except TamarackhavenError as error:
+                print(str(error), file=sys.stderr)
+                continue
+            answered += 1
+            text = f"{row.member} {row.role} term {row.term} applied {row.applied}"
+            _print(row, output, f"{text} leader {row.leader or 'unknown'}")
+    if not answered:
+        raise TamarackhavenError(ErrorKind.CONTROL_UNREACHABLE)
+
+
+def check(file: str, *, role: Role):
+    """Check a settings file and start nothing.
+
+    :param file: Path of the TOML file.
+    :param role: daemon, control or operator.
+    """
+    read_settings(file, SETTINGS_BY_ROLE[role])
+    print(f"{file}: ok")
+
+
+class _Client:
+    """The calls to the control VMs of an operator's settings file."""
+
+    def __init__(self, settings_path):
+        settings = read_settings(settings_path, OperatorSettings)
+        self.members = settings.control
+        self.timeout_s = settings.timeout_ms / 1000
+        self.calls = plumbing.ControlClient(settings.control)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self.calls.close()
+
+
+def _stop_event():
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    return stop
+
+
+def _is_listed(record):
+    return not isinstance(record, ShardGrant)
+
+
+def _name(record):
+    if isinstance(record, ShardGrant):
+        return f"{record.service}/{record.shard}"
+    if isinstance(record, TargetMember):
+        return f"{record.service}/{record.target}"
+    return record.name
+
+
+def _applied_text(applied):
+    return f"{applied.kind} {applied.name}: {applied.result}, version {applied.version}"
+
+
+def _print(record, output, text):
+    _print_line(_codec.to_plain(record), output, text)
+
+
+def _print_line(plain, output, text):
+    print(json.dumps(plain, sort_keys=True) if output is Output.JSON else text)
