--- /dev/null
+++ b/tamarackhaven/_lease_client.py
@@ -0,0 +1,205 @@
+"""A daemon's UDP socket for renewing its target's lease."""
+
+import logging
+import random
+import socket
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+from tamarackhaven._clock import boot_s
+from tamarackhaven._lease_holder import LeaseHolder
+from tamarackhaven._lease_times import renew_s
+from tamarackhaven._lease_wire import MAX_DATAGRAM_BYTES, Ack, Hint, decode, encode
+
+_log = logging.getLogger(__name__)
+
+_MIN_WAIT_S = 0.001
+_WAKE = b""
+
+
+class LeaseClient:
+    """Renews one lease with one thread; every method is thread-safe.
+
+    Parameters
+    ----------
+    settings : LeaseSettings
+        Timings.
+    membership : Membership
+        The control VMs, as the daemon's map has them.
+    service, target, instance : str
+        Identity of the target and of this process.
+    on_version : callable
+        ``on_version(version)``: a control VM has a newer state than any told of
+        before. Called on the lease's thread, so it must only wake another one.
+    on_must_rejoin : callable
+        ``on_must_rejoin(reason)``: this epoch is refused for ever; once per epoch, on
+        the same thread.
+    clock : callable
+        Seconds of a clock that counts suspension.
+    """
+
+    def __init__(
+        self,
+        settings,
+        membership,
+        service,
+        target,
+        instance,
+        on_version,
+        on_must_rejoin,
+        clock=boot_s,
+    ):
+        self._renew_s = renew_s(settings)
+        self._clock = clock
+        self._on_version = on_version
+        self._on_must_rejoin = on_must_rejoin
+        self._lock = threading.Lock()
+        seq = random.getrandbits(32)
+        self._holder = LeaseHolder(settings, membership, service, target, instance, seq)
+        self._renew_at = clock()
+        self._told_version = 0
+        self._told_epoch = 0
+        self._stopping = threading.Event()
+        self.unsent = 0
+        self.dropped = 0
+        self._socket = _open(membership)
+        self._executor = ThreadPoolExecutor(1, thread_name_prefix="lease-client")
+        self._executor.submit(self._run)
+
+    def set_grant(self, epoch):
+        """Renew this epoch from now on."""
+        with self._lock:
+            self._holder.set_grant(epoch)
+            self._renew_at = self._clock()
+        self._wake()
+
+    def set_membership(self, membership):
+        """Renew with these control VMs; only with all state up to its version."""
+        with self._lock:
+            self._holder.set_membership(membership)
+            self._renew_at = self._clock()
+        self._wake()
+
+    def set_state_version(self, version):
+        """The daemon has applied the map up to ``version``."""
+        with self._lock:
+            self._holder.set_state_version(version)
+
+    def holds(self):
+        """Return whether the lease holds at this moment."""
+        with self._lock:
+            return self._holder.holds(self._clock())
+
+    def held_until(self):
+        """Return the lease's end in seconds of the clock, ``-inf`` if never held."""
+        with self._lock:
+            return self._holder.held_until
+
+    def lost(self):
+        """Return why the lease does not hold as a ``LeaseLoss``, or None."""
+        with self._lock:
+            return self._holder.lost(self._clock())
+
+    def epoch(self):
+        """Return the epoch that is renewed, 0 if none."""
+        with self._lock:
+            return self._holder.epoch
+
+    def confirmed_at(self):
+        """Return when a majority last had no newer state than the daemon's map."""
+        with self._lock:
+            return self._holder.confirmed_at
+
+    def release(self):
+        """Give the lease up at once."""
+        with self._lock:
+            self._holder.release()
+
+    def stop(self):
+        """Give the lease up, stop the thread and close the socket."""
+        self.release()
+        self._stopping.set()
+        self._wake()
+        self._executor.shutdown()
+        self._socket.close()
+
+    def _wake(self):
+        """End the thread's wait, so that a new grant needn't wait for a round."""
+        try:
+            self._socket.sendto(_WAKE, self._socket.getsockname())
+        except OSError:
+            self.unsent += 1
+
+    def _run(self):
+        while not self._stopping.is_set():
+            try:
+                self._renew_if_due()
+                self._receive()
+            except Exception:
+                _log.exception("lease round failed")
+
+    def _renew_if_due(self):
+        with self._lock:
+            now = self._clock()
+            if now < self._renew_at:
+                return
+            self._renew_at = now + self._renew_s
+            renewal = self._holder.renew(now)
+            membership = self._holder.membership
+        if renewal is None:
+            return
+        data = encode(renewal)
+        for member in membership.members:
+            if member.voter:
+                self._send(data, (member.host, member.lease_port))
+
+    def _send(self, data, address):
+        try:
+            self._socket.sendto(data, address)
+        except OSError:
+            self.unsent += 1  # as good as lost on the way; the next round tries again
+
+    def _receive(self):
+        wait_s = max(_MIN_WAIT_S, self._renew_at - self._clock())
+        self._socket.settimeout(wait_s)
+        try:
+            data = self._socket.recv(MAX_DATAGRAM_BYTES + 1)
+        except TimeoutError:
+            return
+        except OSError:
+            self.dropped += 1
+            return
+        if data != _WAKE:
+            self._received(decode(data))
+
+    def _received(self, message):
+        if isinstance(message, Ack):
+            self._acked(message)
+        elif isinstance(message, Hint):
+            self._tell_version(message.state_version)
+        else:
+            self.dropped += 1
+
+    def _acked(self, ack):
+        with self._lock:
+            self._holder.acked(ack, self._clock())
+            seen = self._holder.seen_state_version
+            epoch, reason = self._holder.epoch, self._holder.must_rejoin
+        self._tell_version(seen)
+        if reason is not None and epoch != self._told_epoch:
+            self._told_epoch = epoch
+            self._on_must_rejoin(reason)
+
+    def _tell_version(self, version):
+        if version > self._told_version:
+            self._told_version = version
+            self._on_version(version)
+
+
+def _open(membership):
+    is_v6 = ":" in membership.members[0].host
+    sender = socket.socket(
+        socket.AF_INET6 if is_v6 else socket.AF_INET, socket.SOCK_DGRAM
+    )
+    sender.bind(("::" if is_v6 else "0.0.0.0", 0))
+    return sender
