Fill targets that returned, and test placement through failures

**Cause:** With 16 zones a zone that comes back stayed empty, since no other target was over the slack; and the planner was one long file without tests. **Change:** `_plan` holds the types, `_balance` relieves full targets and fills those below the mean by more than the slack.

--- a/tamarackhaven/_placement.py
+++ b/tamarackhaven/_placement.py
@@ -1,126 +1,22 @@
 """Placement: which shard goes to which target, one bounded step at a time.
 
 ``plan`` is a pure function, so the same inputs give the same plan on every control VM
-and in every test. It passes the shards through five filters in order: aim moves again
+and in every test. It passes the shards through six filters in order: aim moves again
 whose destination is gone, grant shards without an owner, empty targets that are
-leaving or out, set pinned keys apart, and balance.
+leaving or out, set pinned keys apart, relieve full targets, and fill empty ones.
 """
 
-import bisect
-import enum
 import heapq
 
-import attrs
-
-from tamarackhaven._changes import MoveShards, ShardMove
-from tamarackhaven._model import (
-    AvailabilityZone,
-    OwnershipPolicy,
-    PolicyMode,
-    Service,
-    ShardGrant,
-    TargetMember,
-    TargetState,
-    ZoneState,
-)
+from tamarackhaven import _balance
+from tamarackhaven._changes import ShardMove
+from tamarackhaven._model import PolicyMode, ShardGrant, TargetState, ZoneState
+from tamarackhaven._plan import Hold, HoldCause, MoveCause, Plan
 from tamarackhaven._target_loads import TargetLoads
 
 DEFAULT_LOAD = 1.0
 
 
-class MoveCause(enum.Enum):
-    """Why a shard moves."""
-
-    NO_OWNER = "the shard has no owner"
-    DESTINATION_GONE = "the target it was moving to can no longer take it"
-    LEAVING = "its owner is leaving"
-    ZONE_OUT = "the availability zone of its owner is out"
-    HOT_KEY = "hot keys are kept apart"
-    BALANCE = "its owner is over the mean load"
-
-
-class HoldCause(enum.Enum):
-    """Why a shard that ought to move stays for now."""
-
-    NO_TARGET = "no target can take it"
-    NO_ROOM = "no target can bear it yet"
-    BATCH_FULL = "as many shards as the policy allows are on the move"
-    OWNER_LOST = "its owner is lost but not yet retired"
-    NO_GAIN = "no move would lower the highest load"
-
-
-@attrs.frozen
-class PlacementInputs:
-    """What a placement step is decided from.
-
-    Parameters
-    ----------
-    members : list of TargetMember
-        Targets in any state; those of other services are ignored.
-    grants_by_shard : dict of int to ShardGrant
-        A missing shard counts as one that was never granted.
-    loads_by_shard : dict of int to float
-        Load of each shard in any unit; 1 where missing.
-    warmth_by_target : dict of str to float
-        Share of its capacity, 0 to 1, that a cold target can take now; 1 where
-        missing.
-    """
-
-    service: Service
-    policy: OwnershipPolicy
-    zones_by_name: dict[str, AvailabilityZone]
-    members: list[TargetMember]
-    grants_by_shard: dict[int, ShardGrant]
-    loads_by_shard: dict[int, float] = attrs.field(factory=dict)
-    warmth_by_target: dict[str, float] = attrs.field(factory=dict)
-
-
-@attrs.frozen
-class Hold:
-    """Shards that ought to move and don't: the first one, how many, and why."""
-
-    cause: HoldCause
-    shard: int
-    count: int
-
-
-@attrs.frozen
-class Plan:
-    """One placement step.
-
-    Parameters
-    ----------
-    service : str
-        The service it is for.
-    moves : list of ShardMove
-        At most one for each shard. A move to the present owner cancels a move.
-    causes_by_shard : dict of int to MoveCause
-        Why each of them moves.
-    holds : list of Hold
-        At most one for each cause, for ``explain``.
-    imbalance_before, imbalance_after : float
-        Largest excess over the mean load, as a part of 1, once moves have ended.
-    """
-
-    service: str
-    moves: list[ShardMove] = attrs.field(factory=list)
-    causes_by_shard: dict[int, MoveCause] = attrs.field(factory=dict)
-    holds: list[Hold] = attrs.field(factory=list)
-    imbalance_before: float = 0.0
-    imbalance_after: float = 0.0
-
-    def changes(self):
-        """Return the moves as changes for the log, one for each cause."""
-        moves_by_cause = {}
-        for move in self.moves:
-            cause = self.causes_by_shard[move.shard]
-            moves_by_cause.setdefault(cause, []).append(move)
-        return [
-            MoveShards(self.service, moves, cause.value)
-            for cause, moves in moves_by_cause.items()
-        ]
-
-
 def plan(inputs, settings):
     """Return the next placement step of one service.
 
@@ -180,7 +76,7 @@
         self._grant_unowned()
         self._empty_targets()
         self._set_pins_apart()
-        self._balance()
+        _balance.balance(self)
         return Plan(
             self.inputs.service.name,
             list(self.moves_by_shard.values()),
@@ -238,7 +134,8 @@
         self.moves_by_shard[grant.shard] = ShardMove(grant.shard, grant.grant, target)
         self.causes_by_shard[grant.shard] = cause
 
-    def _hold(self, grant, cause, count=1):
+    def hold(self, grant, cause, count=1):
+        """Note that a shard stays although it ought to move."""
         held = self.holds_by_cause.get(cause)
         first = held.shard if held else grant.shard
         count += held.count if held else 0
@@ -258,7 +155,7 @@
         for grant in self.astray:
             target = grant.owner if grant.owner in self.loads else self._best(grant)
             if target is None:
-                self._hold(grant, self._no_target_cause())
+                self.hold(grant, self._no_target_cause())
             else:
                 self._move(grant, target, MoveCause.DESTINATION_GONE)
 
@@ -274,7 +171,7 @@
             target = self._best(grant) if grant.key_hash else None
             target = target or self.loads.lightest()
             if target is None:
-                self._hold(grant, HoldCause.NO_TARGET)
+                self.hold(grant, HoldCause.NO_TARGET)
             else:
                 self._move(grant, target, MoveCause.NO_OWNER)
 
@@ -292,19 +189,19 @@
         for grant in heapq.nsmallest(room, movable, key=self._heaviest_first):
             target = self._best(grant)
             if target is None:
-                self._hold(grant, self._no_target_cause())
+                self.hold(grant, self._no_target_cause())
                 continue
             self._move(grant, target, self._leave_cause(grant))
             self.budget -= 1
         if len(movable) > room:
-            self._hold(movable[0], HoldCause.BATCH_FULL, len(movable) - room)
+            self.hold(movable[0], HoldCause.BATCH_FULL, len(movable) - room)
 
     def _is_movable(self, grant):
         """Return whether the owner can still release the shard."""
         owner = self.members_by_name.get(grant.owner)
         if owner is not None and owner.state is not TargetState.LOST:
             return True
-        self._hold(grant, HoldCause.OWNER_LOST)
+        self.hold(grant, HoldCause.OWNER_LOST)
         return False
 
     def _leave_cause(self, grant):
@@ -318,14 +215,14 @@
             return HoldCause.NO_ROOM
         return HoldCause.NO_TARGET
 
-    def _is_settled(self, grant):
+    def is_settled(self, grant):
         """Return whether the shard rests at an eligible owner and isn't in the plan."""
         resting = not grant.moving_to and grant.owner in self.loads
         return resting and grant.shard not in self.moves_by_shard
 
     def _set_pins_apart(self):
         """Move a pinned key off a target that has more than its fair number."""
-        settled = [grant for grant in self.pinned if self._is_settled(grant)]
+        settled = [grant for grant in self.pinned if self.is_settled(grant)]
         for grant in sorted(settled, key=self._heaviest_first):
             owner = grant.owner
             fair = self.loads.pins_allowed(owner)
@@ -333,71 +230,25 @@
                 continue
             target = self._best(grant)
             if target is None or not self.loads.has_pin_room(target):
-                self._hold(grant, HoldCause.NO_ROOM)
+                self.hold(grant, HoldCause.NO_ROOM)
             elif self.budget <= 0:
-                self._hold(grant, HoldCause.BATCH_FULL)
+                self.hold(grant, HoldCause.BATCH_FULL)
             else:
-                self._take_and_move(grant, target, MoveCause.HOT_KEY)
+                self.take_and_move(grant, target, MoveCause.HOT_KEY)
 
-    def _take_and_move(self, grant, target, cause):
+    def take_and_move(self, grant, target, cause):
+        """Plan a move away from an eligible owner, counted in the batch."""
         self.loads.take(grant.owner, self._load(grant), grant.key_hash != 0)
         self._move(grant, target, cause)
         self.budget -= 1
 
-    def _balance(self):
-        """Move shards off targets that are over the mean by more than the slack.
-
-        Load: skewed demand, or a target that has joined.
-        Harm: the fullest target is the slowest; but each move makes a key wait.
-        Limit: nothing moves below the slack, a move must lower the higher of the two
-        loads, and it stops as soon as the donor is within the slack.
-        """
-        loads = self.loads
-        donors = [t for t in loads.load_by_target if loads.excess(t) > loads.slack]
-        if not donors or self.budget <= 0:
-            return
-        donors.sort(key=lambda t: (-loads.excess(t), t))
-        grants_by_donor = {donor: [] for donor in donors}
+    def settled_by_owner(self):
+        """Return the settled shards of each eligible target."""
+        rows_by_owner = {name: [] for name in self.loads.capacity_by_target}
         for grant in self.grants:
-            if grant.owner in grants_by_donor and self._is_settled(grant):
-                grants_by_donor[grant.owner].append(grant)
-        for donor in donors:
-            self._relieve(donor, sorted(grants_by_donor[donor], key=self._light_first))
-
-    def _light_first(self, grant):
-        return self._load(grant), -grant.shard
-
-    def _relieve(self, donor, grants):
-        loads = self.loads
-        while grants and self.budget > 0 and loads.excess(donor) > loads.slack:
-            target = loads.lightest()
-            grant = self._choose(donor, target, grants)
-            if grant is None:
-                self._hold(grants[0], HoldCause.NO_GAIN)
-                return
-            grants.remove(grant)
-            self._take_and_move(grant, target, MoveCause.BALANCE)
-
-    def _choose(self, donor, target, grants):
-        """Return the shard that best relieves ``donor``, or None.
-
-        The smallest that brings the donor within the slack in one move, else the
-        largest that the target has room for, else the smallest if that still lowers
-        the higher load.
-        """
-        if not self.loads.has_pin_room(target):
-            grants = [grant for grant in grants if not grant.key_hash]
-        sizes = [self._load(grant) for grant in grants]
-        room = bisect.bisect_right(sizes, self.loads.room(target))
-        enough = bisect.bisect_left(sizes, -self.loads.room(donor))
-        index = min(enough, room - 1) if room else 0
-        if not grants or not self._gains(donor, target, sizes[index]):
-            return None
-        return grants[index]
-
-    def _gains(self, donor, target, load):
-        loads = self.loads
-        after = (loads.load_by_target[target] + load) / loads.weight_by_target[target]
-        capacity = loads.capacity_by_target[donor]
-        before = loads.load_by_target[donor] / capacity
-        return loads.can_bear(target, load) and after < before
+            if self.is_settled(grant):
+                row = self._load(grant), grant.shard, grant
+                rows_by_owner[grant.owner].append(row)
+        return {
+            owner: _balance.OwnedShards(rows) for owner, rows in rows_by_owner.items()
+        }
--- a/tamarackhaven/_target_loads.py
+++ b/tamarackhaven/_target_loads.py
@@ -88,6 +88,11 @@
         limit = self.mean * self.weight_by_target[target] * (1.0 + self.slack)
         return limit - self.load_by_target[target]
 
+    def deficit(self, target):
+        """Return the load that the target lacks to come within the slack."""
+        least = self.mean * self.weight_by_target[target] * (1.0 - self.slack)
+        return least - self.load_by_target[target]
+
     def can_bear(self, target, load):
         """Return whether the target may be given this load by a move.
 
--- /dev/null
+++ b/tests/golden.py
@@ -0,0 +1,15 @@
+"""Golden files: whole sessions as text that a person can read and review."""
+
+import os
+import pathlib
+
+FOLDER = pathlib.Path(__file__).parent / "golden"
+
+
+def check(name, text):
+    """Compare ``text`` with the golden file, or rewrite it if UPDATE_GOLDEN is set."""
+    path = FOLDER / f"{name}.txt"
+    if os.environ.get("UPDATE_GOLDEN"):
+        FOLDER.mkdir(exist_ok=True)
+        path.write_text(text)
+    assert text == path.read_text(), f"{path.name} differs; see UPDATE_GOLDEN"
