--- a/tamarackhaven/_placement.py
+++ b/tamarackhaven/_placement.py
@@ -216,7 +216,9 @@
         return HoldCause.NO_TARGET
 
     def is_settled(self, grant):
-        """Return whether the shard rests at an eligible owner and isn't in the plan."""
+        """Return whether the shard rests at an eligible owner and may move."""
+        if grant.shard in self.inputs.fixed_shards:
+            return False
         resting = not grant.moving_to and grant.owner in self.loads
         return resting and grant.shard not in self.moves_by_shard
 
