--- /dev/null
+++ b/tamarackhaven/_retry_after.py
@@ -0,0 +1,84 @@
+"""How fast a queue empties, and when a refused caller may come back."""
+
+# Weight of a new holding time in the mean: about the last 20 requests count.
+_NEW_WEIGHT = 0.1
+# A caller that comes back sooner finds the same queue.
+RETRY_MIN_S = 0.05
+# Longer than this no measure of now holds; the caller rather asks again.
+RETRY_MAX_S = 5.0
+# Part of the time by which a come-back is spread: callers refused in the same
+# instant would otherwise be back in the same instant.
+SPREAD = 0.5
+
+
+class EmptyingRate:
+    """The pace at which a gate's queue empties, from what its requests took.
+
+    Holding time divided by the limit, not finishes counted by the second: a target
+    with little to do finishes little, and would seem slow.
+    """
+
+    def __init__(self):
+        self._hold_s = 0.0  # 0 until the first end
+        self._last_end = 0.0
+
+    @property
+    def hold_s(self):
+        """Mean time that a request holds its slot, in seconds."""
+        return self._hold_s
+
+    def ended(self, latency_s, now):
+        """Take in the end of a request that held a slot for ``latency_s``."""
+        weight = _NEW_WEIGHT if self._hold_s else 1.0
+        self._hold_s += weight * (latency_s - self._hold_s)
+        self._last_end = now
+
+    def interval_s(self, limit):
+        """Return the time between two starts from a queue, in seconds."""
+        return self._hold_s / max(1, limit)
+
+    def stalled_s(self, limit, now):
+        """Return for how long the target has been silent beyond its pace."""
+        if not self._hold_s:
+            return 0.0
+        return max(0.0, now - self._last_end - self._hold_s)
+
+    def wait_s(self, place, limit, now):
+        """Return the expected wait behind ``place`` others, in seconds.
+
+        A silence so far is expected to last as long again.
+        """
+        return (place + 1) * self.interval_s(limit) + self.stalled_s(limit, now)
+
+
+class ComeBackTimes:
+    """Hands out the times at which refused callers may come back.
+
+    Load: demand above capacity for seconds, with callers that repeat. Harm prevented:
+    all that were refused return together and are refused again. Each refusal is given
+    the next free place in a line that moves at the emptying rate.
+    """
+
+    def __init__(self):
+        self._line_ends_at = 0.0
+
+    def next_s(self, backlog_s, interval_s, now, random_part):
+        """Return a Retry-After in seconds.
+
+        Parameters
+        ----------
+        backlog_s : float
+            Time until the queue of now is empty.
+        interval_s : float
+            Time between two starts.
+        now : float
+            Seconds of the gate's clock.
+        random_part : float
+            A random number from 0 to 1.
+        """
+        longest = now + RETRY_MAX_S
+        line_ends_at = max(self._line_ends_at, now + backlog_s) + interval_s
+        self._line_ends_at = min(line_ends_at, longest)
+        wait_s = self._line_ends_at - now
+        spread = 1.0 - SPREAD / 2 + SPREAD * random_part
+        return max(RETRY_MIN_S * (0.5 + random_part), wait_s * spread)
