Draft the daemon's link to the control group

Cause: the request path needs a map, a lease, grants and planned moves from real processes. Change: map and join threads, handover of shards with their ledgers, load reports, a probe.

--- /dev/null
+++ b/tamarackhaven/_daemon_process.py
@@ -0,0 +1,316 @@
+"""Ties a daemon to the control group: joins, keeps the map, holds the lease."""
+
+import os
+import threading
+import uuid
+from pathlib import Path
+
+from tamarackhaven import _clock
+from tamarackhaven._changes import JoinTarget, LeaveTarget, RetireTarget
+from tamarackhaven._control_client import ControlClient
+from tamarackhaven._daemon import Daemon
+from tamarackhaven._handover import ArrivedParts, Handover
+from tamarackhaven._lease_client import LeaseClient
+from tamarackhaven._load_reports import LoadReports
+from tamarackhaven._logs import Log, open_logs
+from tamarackhaven._members import Member, Membership
+from tamarackhaven._metrics import Metrics
+from tamarackhaven._model import Address
+from tamarackhaven._target_probe import TargetProbe
+from tamarackhaven._view import View
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+CALL_TIMEOUT_S = 3.0
+# Hints and acknowledgements say when to fetch; this only covers their loss.
+FETCH_EVERY_S = 1.0
+RETRY_S = 0.1
+POLL_S = 0.02
+
+
+class OwnLease:
+    """The lease as the request path sees it."""
+
+    def __init__(self, client):
+        self._client = client
+
+    def holds(self, now):
+        """Return whether the lease holds at ``now``, in seconds."""
+        return now < self._client.held_until()
+
+    def held_until(self, now):
+        """Return the end of the lease as known at ``now``, in seconds."""
+        return self._client.held_until()
+
+    def epoch(self):
+        """Return the epoch that the lease is for, 0 if none."""
+        return self._client.epoch()
+
+
+class DaemonProcess:
+    """A daemon with all its connections.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Checked settings.
+
+    Raises
+    ------
+    TamarackhavenError
+        PORT_TAKEN, naming the port.
+    """
+
+    def __init__(self, settings):
+        self._settings = settings
+        folder = Path(settings.data_folder)
+        folder.mkdir(parents=True, exist_ok=True)
+        open_logs(settings.logs, folder)
+        self._log = Log("control-link", settings.logs.repeats_per_minute)
+        self._instance = uuid.uuid4().hex
+        self._client = ControlClient(settings.control)
+        self._view = View()
+        self._parts = ArrivedParts()
+        self._fetch_wanted = threading.Event()
+        self._join_wanted = threading.Event()
+        self._leaving = threading.Event()
+        self._stopping = threading.Event()
+        self._incarnation = ""
+        self._zone_out_since = None
+        self._lease = LeaseClient(
+            settings.lease,
+            _first_membership(settings),
+            settings.service,
+            settings.target,
+            self._instance,
+            on_version=lambda version: self._fetch_wanted.set(),
+            on_must_rejoin=self._must_rejoin,
+        )
+        metrics = Metrics()
+        self.daemon = Daemon(
+            settings,
+            self._view,
+            OwnLease(self._lease),
+            metrics,
+            self._log,
+            _clock,
+            on_target=self._target_changed,
+            take_ledger=self._parts.take,
+        )
+        self._handover = Handover(
+            settings,
+            self.daemon,
+            self._view,
+            self._client,
+            self._lease.epoch,
+            self._log.part("handover"),
+        )
+        self._reports = LoadReports(settings, self.daemon, self._client, self._lease)
+        self._probe = TargetProbe(settings.target_address, self._target_down)
+        self._threads = [
+            threading.Thread(target=self._keep_map, name="map", daemon=True),
+            threading.Thread(target=self._keep_joined, name="join", daemon=True),
+        ]
+
+    def start(self):
+        """Serve, and join once the target announces itself."""
+        self.daemon.start()
+        self._handover.start()
+        self._reports.start()
+        self._fetch_wanted.set()
+        for thread in self._threads:
+            thread.start()
+        self._log.say("started", instance=self._instance, pid=os.getpid())
+
+    # --- the map ----------------------------------------------------------------
+
+    def _keep_map(self):
+        while not self._stopping.is_set():
+            self._fetch_wanted.wait(FETCH_EVERY_S)
+            self._fetch_wanted.clear()
+            try:
+                self._fetch()
+            except TamarackhavenError as error:
+                self._log.say("map not fetched", code=error.kind.value)
+            except Exception as error:
+                self._log.say("map not understood", error=repr(error))
+                self._stopping.wait(RETRY_S)
+            self.daemon.on_confirmed(self._lease.confirmed_at())
+
+    def _fetch(self):
+        asked_at = _clock.boot_s()
+        feed = self._client.fetch(self._view.version, CALL_TIMEOUT_S)
+        if feed.version < self._view.version:
+            # A control VM that lags: what it says is older than what is in force.
+            return
+        if not self._lease.epoch():
+            # Without a lease nobody confirms the map but the fetch itself; such a
+            # daemon owns nothing and only forwards.
+            self.daemon.on_confirmed(asked_at)
+        if self._view.apply(feed):
+            self._applied()
+
+    def _applied(self):
+        view, settings = self._view, self._settings
+        if view.membership.members:
+            self._client.set_members(view.membership.members)
+            self._lease.set_membership(view.membership)
+        zone = view.resource("AvailabilityZone", settings.zone)
+        if zone is not None:
+            self.daemon.on_zone(zone.state)
+        self._take_grants()
+        # Only now: a renewal with this version says that it is acted on.
+        self._lease.set_state_version(view.version)
+        self._handover.changed()
+        self._check_epoch()
+
+    def _take_grants(self):
+        settings = self._settings
+        owned = self._view.owned_by(settings.service, settings.target)
+        mine = [grant for grant in owned if grant.epoch == self._lease.epoch()]
+        self.daemon.on_grants(mine, self._parts.pop)
+
+    def _check_epoch(self):
+        """Join again if the log has retired or replaced this daemon's epoch."""
+        settings = self._settings
+        member = self._view.member(settings.service, settings.target)
+        epoch = self._lease.epoch()
+        if member is None or not epoch or self._leaving.is_set():
+            return
+        replaced = member.instance != self._instance or member.epoch > epoch
+        lost = member.epoch == epoch and member.state.value == "lost"
+        if replaced or lost:
+            self._must_rejoin("state")
+
+    # --- joining and leaving ----------------------------------------------------
+
+    def _target_changed(self, state):
+        if state.announcement is None:
+            return
+        self._incarnation = state.announcement.incarnation
+        if state.leaving:
+            self._leaving.set()
+        self._join_wanted.set()
+
+    def _must_rejoin(self, reason):
+        self._log.say("epoch refused, joining again", reason=str(reason))
+        self._join_wanted.set()
+
+    def _keep_joined(self):
+        while not self._stopping.is_set():
+            self._join_wanted.wait()
+            if self._stopping.is_set():
+                return
+            self._join_wanted.clear()
+            try:
+                self._join_or_leave()
+            except TamarackhavenError as error:
+                self._log.say("not joined yet", code=error.kind.value)
+                self._stopping.wait(RETRY_S)
+                self._join_wanted.set()
+
+    def _join_or_leave(self):
+        if self._leaving.is_set():
+            self._leave_once()
+        elif self._needs_epoch():
+            self._join()
+
+    def _needs_epoch(self):
+        return (
+            not self._lease.epoch() or self._lease.must_rejoin() or self._is_replaced()
+        )
+
+    def _is_replaced(self):
+        settings = self._settings
+        member = self._view.member(settings.service, settings.target)
+        return member is not None and (
+            member.instance != self._instance or member.state.value == "lost"
+        )
+
+    def _join(self):
+        if not self._probe.is_up():
+            raise TamarackhavenError(ErrorKind.TARGET_UNREACHABLE, "before joining")
+        settings = self._settings
+        change = JoinTarget(
+            service=settings.service,
+            target=settings.target,
+            zone=settings.zone,
+            instance=self._instance,
+            incarnation=self._incarnation,
+            peer=Address(settings.peer.host, self.daemon.peer.port),
+            capacity=settings.capacity,
+        )
+        outcome = self._client.change(change, CALL_TIMEOUT_S)
+        if outcome.code:
+            raise TamarackhavenError(ErrorKind(outcome.code), outcome.detail)
+        self._lease.set_grant(outcome.member.epoch)
+        self._fetch_wanted.set()
+        self._probe.start()
+        self._log.say("joined", epoch=outcome.member.epoch)
+
+    def _target_down(self):
+        """The target takes no connection: give its shards up at once.
+
+        Waiting for a lease to run out would be no safer: the daemon beside it knows
+        that nothing listens, and nothing it sent can be running any more.
+        """
+        settings = self._settings
+        epoch = self._lease.epoch()
+        self._lease.release()
+        self.daemon.on_grants([], self._parts.pop)
+        self._log.say("target is down", epoch=epoch)
+        change = RetireTarget(
+            settings.service, settings.target, epoch, "its daemon found it down"
+        )
+        try:
+            self._client.change(change, CALL_TIMEOUT_S)
+        except TamarackhavenError as error:
+            # The lease is released; the group finds its end itself.
+            self._log.say("retirement not confirmed", code=error.kind.value)
+
+    def _leave_once(self):
+        settings = self._settings
+        epoch = self._lease.epoch()
+        if epoch:
+            change = LeaveTarget(settings.service, settings.target, epoch)
+            self._client.change(change, CALL_TIMEOUT_S)
+
+    def leave(self):
+        """Leave in order: hand over all shards, finish what is in flight, stop.
+
+        Shards that nobody can take within ``drain_s`` are given up with the lease.
+        """
+        self._leaving.set()
+        end = _clock.boot_s() + self._settings.drain_s
+        try:
+            self._leave_once()
+        except TamarackhavenError as error:
+            self._log.say("leaving not confirmed", code=error.kind.value)
+        settings = self._settings
+        while _clock.boot_s() < end:
+            if not self._view.owned_by(settings.service, settings.target):
+                break
+            if not self._lease.holds():
+                break
+            self._stopping.wait(POLL_S)
+        self.daemon.drain()
+        self.stop()
+
+    def stop(self):
+        """Stop everything this process started."""
+        self._stopping.set()
+        self._join_wanted.set()
+        self._fetch_wanted.set()
+        self._probe.stop()
+        self._reports.stop()
+        self._handover.stop()
+        self._lease.stop()
+        for thread in self._threads:
+            thread.join()
+        self.daemon.stop()
+        self._client.close()
+
+
+def _first_membership(settings):
+    """Return the control VMs of the settings, until the map says who they are."""
+    members = [Member(m.name, m.host, m.port, m.lease_port) for m in settings.control]
+    return Membership(tuple(members))
--- a/tamarackhaven/_ledger.py
+++ b/tamarackhaven/_ledger.py
@@ -51,7 +51,7 @@
     """The first answer to a booking; ``whole`` is False if the body was let go."""
 
     status: int
-    headers: tuple = ()
+    headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     whole: bool = True
 
@@ -135,7 +135,7 @@
     grant: int
     start_s: float
     forgotten_s: float
-    entry_by_key: dict
+    entry_by_key: dict[str, LedgerEntry]
 
 
 @attrs.define
--- a/tamarackhaven/_model.py
+++ b/tamarackhaven/_model.py
@@ -165,6 +165,9 @@
         Name of the target that gets it once the owner has released it, or empty.
     key_hash : int
         64-bit hash of the pinned key, 0 for an ordinary shard.
+    previous : int
+        Number of the grant right before this one, 0 if there was none. A ledger of
+        bookings handed over is whole only if it is of that grant.
     """
 
     service: str
@@ -174,6 +177,7 @@
     grant: int = 0
     moving_to: str = ""
     key_hash: int = 0
+    previous: int = 0
     version: int = 0
 
 
--- a/tamarackhaven/_state.py
+++ b/tamarackhaven/_state.py
@@ -302,10 +302,10 @@
         between, so its ledger of bookings is whole. Another process gets new ones.
         """
         for grant in self._owned(member.service, member.target):
-            number = grant.grant if same_instance else index
-            self._put_grant(
-                attrs.evolve(grant, epoch=member.epoch, grant=number), index
-            )
+            if same_instance:
+                self._put_grant(attrs.evolve(grant, epoch=member.epoch), index)
+            else:
+                self._grant(grant, member, index, grant.moving_to)
 
     @_apply.register
     def _(self, change: LeaveTarget, index):
@@ -334,14 +334,15 @@
             return
         self._grant(grant, member, index)
 
-    def _grant(self, grant, member, index):
+    def _grant(self, grant, member, index, moving_to=""):
         self._put_grant(
             attrs.evolve(
                 grant,
                 owner=member.target,
                 epoch=member.epoch,
                 grant=index,
-                moving_to="",
+                previous=grant.grant,
+                moving_to=moving_to,
             ),
             index,
         )
@@ -405,7 +406,12 @@
         while shard in grants:
             shard += 1
         pinned = attrs.evolve(
-            base, shard=shard, key_hash=change.key_hash, grant=index, moving_to=""
+            base,
+            shard=shard,
+            key_hash=change.key_hash,
+            grant=index,
+            previous=0,
+            moving_to="",
         )
         self._put_grant(pinned, index)
         self._decide(index, change.service, change.cause, "key pinned", [shard])
--- a/tamarackhaven/_view.py
+++ b/tamarackhaven/_view.py
@@ -7,8 +7,6 @@
 import threading
 from array import array
 
-import attrs
-
 from tamarackhaven import _keys
 from tamarackhaven._events import (
     MembershipChanged,
@@ -19,30 +17,15 @@
     TargetChanged,
 )
 from tamarackhaven._members import Membership
-from tamarackhaven._model import Service, ShardGrant, TargetMember
-
-
-@attrs.frozen
-class Located:
-    """Where a key is.
-
-    Parameters
-    ----------
-    service : Service
-        Its service.
-    grant : ShardGrant
-        The grant of its shard, or of the key itself if it is pinned.
-    owner : TargetMember or None
-        The owning target.
-    """
+from tamarackhaven._model import ShardGrant
+from tamarackhaven._seams import Located
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
-    service: Service
-    grant: ShardGrant
-    owner: TargetMember | None
+FIRST_STATE_RETRY_S = 0.5
 
 
 class _Shards:
-    """The grants of one service: 32 bytes a shard."""
+    """The grants of one service: 36 bytes a shard."""
 
     def __init__(self):
         self._names = [""]
@@ -51,6 +34,7 @@
         self._moving = array("H")
         self._epochs = array("Q")
         self._grants = array("Q")
+        self._previous = array("Q")
         self._versions = array("Q")
         self._hash_by_shard = {}
         self.shard_by_hash = {}
@@ -59,17 +43,21 @@
         while len(self._owners) <= grant.shard:
             for column in (self._owners, self._moving):
                 column.append(0)
-            for column in (self._epochs, self._grants, self._versions):
+            for column in self._numbers():
                 column.append(0)
         self._owners[grant.shard] = self._number(grant.owner)
         self._moving[grant.shard] = self._number(grant.moving_to)
         self._epochs[grant.shard] = grant.epoch
         self._grants[grant.shard] = grant.grant
+        self._previous[grant.shard] = grant.previous
         self._versions[grant.shard] = grant.version
         if grant.key_hash:
             self._hash_by_shard[grant.shard] = grant.key_hash
             self.shard_by_hash[grant.key_hash] = grant.shard
 
+    def _numbers(self):
+        return self._epochs, self._grants, self._previous, self._versions
+
     def remove(self, shard):
         key_hash = self._hash_by_shard.pop(shard, None)
         self.shard_by_hash.pop(key_hash, None)
@@ -87,6 +75,7 @@
             grant=self._grants[shard],
             moving_to=self._names[self._moving[shard]],
             key_hash=self._hash_by_shard.get(shard, 0),
+            previous=self._previous[shard],
             version=self._versions[shard],
         )
 
@@ -178,18 +167,29 @@
                 del self._members_by_key[key]
 
     def locate(self, service, key_hash):
-        """Return where a key is, or None if there is no such service."""
+        """Return where a key is.
+
+        Raises
+        ------
+        TamarackhavenError
+            UNKNOWN_SERVICE, or STATE_STALE before the first state has arrived: then
+            nothing is known, and "no such service" would make a caller give up.
+        """
         with self._lock:
             resource = self._resources_by_key.get(("Service", service))
             shards = self._shards_by_service.get(service)
+            if not self._version:
+                raise TamarackhavenError(
+                    ErrorKind.STATE_STALE, "No state yet.", FIRST_STATE_RETRY_S
+                )
             if resource is None or shards is None:
-                return None
+                raise TamarackhavenError(ErrorKind.UNKNOWN_SERVICE, service)
             shard = shards.shard_by_hash.get(key_hash)
             if shard is None:
                 shard = _keys.shard_of(key_hash, resource.shard_count)
             grant = shards.get(service, shard)
             owner = self._members_by_key.get((service, grant.owner))
-            return Located(resource, grant, owner)
+            return Located(grant, owner, resource)
 
     def owned_by(self, service, target):
         """Return the grants of a target."""
