Draft the request path

**Cause:** no request is served yet. **Change:** the filters, servers, metrics and logs as a first draft, without tests. **Measured:** nothing yet; the tests follow in the next commits.

--- /dev/null
+++ b/tamarackhaven/_daemon.py
@@ -0,0 +1,310 @@
+"""The daemon beside a target: servers, filters, gate and ledger put together."""
+
+import random
+import threading
+
+import attrs
+
+from tamarackhaven._admit import Admission
+from tamarackhaven._announce_app import announce_app
+from tamarackhaven._caller_app import caller_app
+from tamarackhaven._forward import Forwarder
+from tamarackhaven._gate import Gate
+from tamarackhaven._grants import Grants
+from tamarackhaven._http_server import HttpServer
+from tamarackhaven._ledger import Ledger
+from tamarackhaven._metrics import metrics_server
+from tamarackhaven._model import ZoneState
+from tamarackhaven._owner import Owner
+from tamarackhaven._path import RequestPath
+from tamarackhaven._peer_app import peer_app
+from tamarackhaven._send import Connections
+from tamarackhaven._target_link import TargetLink
+from tamarackhaven._verify import Standing
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+_ANNOUNCE_THREADS = 2
+
+
+@attrs.frozen
+class _Target:
+    """The present target: its gate and the connections to it."""
+
+    admission: Admission
+    connections: Connections
+
+
+class Daemon:
+    """One daemon; signals are handled by whoever starts it.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Its settings.
+    view : View
+        The state of the control group; may change at any time.
+    lease : Lease
+        The lease of the target beside it.
+    metrics : Metrics
+        Counters of the process.
+    log : Log
+        Each part gets one with its own prefix.
+    clock : Clock
+        Usually the module ``_clock``.
+    on_target : callable or None
+        Called with the ``LinkState`` when the target announced itself, started anew
+        or began to leave.
+    take_ledger : callable or None
+        Takes the bytes of a ledger part from another daemon.
+
+    Notes
+    -----
+    ``on_confirmed`` must be called each time the state was confirmed: ``stale_s``
+    after the last call all requests are refused as STATE_STALE.
+    """
+
+    def __init__(
+        self,
+        settings,
+        view,
+        lease,
+        metrics,
+        log,
+        clock,
+        on_target=None,
+        take_ledger=None,
+    ):
+        self.settings = settings
+        self.ledger = Ledger(settings.bookings)
+        self.ledger_lock = threading.Lock()
+        self.link = TargetLink(clock)
+        self._lease = lease
+        self._metrics = metrics
+        self._log = log.part("daemon")
+        self._clock = clock
+        self._on_target = on_target or (lambda state: None)
+        self._lock = threading.Lock()
+        self._target = None
+        self._draining = False
+        self._zone = ZoneState.IN
+        self._confirmed_s = clock.boot_s()
+        self._grants = Grants(_Locked(self.ledger, self.ledger_lock), clock)
+        self._forwarder = Forwarder(settings.threads)
+        owner = Owner(
+            settings,
+            self.standing,
+            lease,
+            self._grants,
+            self.ledger,
+            self.ledger_lock,
+            self._present_target,
+            clock,
+        )
+        self.path = RequestPath(
+            settings,
+            view,
+            owner,
+            self._forwarder,
+            self.standing,
+            metrics,
+            log.part("path"),
+            clock,
+        )
+        self._servers = []
+        self._open_ports(take_ledger or _no_ledger)
+
+    def _open_ports(self, take_ledger):
+        settings = self.settings
+        try:
+            self.caller = self._serve(
+                caller_app(self.path), settings.caller, settings.threads, "caller"
+            )
+            self.peer = self._serve(
+                peer_app(self.path, take_ledger),
+                settings.peer,
+                settings.threads,
+                "peer",
+            )
+            self.announce = self._serve(
+                announce_app(self), settings.announce, _ANNOUNCE_THREADS, "announce"
+            )
+            self.metrics_page = metrics_server(self._metrics, settings.metrics)
+            self._servers.append(self.metrics_page)
+        except TamarackhavenError:
+            self._stop_servers()
+            raise
+
+    def _serve(self, app, listen, threads, name):
+        server = HttpServer(app, listen, threads, name)
+        self._servers.append(server)
+        return server
+
+    def start(self):
+        """Serve from now on."""
+        for server in self._servers:
+            server.start()
+        self._log.say(
+            "started",
+            caller_port=self.caller.port,
+            peer_port=self.peer.port,
+            announce_port=self.announce.port,
+            metrics_port=self.metrics_page.port,
+        )
+
+    def drain(self):
+        """Refuse new work with DRAINING and wait for what is in flight.
+
+        Requests for keys of other targets are still forwarded. Returns whether all
+        ended within ``drain_s``.
+        """
+        with self._lock:
+            self._draining = True
+            target = self._target
+        for server in self._servers:
+            server.close_connections = True
+        if target is not None:
+            target.admission.stop(ErrorKind.DRAINING)
+        self._log.say("draining")
+        done = self.path.wait_idle(self.settings.drain_s)
+        self._log.say("drained" if done else "drain time is over")
+        return done
+
+    def stop(self):
+        """Close all ports and connections; what is in flight is cut off."""
+        self._stop_servers()
+        self._forwarder.close()
+        with self._lock:
+            target, self._target = self._target, None
+        _end(target)
+        self._log.say("stopped")
+
+    def _stop_servers(self):
+        for server in self._servers:
+            server.stop()
+
+    # What the control link tells.
+
+    def on_grants(self, grants):
+        """Own exactly these ``ShardGrant`` records of this target from now on."""
+        self._grants.replace(grants)
+
+    def on_confirmed(self, now):
+        """Note that the state was confirmed at ``now``, seconds of CLOCK_BOOTTIME."""
+        self._confirmed_s = max(self._confirmed_s, now)
+
+    def on_zone(self, state):
+        """Note the state of this daemon's availability zone."""
+        self._zone = state
+
+    def in_flight(self, service, shard):
+        """Return the number of requests in flight in a shard, waiting ones too."""
+        return self._grants.in_flight((service, shard))
+
+    def stop_admitting(self, service, shard):
+        """Take no new request of a shard until a newer grant, or ``resume``."""
+        self._grants.stop((service, shard))
+
+    def resume(self, service, shard):
+        """Take requests of a shard again, should its move be taken back."""
+        self._grants.resume((service, shard))
+
+    # What the target says.
+
+    def announced(self, announcement):
+        """Take in the announcement of a target; a new start gets a new gate."""
+        if not self.link.announce(announcement):
+            return
+        target = self._make_target(announcement)
+        with self._lock:
+            last, self._target = self._target, target
+        _end(last)
+        self._log.say("target announced itself", incarnation=announcement.incarnation)
+        self._on_target(self.link.state())
+
+    def reported(self, report):
+        """Take in a report of the target."""
+        self.link.report(report)
+        target = self._target
+        if target is not None:
+            target.admission.report(report)
+            for name, value in target.admission.gauges().items():
+                self._metrics.gauge(f"tamarackhaven_gate_{name}", value)
+
+    def left(self):
+        """Take in that the target has begun to leave."""
+        self.link.leave()
+        target = self._target
+        if target is not None:
+            target.admission.stop(ErrorKind.DRAINING)
+        self._log.say("target is leaving")
+        self._on_target(self.link.state())
+
+    def state(self):
+        """Return what the target is told, as a JSON object."""
+        now = self._clock.boot_s()
+        return {
+            "draining": self._draining,
+            "zone": self._zone.value,
+            "lease_held": self._lease.holds(now),
+        }
+
+    def standing(self):
+        """Return what this daemon knows of itself now."""
+        return Standing(
+            service=self.settings.service,
+            target=self.settings.target,
+            draining=self._draining or self.link.state().leaving,
+            zone=self._zone,
+            confirmed_s=self._confirmed_s,
+        )
+
+    def _make_target(self, announcement):
+        gate = Gate(
+            self.settings.gate,
+            announcement.slots,
+            self._clock.boot_s(),
+            random.Random(),
+        )
+        admission = Admission(gate, self._clock)
+        if self._draining:
+            admission.stop(ErrorKind.DRAINING)
+        address = announcement.address
+        limit = self.settings.gate.max_connections
+        return _Target(admission, Connections(address.host, address.port, limit))
+
+    def _present_target(self):
+        target = self._target
+        if target is None:
+            raise TamarackhavenError(
+                ErrorKind.TARGET_UNREACHABLE, "It has not announced itself."
+            )
+        return target.admission, target.connections
+
+
+@attrs.frozen
+class _Locked:
+    """The ledger's adopt and drop under its lock."""
+
+    ledger: Ledger
+    lock: threading.Lock
+
+    def adopt(self, service, shard, grant, now_unix):
+        with self.lock:
+            self.ledger.adopt(service, shard, grant, now_unix)
+
+    def drop(self, service, shard):
+        with self.lock:
+            self.ledger.drop(service, shard)
+
+
+def _end(target):
+    """Close what an earlier start of the target left; waiting requests are refused."""
+    if target is None:
+        return
+    target.admission.stop(ErrorKind.TARGET_UNREACHABLE)
+    target.admission.close()
+    target.connections.close()
+
+
+def _no_ledger(body):
+    raise TamarackhavenError(ErrorKind.NOT_FOUND, "This daemon takes no ledger parts.")
--- /dev/null
+++ b/tamarackhaven/_http_server.py
@@ -0,0 +1,257 @@
+"""HTTP servers by ``waitress``, whose own errors also come from the closed table."""
+
+import http.client
+import logging
+import socket
+import threading
+
+import waitress
+from waitress.channel import HTTPChannel
+from waitress.parser import HTTPRequestParser
+from waitress.task import ErrorTask, WSGITask
+from waitress.utilities import (
+    Error,
+    InternalServerError,
+    RequestEntityTooLarge,
+    RequestHeaderFieldsTooLarge,
+)
+
+from tamarackhaven._answer import answer_error
+from tamarackhaven._clock import boot_s
+from tamarackhaven._request import SINGLE_HEADERS, RawRequest
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+MAX_HEADER_BYTES = 16 * 1024
+# Services state smaller limits; this one bounds what a server holds in memory.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+_LISTEN_BACKLOG = 1024
+_CONNECTIONS = 2000
+_LOOP_TIMEOUT_S = 0.2
+_RECEIVED_KEY = "tamarackhaven.received_s"
+_GONE_KEY = "waitress.client_disconnected"
+
+_KIND_BY_ERROR = {
+    RequestHeaderFieldsTooLarge: ErrorKind.HEADERS_TOO_LARGE,
+    RequestEntityTooLarge: ErrorKind.BODY_TOO_LARGE,
+    InternalServerError: ErrorKind.INTERNAL,
+}
+
+
+class _KindError(Error):
+    """An error of the closed list in the form that waitress passes on."""
+
+    def __init__(self, kind, detail=""):
+        super().__init__(detail)
+        self.kind = kind
+
+
+class _Parser(HTTPRequestParser):
+    """A parser that notes duplicates before waitress joins them by a comma."""
+
+    duplicate = ""
+    received_s = 0.0
+
+    def received(self, data):
+        consumed = super().received(data)
+        if self.duplicate and not isinstance(self.error, _KindError):
+            self.error = _KindError(ErrorKind.DUPLICATE_HEADER, self.duplicate)
+            self.completed = True
+        if self.completed:
+            self.received_s = boot_s()
+        return consumed
+
+    def parse_header(self, header_plus):
+        self.duplicate = _duplicate(header_plus)
+        super().parse_header(header_plus)
+
+
+def _duplicate(header_plus):
+    """Return the name of a header that stands twice and must not, or an empty text."""
+    seen = set()
+    for line in header_plus.split(b"\r\n")[1:]:
+        name = line.partition(b":")[0].decode("latin-1").lower()
+        if name in seen:
+            return name
+        if name in SINGLE_HEADERS:
+            seen.add(name)
+    return ""
+
+
+class _Task(WSGITask):
+    def get_environment(self):
+        environ = super().get_environment()
+        environ[_RECEIVED_KEY] = self.request.received_s
+        return environ
+
+
+class _ErrorTask(ErrorTask):
+    """Answers what waitress itself refuses, out of the closed table."""
+
+    def execute(self):
+        error = self.request.error
+        kind = getattr(error, "kind", None)
+        kind = kind or _KIND_BY_ERROR.get(type(error), ErrorKind.MALFORMED_REQUEST)
+        answer = answer_error(TamarackhavenError(kind, str(error.body)))
+        self.status = status_line(answer.status)
+        self.response_headers.extend(answer.headers)
+        self.set_close_on_finish()
+        self.content_length = len(answer.body)
+        self.write(answer.body)
+
+
+class _Channel(HTTPChannel):
+    """A channel that answers a request which ends before its stated length.
+
+    waitress drops such a request without a word, and a caller whose proxy cut its
+    body off would see a lost connection and not know that nothing ran.
+    """
+
+    parser_class = _Parser
+    task_class = _Task
+    error_task_class = _ErrorTask
+    _ended = False
+
+    def readable(self):
+        return not self._ended and super().readable()
+
+    def handle_close(self):
+        if self._ends_within_request():
+            self._ended = True
+            self._answer_truncated()
+            return
+        super().handle_close()
+
+    def _ends_within_request(self):
+        started = self.request is not None and (
+            self.request.header_plus or self.request.headers_finished
+        )
+        return bool(started and not self._ended and not self.will_close)
+
+    def _answer_truncated(self):
+        with self.requests_lock:
+            request, self.request = self.request, None
+            kind = ErrorKind.MALFORMED_REQUEST
+            if request.headers_finished:
+                kind = ErrorKind.BODY_TRUNCATED
+            request.error = _KindError(kind, "The connection ended within it.")
+            request.completed = True
+            self.requests.append(request)
+            if len(self.requests) == 1:
+                self.server.add_task(self)
+
+    def handle_read(self):
+        super().handle_read()
+        if self._ended:
+            # The base class notes an end of input as a closed connection; the other
+            # direction is still open for the answer.
+            self.connected = True
+
+
+def status_line(status):
+    """Return the status with its reason phrase."""
+    return f"{status} {http.client.responses.get(status, 'Refused')}"
+
+
+def raw_request(environ):
+    """Return the request in a WSGI environment as a ``RawRequest``."""
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    return RawRequest(
+        method=environ["REQUEST_METHOD"],
+        target=environ["REQUEST_URI"],
+        headers=headers,
+        body=environ["wsgi.input"].read(length) if length else b"",
+        peer_host=environ["REMOTE_ADDR"],
+        received_s=environ.get(_RECEIVED_KEY) or boot_s(),
+    )
+
+
+def gone_check(environ):
+    """Return a callable that says whether the caller has hung up."""
+    return environ.get(_GONE_KEY, lambda: False)
+
+
+def respond(answer, start_response):
+    """Give an ``HttpAnswer`` to WSGI."""
+    headers = [*answer.headers, ("Content-Length", str(len(answer.body)))]
+    start_response(status_line(answer.status), headers)
+    return [answer.body]
+
+
+class HttpServer:
+    """One WSGI application on one port, in a thread of its own.
+
+    Parameters
+    ----------
+    app : callable
+        The WSGI application.
+    listen : Listen
+        Where to listen; port 0 takes any free one.
+    threads : int
+        Requests served at once; more wait, and their wait counts.
+    name : str
+        For the thread.
+    """
+
+    def __init__(self, app, listen, threads, name):
+        # Its lines would reach standard error unformatted; ours say the same.
+        logging.getLogger("waitress").setLevel(logging.CRITICAL)
+        self._server = waitress.create_server(
+            app,
+            sockets=[_bound(listen)],
+            threads=threads,
+            backlog=_LISTEN_BACKLOG,
+            connection_limit=_CONNECTIONS,
+            max_request_header_size=MAX_HEADER_BYTES,
+            max_request_body_size=MAX_BODY_BYTES,
+            # Without it waitress reads nothing while a request runs, and would not
+            # notice that the caller hung up.
+            channel_request_lookahead=1,
+            asyncore_loop_timeout=_LOOP_TIMEOUT_S,
+            asyncore_use_poll=True,
+            clear_untrusted_proxy_headers=False,
+            ident="",
+        )
+        self._server.channel_class = _Channel
+        self.port = self._server.effective_port
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+
+    def start(self):
+        """Serve from now on."""
+        self._thread.start()
+
+    def stop(self):
+        """Close all connections and end the threads."""
+        self._stopping = True
+        self._server.pull_trigger()
+        if self._thread.is_alive():
+            self._thread.join()
+
+    def _run(self):
+        server = self._server
+        while not self._stopping:
+            server.asyncore.loop(
+                timeout=_LOOP_TIMEOUT_S, map=server._map, use_poll=True, count=1
+            )
+        server.task_dispatcher.shutdown(timeout=1)
+        server.asyncore.close_all(server._map)
+
+
+def _bound(listen):
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((listen.host, listen.port))
+    except OSError as error:
+        sock.close()
+        raise TamarackhavenError(
+            ErrorKind.PORT_TAKEN, f"{listen.host}:{listen.port}: {error.strerror}."
+        ) from error
+    return sock
--- /dev/null
+++ b/tamarackhaven/_metrics.py
@@ -0,0 +1,165 @@
+"""Counters, gauges and latency quantiles, as a page that scrapers read.
+
+The page has the Prometheus text exposition format. Latencies are kept by
+``hdrhistogram`` since the start of the process.
+"""
+
+import threading
+from collections import defaultdict
+
+from hdrh.histogram import HdrHistogram
+
+from tamarackhaven._answer import answer_error
+from tamarackhaven._http_server import HttpServer, raw_request, respond
+from tamarackhaven._request import HttpAnswer
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+REFUSALS = "tamarackhaven_refusals_total"
+RETRIES = "tamarackhaven_retries_total"
+ANSWERS = "tamarackhaven_answers_total"
+LATENCY = "tamarackhaven_latency_seconds"
+RETRY_REASONS = (
+    ErrorKind.NOT_OWNER,
+    ErrorKind.NO_OWNER,
+    ErrorKind.MOVING,
+    ErrorKind.OWNER_UNREACHABLE,
+)
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+_MICROSECONDS = 1_000_000
+_LONGEST_US = 600 * _MICROSECONDS
+_DIGITS = 2
+_HELP_BY_NAME = {
+    REFUSALS: "Requests answered with an error of the closed list, by its name.",
+    RETRIES: "Second tries after an answer that surely did not run, by reason.",
+    ANSWERS: "Answers of the target, by HTTP status.",
+    LATENCY: "Time from a request's arrival to its answer.",
+}
+
+
+class Metrics:
+    """All counters of one process; every method may be called from any thread."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._count_by_key = defaultdict(int)
+        self._gauge_by_key = {}
+        self._histogram_by_key = {}
+        self._seconds_by_key = defaultdict(float)
+        self._register()
+
+    def _register(self):
+        # A counter that appears with its first event has no rate before it, and an
+        # alert on that rate stays silent at the first failure.
+        for kind in ErrorKind:
+            self.count(REFUSALS, 0, kind=kind.name)
+        for reason in RETRY_REASONS:
+            self.count(RETRIES, 0, reason=reason.name)
+
+    def count(self, name, amount=1, **labels):
+        """Add ``amount`` to a counter."""
+        with self._lock:
+            self._count_by_key[_key(name, labels)] += amount
+
+    def counter(self, name, **labels):
+        """Return the present value of a counter."""
+        with self._lock:
+            return self._count_by_key.get(_key(name, labels), 0)
+
+    def gauge(self, name, value, **labels):
+        """Set a gauge."""
+        with self._lock:
+            self._gauge_by_key[_key(name, labels)] = value
+
+    def observe(self, seconds, **labels):
+        """Record one latency in seconds under its labels, as service and target."""
+        key = _key(LATENCY, labels)
+        microseconds = min(max(1, round(seconds * _MICROSECONDS)), _LONGEST_US)
+        with self._lock:
+            histogram = self._histogram_by_key.get(key)
+            if histogram is None:
+                histogram = HdrHistogram(1, _LONGEST_US, _DIGITS)
+                self._histogram_by_key[key] = histogram
+            histogram.record_value(microseconds)
+            self._seconds_by_key[key] += seconds
+
+    def quantile_s(self, percent, **labels):
+        """Return a latency quantile in seconds, 0 if nothing was recorded."""
+        with self._lock:
+            histogram = self._histogram_by_key.get(_key(LATENCY, labels))
+            if histogram is None:
+                return 0.0
+            return histogram.get_value_at_percentile(percent) / _MICROSECONDS
+
+    def page(self):
+        """Return the page as text."""
+        with self._lock:
+            lines = _section(self._count_by_key, "counter")
+            lines += _section(self._gauge_by_key, "gauge")
+            lines += self._latency_lines()
+        return "\n".join(lines) + "\n"
+
+    def _latency_lines(self):
+        if not self._histogram_by_key:
+            return []
+        lines = _head(LATENCY, "summary")
+        for (name, labels), histogram in sorted(self._histogram_by_key.items()):
+            for percent in QUANTILES:
+                value = histogram.get_value_at_percentile(percent) / _MICROSECONDS
+                quantile = ("quantile", f"{percent / 100:g}")
+                lines.append(f"{name}{_labels((*labels, quantile))} {value:g}")
+            total = self._seconds_by_key[name, labels]
+            lines.append(f"{name}_sum{_labels(labels)} {total:g}")
+            lines.append(f"{name}_count{_labels(labels)} {histogram.total_count}")
+        return lines
+
+
+def _key(name, labels):
+    return name, tuple(sorted((key, str(value)) for key, value in labels.items()))
+
+
+def _head(name, kind):
+    help_text = _HELP_BY_NAME.get(name, "See docs/OPERATING.md.")
+    return [f"# HELP {name} {help_text}", f"# TYPE {name} {kind}"]
+
+
+def _section(value_by_key, kind):
+    lines = []
+    last = None
+    for (name, labels), value in sorted(value_by_key.items()):
+        if name != last:
+            lines += _head(name, kind)
+            last = name
+        lines.append(f"{name}{_labels(labels)} {value:g}")
+    return lines
+
+
+def _labels(labels):
+    if not labels:
+        return ""
+    pairs = ",".join(f'{key}="{_escaped(value)}"' for key, value in labels)
+    return "{" + pairs + "}"
+
+
+def _escaped(value):
+    return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+
+
+def metrics_app(metrics):
+    """Return the WSGI application that serves the page at ``/metrics``."""
+
+    def app(environ, start_response):
+        if raw_request(environ).target.partition("?")[0] != "/metrics":
+            error = TamarackhavenError(ErrorKind.NOT_FOUND, "Try /metrics.")
+            return respond(answer_error(error), start_response)
+        headers = (("Content-Type", CONTENT_TYPE),)
+        answer = HttpAnswer(200, headers, metrics.page().encode())
+        return respond(answer, start_response)
+
+    return app
+
+
+def metrics_server(metrics, listen):
+    """Return the server of the page, not yet started."""
+    return HttpServer(metrics_app(metrics), listen, threads=1, name="metrics")
--- /dev/null
+++ b/tamarackhaven/_request.py
@@ -0,0 +1,113 @@
+"""The typed messages that pass through the request path."""
+
+import attrs
+
+KEY_HEADER = "Tamarackhaven-Key"
+DEADLINE_MS_HEADER = "Tamarackhaven-Deadline-Ms"
+REQUEST_ID_HEADER = "Tamarackhaven-Request-Id"
+CALLER_HEADER = "Tamarackhaven-Caller"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+FIRST_SENT_HEADER = "Tamarackhaven-First-Sent"
+HOPS_HEADER = "Tamarackhaven-Hops"
+EPOCH_HEADER = "Tamarackhaven-Epoch"
+SHARD_HEADER = "Tamarackhaven-Shard"
+START_BY_HEADER = "Tamarackhaven-Start-By"
+DEADLINE_HEADER = "Tamarackhaven-Deadline"
+RAN_HEADER = "Tamarackhaven-Ran"
+ERROR_HEADER = "Tamarackhaven-Error"
+DID_NOT_RUN_HEADER = "Tamarackhaven-Did-Not-Run"
+RETRY_AFTER_HEADER = "Retry-After"
+
+# Two of one of these are an error: a proxy and a target that pick different ones
+# would act on different requests.
+SINGLE_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        KEY_HEADER,
+        DEADLINE_MS_HEADER,
+        REQUEST_ID_HEADER,
+        CALLER_HEADER,
+        IDEMPOTENCY_HEADER,
+        FIRST_SENT_HEADER,
+        HOPS_HEADER,
+        "Host",
+        "Content-Length",
+        "Content-Type",
+        "Transfer-Encoding",
+        "Authorization",
+    )
+)
+
+LOOKUP_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+
+@attrs.frozen
+class RawRequest:
+    """An HTTP request as it arrived; header names are in lower case.
+
+    Parameters
+    ----------
+    received_s : float
+        When its last byte arrived, in seconds of CLOCK_BOOTTIME.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    peer_host: str
+    received_s: float
+
+
+@attrs.frozen
+class Request:
+    """A request that has been identified.
+
+    Parameters
+    ----------
+    headers : tuple of (str, str)
+        The headers that the target gets besides ours.
+    deadline_s : float or None
+        In seconds of CLOCK_BOOTTIME; None until the service's default is known.
+    first_sent_s : float or None
+        When the caller sent the first try, in seconds of its wall clock.
+    hops : int
+        Daemons that it has passed.
+    """
+
+    request_id: str
+    service: str
+    key: str
+    key_hash: int
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    caller: str
+    received_s: float
+    deadline_s: float | None = None
+    idempotency_key: str = ""
+    first_sent_s: float | None = None
+    hops: int = 0
+
+    @property
+    def is_booking(self):
+        """Whether running it twice would do harm."""
+        return self.method not in LOOKUP_METHODS
+
+
+@attrs.frozen
+class HttpAnswer:
+    """An HTTP answer; ``headers`` are pairs of name and value."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def header(self, name, default=""):
+        """Return the value of the first header of that name."""
+        wanted = name.lower()
+        for key, value in self.headers:
+            if key.lower() == wanted:
+                return value
+        return default
