--- /dev/null
+++ b/standin/target.py
@@ -0,0 +1,408 @@
+"""A stand-in target: a small HTTP server that behaves, or misbehaves, as real ones do.
+
+It announces itself and reports to its daemon, takes fenced grants, starts cold, sheds,
+drains, and honours deadlines and cancellation. It is no part of the product.
+"""
+
+import argparse
+import enum
+import http.client
+import json
+import os
+import signal
+import threading
+import time
+import uuid
+from collections import Counter
+
+import attrs
+import waitress
+
+REPORT_S = 0.2
+_RECEIVE_BYTES = 8192
+_STALL_S = 30.0
+_STEP_S = 0.005
+DID_NOT_RUN = ("Tamarackhaven-Did-Not-Run", "1")
+
+
+class Mode(enum.Enum):
+    """How a target answers lookups and bookings."""
+
+    GOOD = "good"
+    SHORT = "short"
+    OVERSIZED = "oversized"
+    STALLED = "stalled"
+    WRONG_ID = "wrong-id"
+    LATE = "late"
+    UNSIZED = "unsized"
+    DRIP = "drip"
+
+
+@attrs.frozen
+class StandinSettings:
+    """What a stand-in target is told at its start.
+
+    Parameters
+    ----------
+    port : int
+        Where it listens; 0 takes a free one.
+    announce : str
+        ``host:port`` of its daemon's port for targets, or empty.
+    slots : int
+        Requests that it runs at once when warm; it sheds above that.
+    cold_slots : int
+        Requests that it bears when just started; above that it is slow and fails.
+    cold_s : float
+        Time from cold to warm, in seconds.
+    service_ms : float
+        Time that one request takes, in milliseconds.
+    journal : str
+        File that gets one line per execution of a booking, or empty.
+    """
+
+    port: int = 0
+    name: str = "t"
+    service: str = "s"
+    announce: str = ""
+    slots: int = 12
+    cold_slots: int = 2
+    cold_s: float = 0.0
+    service_ms: float = 2.0
+    mode: Mode = Mode.GOOD
+    journal: str = ""
+
+
+@attrs.frozen
+class Reply:
+    """An HTTP answer."""
+
+    status: int
+    plain: object
+    headers: tuple = ()
+
+
+def boot_ms():
+    """Return milliseconds of CLOCK_BOOTTIME, as in the daemon's headers."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
+
+
+class Target:
+    """The state of a stand-in target; its methods may be called from any thread."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.incarnation = uuid.uuid4().hex
+        self._started_s = time.monotonic()
+        self._lock = threading.Lock()
+        self._epoch_by_shard = {}
+        self._running_by_id = {}
+        self._executions_by_key = Counter()
+        self._journal = None
+        if settings.journal:
+            self._journal = open(settings.journal, "a", encoding="utf-8")  # noqa: SIM115
+        self.served = 0
+        self.overruns = 0
+        self.refused = Counter()
+        self.leaving = False
+
+    def answer(self, method, path, headers, body):
+        """Return the reply to a request."""
+        if path == "/counts":
+            return Reply(200, self.counts())
+        if path == "/cancel":
+            return self._cancel(body)
+        refusal = self._begin(headers)
+        if refusal is not None:
+            return refusal
+        try:
+            return self._run(method, path, headers, body)
+        finally:
+            with self._lock:
+                self._running_by_id.pop(headers.get("request-id", ""), None)
+
+    def _begin(self, headers):
+        """Take the request in, or return why it is not run."""
+        with self._lock:
+            reason = self._refusal(headers)
+            if reason:
+                self.refused[reason] += 1
+                retry = ("Retry-After", "1")
+                return Reply(503, {"refused": reason}, (DID_NOT_RUN, retry))
+            cancelled = threading.Event()
+            self._running_by_id[headers.get("request-id", "")] = cancelled
+        return None
+
+    def _refusal(self, headers):
+        if self.leaving:
+            return "leaving"
+        shard = headers.get("shard", "")
+        epoch = int(headers.get("epoch", 0))
+        if epoch < self._epoch_by_shard.get(shard, 0):
+            return "stale-epoch"
+        self._epoch_by_shard[shard] = epoch
+        now_ms = boot_ms()
+        if now_ms > float(headers.get("start-by", "inf")):
+            return "started-late"
+        if now_ms > float(headers.get("deadline", "inf")):
+            return "deadline-past"
+        if len(self._running_by_id) >= self.settings.slots:
+            return "shed"
+        return ""
+
+    def _run(self, method, path, headers, body):
+        cancelled = self._running_by_id[headers.get("request-id", "")]
+        if self._overrun():
+            # Falls over: slow, then an error, and the work may have been done.
+            self._work(cancelled, headers, slowness=20)
+            return Reply(500, {"error": "overrun"})
+        if not self._work(cancelled, headers, slowness=1):
+            return Reply(503, {"refused": "given-up"}, (DID_NOT_RUN,))
+        with self._lock:
+            self.served += 1
+        if method == "GET":
+            return Reply(200, {"target": self.settings.name, "path": path})
+        return self._book(path, headers)
+
+    def _overrun(self):
+        age_s = time.monotonic() - self._started_s
+        if age_s >= self.settings.cold_s:
+            return False
+        with self._lock:
+            warm = age_s / self.settings.cold_s
+            spare = self.settings.slots - self.settings.cold_slots
+            borne = self.settings.cold_slots + int(warm * spare)
+            over = len(self._running_by_id) > borne
+            self.overruns += over
+        return over
+
+    def _work(self, cancelled, headers, slowness):
+        """Take the time of one request; return False if it was given up before."""
+        until_s = time.monotonic() + self.settings.service_ms * slowness / 1000
+        deadline_ms = float(headers.get("deadline", "inf"))
+        while (left_s := until_s - time.monotonic()) > 0:
+            if cancelled.wait(min(left_s, _STEP_S)) or boot_ms() > deadline_ms:
+                return False
+        return True
+
+    def _book(self, path, headers):
+        key = headers.get("idempotency-key", "")
+        with self._lock:
+            self._executions_by_key[key] += 1
+            times = self._executions_by_key[key]
+            if self._journal:
+                line = {"key": key, "target": self.settings.name, "path": path}
+                self._journal.write(json.dumps(line) + "\n")
+                self._journal.flush()
+                os.fsync(self._journal.fileno())
+        return Reply(201, {"booked": key, "times": times, "path": path})
+
+    def _cancel(self, body):
+        with self._lock:
+            event = self._running_by_id.get(body.decode())
+        if event:
+            event.set()
+        return Reply(200, {"cancelled": event is not None})
+
+    def counts(self):
+        """Return all counters."""
+        with self._lock:
+            return {
+                "served": self.served,
+                "overruns": self.overruns,
+                "refused": dict(self.refused),
+                "executions": dict(self._executions_by_key),
+                "incarnation": self.incarnation,
+            }
+
+    def report(self):
+        """Return what it says of itself to its daemon."""
+        with self._lock:
+            return {
+                "running": len(self._running_by_id),
+                "slots": self.settings.slots,
+                "uptime_s": time.monotonic() - self._started_s,
+                "incarnation": self.incarnation,
+                "served": self.served,
+            }
+
+
+def target_app(target):
+    """Return the WSGI application of a target."""
+
+    def app(environ, start_response):
+        headers = _short_names(environ)
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length)
+        path = environ["REQUEST_URI"].partition("?")[0]
+        reply = target.answer(environ["REQUEST_METHOD"], path, headers, body)
+        return _answer(reply, headers, target.settings.mode, start_response)
+
+    return app
+
+
+def _short_names(environ):
+    prefix = "HTTP_TAMARACKHAVEN_"
+    headers = {
+        name.removeprefix(prefix).replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith(prefix)
+    }
+    headers["idempotency-key"] = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+    return headers
+
+
+def _answer(reply, headers, mode, start_response):
+    body = json.dumps(reply.plain, sort_keys=True).encode() + b"\n"
+    request_id = headers.get("request-id", "")
+    length = len(body)
+    if mode is Mode.WRONG_ID:
+        request_id = "another-request"
+    if mode is Mode.OVERSIZED:
+        body = b"x" * (8 * 1024 * 1024)
+        length = len(body)
+    if mode is Mode.SHORT:
+        length += 100
+    if mode in (Mode.STALLED, Mode.LATE):
+        time.sleep(_STALL_S if mode is Mode.STALLED else 0.6)
+    lines = [
+        ("Content-Type", "application/json"),
+        ("Tamarackhaven-Request-Id", request_id),
+        *reply.headers,
+    ]
+    if mode is not Mode.UNSIZED:
+        lines.append(("Content-Length", str(length)))
+    start_response(f"{reply.status} {http.client.responses[reply.status]}", lines)
+    if mode is Mode.DRIP:
+        return _dripping(body)
+    return [body]
+
+
+def _dripping(body):
+    for byte in body:
+        time.sleep(0.1)
+        yield bytes([byte])
+
+
+class Announcer:
+    """Tells the daemon of the target's start, its load and its leaving.
+
+    Parameters
+    ----------
+    target : Target
+        Whose word it is.
+    address : str
+        ``host:port`` of the daemon's port for targets.
+    port : int
+        Where the target listens.
+    """
+
+    def __init__(self, target, address, port):
+        self._target = target
+        host, _, announce_port = address.rpartition(":")
+        self._address = (host, int(announce_port))
+        self._port = port
+        self._ended = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self):
+        """Announce, then report from time to time."""
+        self._thread.start()
+
+    def leave(self):
+        """Say that the target is leaving."""
+        self._post("/leaving", {})
+
+    def stop(self):
+        """End the reports."""
+        self._ended.set()
+        self._thread.join()
+
+    def _run(self):
+        while not self._ended.is_set():
+            # Again and again: the daemon may have been restarted meanwhile.
+            self._post("/announce", self._announcement())
+            self._post("/report", self._target.report())
+            self._ended.wait(REPORT_S)
+
+    def _announcement(self):
+        return {
+            "incarnation": self._target.incarnation,
+            "slots": self._target.settings.slots,
+            "address": {"host": "127.0.0.1", "port": self._port},
+        }
+
+    def _post(self, path, plain):
+        connection = http.client.HTTPConnection(*self._address, timeout=2)
+        try:
+            body = json.dumps(plain).encode()
+            connection.request("POST", path, body)
+            return connection.getresponse().read()
+        except (OSError, http.client.HTTPException):
+            return b""
+        finally:
+            connection.close()
+
+
+class Server:
+    """A target with its HTTP server, in threads of this process."""
+
+    def __init__(self, settings):
+        self.target = Target(settings)
+        self._server = waitress.create_server(
+            target_app(self.target),
+            host="127.0.0.1",
+            port=settings.port,
+            threads=settings.slots + 4,
+            connection_limit=settings.slots * 20 + 100,
+            channel_request_lookahead=1,
+            ident="",
+        )
+        self.port = self._server.effective_port
+        self.announcer = None
+        if settings.announce:
+            self.announcer = Announcer(self.target, settings.announce, self.port)
+        self._thread = threading.Thread(target=self._server.run, daemon=True)
+
+    def start(self):
+        """Serve and announce from now on."""
+        self._thread.start()
+        if self.announcer:
+            self.announcer.start()
+
+    def stop(self):
+        """Take no more connections."""
+        if self.announcer:
+            self.announcer.stop()
+        self._server.asyncore.close_all(self._server._map)
+        self._thread.join(5)
+        self._server.task_dispatcher.shutdown(timeout=0.1)
+
+
+def parse(arguments):
+    """Return the settings that a command line states."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    for field in attrs.fields(StandinSettings):
+        option = "--" + field.name.replace("_", "-")
+        kind = Mode if field.name == "mode" else type(field.default)
+        parser.add_argument(option, type=kind, default=field.default)
+    return StandinSettings(**vars(parser.parse_args(arguments)))
+
+
+def main(arguments=None):
+    """Run a target until SIGTERM; then leave, and end what is running."""
+    server = Server(parse(arguments))
+    ended = threading.Event()
+    signal.signal(signal.SIGTERM, lambda number, frame: ended.set())
+    signal.signal(signal.SIGINT, lambda number, frame: ended.set())
+    server.start()
+    print(f"listening on 127.0.0.1:{server.port}", flush=True)
+    ended.wait()
+    if server.announcer:
+        server.announcer.leave()
+    while server.target.report()["running"]:
+        time.sleep(_STEP_S)
+    server.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/tamarackhaven/_admit.py
+++ b/tamarackhaven/_admit.py
@@ -50,9 +50,7 @@
         """
         # Callers choose request ids and may choose one twice; the gate needs its own.
         decision_id = f"{request.request_id}.{next(self._numbers)}"
-        offer = Offer(
-            decision_id, request.key_hash, request.caller, request.deadline_s
-        )
+        offer = Offer(decision_id, request.key_hash, request.caller, request.deadline_s)
         future = Future()
         with self._changed:
             self._future_by_id[decision_id] = future
--- a/tamarackhaven/_daemon.py
+++ b/tamarackhaven/_daemon.py
@@ -11,7 +11,7 @@
 from tamarackhaven._forward import Forwarder
 from tamarackhaven._gate import Gate
 from tamarackhaven._grants import Grants
-from tamarackhaven._http_server import HttpServer
+from tamarackhaven._http_server import MAX_HEADER_BYTES, HttpServer
 from tamarackhaven._ledger import Ledger
 from tamarackhaven._metrics import metrics_server
 from tamarackhaven._model import ZoneState
@@ -24,6 +24,8 @@
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 _ANNOUNCE_THREADS = 2
+# The forwarding daemon adds headers to what a caller may send.
+PEER_HEADER_BYTES = 2 * MAX_HEADER_BYTES
 
 
 @attrs.frozen
@@ -124,6 +126,7 @@
                 settings.peer,
                 settings.threads,
                 "peer",
+                PEER_HEADER_BYTES,
             )
             self.announce = self._serve(
                 announce_app(self), settings.announce, _ANNOUNCE_THREADS, "announce"
@@ -134,8 +137,8 @@
             self._stop_servers()
             raise
 
-    def _serve(self, app, listen, threads, name):
-        server = HttpServer(app, listen, threads, name)
+    def _serve(self, app, listen, threads, name, header_bytes=MAX_HEADER_BYTES):
+        server = HttpServer(app, listen, threads, name, header_bytes)
         self._servers.append(server)
         return server
 
@@ -161,7 +164,7 @@
             self._draining = True
             target = self._target
         for server in self._servers:
-            server.close_connections = True
+            server.close_after_answers()
         if target is not None:
             target.admission.stop(ErrorKind.DRAINING)
         self._log.say("draining")
--- a/tamarackhaven/_http_server.py
+++ b/tamarackhaven/_http_server.py
@@ -78,6 +78,11 @@
 
 
 class _Task(WSGITask):
+    def start(self):
+        super().start()
+        if self.channel.server.close_connections:
+            self.set_close_on_finish()
+
     def get_environment(self):
         environ = super().get_environment()
         environ[_RECEIVED_KEY] = self.request.received_s
@@ -197,9 +202,11 @@
         Requests served at once; more wait, and their wait counts.
     name : str
         For the thread.
+    header_bytes : int
+        Largest size of a request's first line and headers.
     """
 
-    def __init__(self, app, listen, threads, name):
+    def __init__(self, app, listen, threads, name, header_bytes=MAX_HEADER_BYTES):
         # Its lines would reach standard error unformatted; ours say the same.
         logging.getLogger("waitress").setLevel(logging.CRITICAL)
         self._server = waitress.create_server(
@@ -208,7 +215,7 @@
             threads=threads,
             backlog=_LISTEN_BACKLOG,
             connection_limit=_CONNECTIONS,
-            max_request_header_size=MAX_HEADER_BYTES,
+            max_request_header_size=header_bytes,
             max_request_body_size=MAX_BODY_BYTES,
             # Without it waitress reads nothing while a request runs, and would not
             # notice that the caller hung up.
@@ -219,6 +226,7 @@
             ident="",
         )
         self._server.channel_class = _Channel
+        self._server.close_connections = False
         self.port = self._server.effective_port
         self._stopping = False
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
@@ -227,6 +235,14 @@
         """Serve from now on."""
         self._thread.start()
 
+    def close_after_answers(self):
+        """Close each connection after its next answer.
+
+        A caller that sent a request on a connection which is closed without an answer
+        can't know whether it ran.
+        """
+        self._server.close_connections = True
+
     def stop(self):
         """Close all connections and end the threads."""
         self._stopping = True
--- a/tamarackhaven/_identify.py
+++ b/tamarackhaven/_identify.py
@@ -38,15 +38,26 @@
 _OWN_PREFIX = "tamarackhaven-"
 
 
-def identify(raw, make_id):
+def read_request_id(raw):
+    """Return the request id that the caller states, or an empty text.
+
+    Raises
+    ------
+    TamarackhavenError
+        BAD_HEADER.
+    """
+    return _token(raw, names.REQUEST_ID_HEADER)
+
+
+def identify(raw, request_id):
     """Return the request that ``raw`` states.
 
     Parameters
     ----------
     raw : RawRequest
         The request as it arrived.
-    make_id : callable
-        Returns a new request id, for a request that states none.
+    request_id : str
+        Its id, stated or made.
 
     Raises
     ------
@@ -55,7 +66,6 @@
         DEADLINE_PAST or MISSING_IDEMPOTENCY_KEY.
     """
     service, path_key = _split(raw.target)
-    request_id = _token(raw, names.REQUEST_ID_HEADER) or make_id()
     key = _key(raw, path_key)
     request = Request(
         request_id=request_id,
--- a/tamarackhaven/_logs.py
+++ b/tamarackhaven/_logs.py
@@ -59,6 +59,8 @@
             A fixed text; what varies goes into ``fields``.
         request_id, decision_id : str
             On every line about a request.
+        **fields
+            Whatever JSON can hold.
         """
         # Under overload each refusal would write a line, and the disk and the lock
         # would slow the requests that are still served. The count keeps the number.
--- a/tamarackhaven/_metrics.py
+++ b/tamarackhaven/_metrics.py
@@ -33,8 +33,8 @@
 _HELP_BY_NAME = {
     REFUSALS: "Requests answered with an error of the closed list, by its name.",
     RETRIES: "Second tries after an answer that surely did not run, by reason.",
-    ANSWERS: "Answers of the target, by HTTP status.",
-    LATENCY: "Time from a request's arrival to its answer.",
+    ANSWERS: "Answers that were passed on, by HTTP status.",
+    LATENCY: "Time from a request's arrival to the target's answer.",
 }
 
 
--- a/tamarackhaven/_path.py
+++ b/tamarackhaven/_path.py
@@ -7,7 +7,7 @@
 from tamarackhaven import _metrics
 from tamarackhaven._answer import answer_error
 from tamarackhaven._forward import MOVABLE
-from tamarackhaven._identify import identify
+from tamarackhaven._identify import identify, read_request_id
 from tamarackhaven._locate import locate
 from tamarackhaven._verify import is_owner
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
@@ -40,9 +40,7 @@
         Both clocks.
     """
 
-    def __init__(
-        self, settings, view, owner, forwarder, standing, metrics, log, clock
-    ):
+    def __init__(self, settings, view, owner, forwarder, standing, metrics, log, clock):
         self._settings = settings
         self._view = view
         self._owner = owner
@@ -53,7 +51,8 @@
         self._clock = clock
         # A key without an owner makes all its callers wait. Were every thread to
         # wait, requests for all other keys would be late too, so half of them may.
-        self._waiters = threading.BoundedSemaphore(max(1, settings.threads // 2))
+        self._most_waiting = max(1, settings.threads // 2)
+        self.waiting = 0
         self._id_prefix = uuid.uuid4().hex[:12]
         self._numbers = itertools.count(1)
         self._idle = threading.Condition()
@@ -83,11 +82,10 @@
                 self._idle.notify_all()
 
     def _answer_counted(self, raw, gone, route):
-        # A header of the caller's own, if it can be read, names it in the answer.
         request_id = ""
         try:
-            request = identify(raw, self._make_id)
-            request_id = request.request_id
+            request_id = read_request_id(raw) or self._make_id()
+            request = identify(raw, request_id)
             answer = route(request, raw, gone)
         except TamarackhavenError as error:
             return self._refused(error, request_id)
@@ -95,9 +93,6 @@
             self._log.say("unexpected error", request_id, error=repr(error))
             internal = TamarackhavenError(ErrorKind.INTERNAL)
             return self._refused(internal, request_id)
-        seconds = self._clock.boot_s() - raw.received_s
-        target = self._settings.target
-        self._metrics.observe(seconds, service=request.service, target=target)
         self._metrics.count(_metrics.ANSWERS, status=answer.status)
         return answer
 
@@ -138,7 +133,7 @@
         request, located = self._locate(request)
         if not is_owner(located, self._standing()) and _expects(raw, located):
             located = self._newer(request, located, gone) or located
-        return self._owner.serve(request, located, gone)
+        return self._timed(request, located, self._owner.serve, gone)
 
     def _locate(self, request):
         request, located = locate(request, self._view)
@@ -151,29 +146,43 @@
             detail = f"Shard {located.grant.shard}."
             raise TamarackhavenError(ErrorKind.NO_OWNER, detail, NO_OWNER_RETRY_S)
         if is_owner(located, self._standing()):
-            return self._owner.serve(request, located, gone)
+            return self._timed(request, located, self._owner.serve, gone)
         if located.owner.target == self._settings.target and (
             located.owner.service == self._settings.service
         ):
             raise TamarackhavenError(ErrorKind.FORWARD_LOOP)
-        return self._forwarder.forward(request, located, gone)
+        return self._timed(request, located, self._forwarder.forward, gone)
+
+    def _timed(self, request, located, step, gone):
+        """Run the step and record the latency under the target that answered."""
+        answer = step(request, located, gone)
+        seconds = self._clock.boot_s() - request.received_s
+        target = located.grant.owner
+        self._metrics.observe(seconds, service=request.service, target=target)
+        return answer
 
     def _newer(self, request, located, gone):
         """Wait a bounded time for another grant of the key; None if none came."""
+        with self._idle:
+            if self.waiting >= self._most_waiting:
+                return None
+            self.waiting += 1
+        try:
+            return self._wait_for_newer(request, located, gone)
+        finally:
+            with self._idle:
+                self.waiting -= 1
+
+    def _wait_for_newer(self, request, located, gone):
         wait_s = self._settings.forward_wait_ms / 1000
         until_s = min(self._clock.boot_s() + wait_s, request.deadline_s)
-        if not self._waiters.acquire(blocking=False):
-            return None
         pause = threading.Event()
-        try:
-            while self._clock.boot_s() < until_s and not gone():
-                newer = self._view.locate(request.service, request.key_hash)
-                if newer.owner is not None and newer.grant.grant > located.grant.grant:
-                    return newer
-                pause.wait(_WAIT_STEP_S)
-            return None
-        finally:
-            self._waiters.release()
+        while self._clock.boot_s() < until_s and not gone():
+            newer = self._view.locate(request.service, request.key_hash)
+            if newer.owner is not None and newer.grant.grant > located.grant.grant:
+                return newer
+            pause.wait(_WAIT_STEP_S)
+        return None
 
 
 def _expects(raw, located):
--- /dev/null
+++ b/tests/test_path_http.py
@@ -0,0 +1,296 @@
+"""The request path over real sockets on loopback."""
+
+import socket
+import threading
+import time
+
+import attrs
+import pytest
+
+from standin.target import StandinSettings
+from tamarackhaven import _clock
+from tamarackhaven._http_server import MAX_BODY_BYTES, MAX_HEADER_BYTES
+from tamarackhaven._keys import hash_key, shard_of
+from tamarackhaven._model import ZoneState
+from tamarackhaven._settings import Listen
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+from tests.fakes import FakeView, Node, ask, booking, daemon_settings, running, wait_for
+
+ALL = range(4)
+SHARD = shard_of(hash_key("s", "k"), 4)
+
+
+@pytest.fixture(scope="module")
+def pair():
+    """Two daemons with one view; t1 owns all shards."""
+    view = FakeView()
+    first, second = Node(view, "t1"), Node(view, "t2")
+    with running(first, second):
+        first.own(*ALL)
+        yield first, second
+
+
+@pytest.fixture
+def node():
+    made = Node(FakeView(), standin=StandinSettings(service_ms=300))
+    with running(made):
+        made.own(*ALL)
+        yield made
+
+
+def raw_exchange(port, data, end=False):
+    """Send bytes and return all that comes back until the server closes."""
+    with socket.create_connection(("127.0.0.1", port), 20) as sock:
+        sock.sendall(data)
+        if end:
+            sock.shutdown(socket.SHUT_WR)
+        parts = []
+        while part := sock.recv(65536):
+            parts.append(part)
+    return b"".join(parts).decode()
+
+
+def test_lookups_and_bookings_reach_the_owner_through_one_and_two_daemons(pair):
+    for number, node in enumerate(pair):
+        got = node.ask(Tamarackhaven_Request_Id=f"r{number}")
+        assert (got.status, got.plain["target"], got.ran) == (200, "t1", "yes")
+        assert got.headers["tamarackhaven-request-id"] == f"r{number}"
+    headers = booking("twice")
+    first = pair[0].ask("POST", body=b"x", **headers)
+    again = pair[1].ask("POST", body=b"x", **headers)
+    assert (first.status, first.plain["times"]) == (201, 1)
+    assert (again.status, again.body) == (201, first.body)
+    other = pair[1].ask("POST", body=b"y", **headers)
+    assert (other.name, other.ran) == ("BOOKING_MISMATCH", "no")
+    assert pair[0].standin.target.counts()["executions"]["twice"] == 1
+
+
+@pytest.mark.parametrize(
+    ("kind", "path", "method", "headers"),
+    [
+        ("MISSING_KEY", "/s", "GET", {}),
+        ("UNKNOWN_SERVICE", "/none/k", "GET", {}),
+        ("UNKNOWN_SERVICE", "/", "GET", {}),
+        ("BAD_DEADLINE", "/s/k", "GET", {"Tamarackhaven_Deadline_Ms": "soon"}),
+        ("DEADLINE_PAST", "/s/k", "GET", {"Tamarackhaven_Deadline_Ms": "0"}),
+        ("DEADLINE_PAST", "/s/k", "GET", {"Tamarackhaven_Deadline_Ms": "-5"}),
+        ("BAD_HEADER", "/s/k", "GET", {"Tamarackhaven_Request_Id": "a b"}),
+        ("MISSING_IDEMPOTENCY_KEY", "/s/k", "POST", {}),
+        ("MISSING_IDEMPOTENCY_KEY", "/s/k", "POST", {"Idempotency_Key": "b"}),
+        ("FORWARD_LOOP", "/s/k", "GET", {"Tamarackhaven_Hops": "1"}),
+        ("HEADERS_TOO_LARGE", "/s/k", "GET", {"X": "x" * MAX_HEADER_BYTES}),
+        ("BODY_TOO_LARGE", "/s/k", "POST", booking("big") | {"body": 64 * 1024 + 1}),
+        ("MALFORMED_REQUEST", "s/k", "GET", {}),
+    ],
+)
+def test_bad_input_has_its_kind_and_did_not_run(pair, kind, path, method, headers):
+    served = pair[0].standin.target.served
+    headers = dict(headers)
+    body = b"x" * headers.pop("body", 0)
+    got = pair[1].ask(method, path, body, **headers)
+    row = TamarackhavenError(ErrorKind[kind]).answer
+    assert (got.name, got.ran, got.status) == (kind, "no", row.http_status)
+    assert pair[0].standin.target.served == served
+
+
+HEAD = "POST /s/k HTTP/1.1\r\nHost: h\r\nIdempotency-Key: c\r\n"
+
+
+@pytest.mark.parametrize(
+    ("kind", "text"),
+    [
+        ("DUPLICATE_HEADER", f"{HEAD}Idempotency-Key: d\r\n\r\n"),
+        ("DUPLICATE_HEADER", f"{HEAD}Content-Length: 1\r\nContent-Length: 2\r\n\r\nx"),
+        ("BODY_TRUNCATED", f"{HEAD}Content-Length: 9\r\n\r\nhalf"),
+        ("BODY_TRUNCATED", f"{HEAD}Transfer-Encoding: chunked\r\n\r\n5\r\nhal"),
+        ("MALFORMED_REQUEST", f"{HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n"),
+        ("MALFORMED_REQUEST", f"{HEAD}Transfer-Encoding: gzip\r\n\r\n"),
+        ("MALFORMED_REQUEST", f"{HEAD}Content-Le"),
+        ("MALFORMED_REQUEST", "no http at all\r\n\r\n"),
+        ("BODY_TOO_LARGE", f"{HEAD}Content-Length: {MAX_BODY_BYTES}\r\n\r\n"),
+    ],
+)
+def test_broken_http_is_answered_from_the_table(pair, kind, text):
+    """What waitress refuses, or drops without a word, gets a row of the table.
+
+    A caller whose connection just closes can't know whether its booking ran.
+    """
+    end = not text.endswith("\r\n") and kind != "DUPLICATE_HEADER"
+    answer = raw_exchange(pair[0].daemon.caller.port, text.encode(), end)
+    row = TamarackhavenError(ErrorKind[kind]).answer
+    assert answer.startswith(f"HTTP/1.1 {row.http_status}") or "HTTP/1.0" in answer
+    assert f'"name": "{kind}"' in answer
+    assert "Tamarackhaven-Ran: no" in answer
+
+
+def test_a_chunked_body_arrives_whole(pair):
+    port = pair[1].daemon.caller.port
+    head = f"{HEAD}Tamarackhaven-First-Sent: {time.time():.6f}\r\nConnection: close\r\n"
+    body = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    assert " 201 " in raw_exchange(port, (head + body).encode())
+
+
+def test_what_the_owner_may_not_serve_is_refused(pair):
+    first, second = pair
+    refusals = [
+        ("LEASE_LOST", lambda: setattr(first.lease, "until_s", 0.0)),
+        ("ZONE_OUT", lambda: first.daemon.on_zone(ZoneState.OUT)),
+    ]
+    for kind, cause in refusals:
+        cause()
+        for node in pair:
+            got = node.ask()
+            assert (got.name, got.ran) == (kind, "no")
+            assert int(got.headers["retry-after"]) >= 1
+        first.lease.until_s = float("inf")
+        first.daemon.on_zone(ZoneState.IN)
+    assert first.ask().status == 200
+    assert first.metrics.counter("tamarackhaven_refusals_total", kind="ZONE_OUT") == 2
+
+
+def test_state_that_was_not_confirmed_is_not_acted_on():
+    node = Node(FakeView(), stale_s=0.1)
+    with running(node):
+        node.own(*ALL)
+        wait_for(lambda: node.ask().status == 503)
+        assert node.ask().name == "STATE_STALE"
+        node.daemon.on_confirmed(_clock.boot_s() + 60)
+        assert node.ask().status == 200
+
+
+def test_a_moving_shard_is_answered_by_its_new_owner():
+    """A caller asks while its key moves from t1 to t2, and gets one answer from t2.
+
+    t1 stops the shard and refuses as MOVING, which did not run; the daemon that asked
+    waits a bounded time for a newer grant and asks the new owner once.
+    """
+    view = FakeView()
+    nodes = [Node(view, f"t{n}", forward_wait_ms=10_000) for n in (1, 2, 3)]
+    with running(*nodes):
+        first, second, third = nodes
+        first.own(SHARD, grant=10)
+        first.daemon.stop_admitting("s", SHARD)
+        assert first.daemon.in_flight("s", SHARD) == 0
+        got = []
+        deadline = {"Tamarackhaven_Deadline_Ms": "20000"}
+        threads = [
+            threading.Thread(target=lambda n=node: got.append(n.ask(**deadline)))
+            for node in (first, third)
+        ]
+        for thread in threads:
+            thread.start()
+        wait_for(lambda: all(node.daemon.path.waiting for node in (first, third)))
+        second.own(SHARD, grant=11)
+        for thread in threads:
+            thread.join()
+        assert [(g.status, g.plain["target"]) for g in got] == [(200, "t2")] * 2
+        for node in (first, third):
+            name = "tamarackhaven_retries_total"
+            assert node.metrics.counter(name, reason="MOVING") == 1
+
+
+def _refused(node, kind):
+    return node.metrics.counter("tamarackhaven_refusals_total", kind=kind)
+
+
+def test_waits_for_an_owner_are_bounded_and_daemons_never_loop(pair):
+    first, _ = pair
+    first.view.grant(SHARD, "t9", 50)
+    assert first.ask().name == "NO_OWNER"
+    first.view.grant(SHARD, "t2", 51)
+    try:
+        # The second daemon owns it by the view, but its own grant has not arrived.
+        assert first.ask().name == "MOVING"
+        hops = {"Tamarackhaven_Hops": "2"}
+        assert ask(first.daemon.peer.port, **hops).name == "FORWARD_LOOP"
+        hops = {"Tamarackhaven_Hops": "1"}
+        assert ask(first.daemon.peer.port, **hops).name == "NOT_OWNER"
+    finally:
+        first.own(*ALL, grant=60)
+
+
+def test_a_lost_owner_daemon_did_not_run_the_request(pair):
+    first, _ = pair
+    member = first.view.member_by_name["t1"]
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        peer = attrs.evolve(member.peer, port=unused.getsockname()[1])
+        first.view.member_by_name["t1"] = attrs.evolve(member, peer=peer)
+        got = pair[1].ask()
+    first.view.member_by_name["t1"] = member
+    assert (got.name, got.ran) == ("OWNER_UNREACHABLE", "no")
+
+
+def test_a_drain_cuts_off_nothing_and_refuses_new_work(node):
+    """SIGTERM while a request runs: its caller gets the whole answer.
+
+    Later ones get 503 and "did not run", and their connection is closed after it.
+    """
+    got = []
+    thread = threading.Thread(target=lambda: got.append(node.ask()))
+    thread.start()
+    wait_for(lambda: node.daemon.in_flight("s", SHARD))
+    drained = []
+    drain = threading.Thread(target=lambda: drained.append(node.daemon.drain()))
+    drain.start()
+    wait_for(lambda: node.daemon.standing().draining)
+    refused = node.ask()
+    thread.join()
+    drain.join()
+    assert (refused.name, refused.headers["connection"]) == ("DRAINING", "close")
+    assert (got[0].status, drained) == (200, [True])
+
+
+def test_a_leaving_target_gets_no_new_work_and_a_new_start_does(node):
+    node.standin.announcer.leave()
+    assert node.ask().name == "DRAINING"
+    node.standin.target.incarnation = "another"
+    wait_for(lambda: not node.daemon.link.state().leaving)
+    assert node.ask().status == 200
+
+
+def test_a_caller_that_hangs_up_frees_the_queue(node):
+    """Callers hang up while they wait: their requests leave the queue unsent."""
+    node.standin.target.settings = attrs.evolve(
+        node.standin.target.settings, service_ms=1500
+    )
+    socks = []
+    for _ in range(8):
+        sock = socket.create_connection(("127.0.0.1", node.daemon.caller.port))
+        sock.sendall(b"GET /s/k HTTP/1.1\r\nHost: h\r\n\r\n")
+        socks.append(sock)
+    wait_for(lambda: node.daemon.in_flight("s", SHARD) == 8)
+    for sock in socks:
+        sock.close()
+    wait_for(lambda: node.daemon.in_flight("s", SHARD) == 0)
+    assert _refused(node, "CALLER_GONE") == 8
+
+
+def test_a_taken_port_is_named():
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        settings = daemon_settings(peer=Listen("127.0.0.1", port))
+        with pytest.raises(TamarackhavenError) as caught:
+            Node(FakeView(), peer=settings.peer)
+    assert caught.value.kind is ErrorKind.PORT_TAKEN
+    assert str(port) in caught.value.detail
+
+
+def test_the_metrics_page_has_latencies_and_refusals(pair):
+    pair[0].ask()
+    got = ask(pair[0].daemon.metrics_page.port, path="/metrics")
+    page = got.body.decode()
+    assert got.headers["content-type"].startswith("text/plain; version=0.0.4")
+    assert 'latency_seconds{service="s",target="t1",quantile="0.99"}' in page
+    assert 'refusals_total{kind="LEASE_LOST"}' in page
+    other = ask(pair[0].daemon.metrics_page.port, path="/else")
+    assert other.name == "NOT_FOUND"
+
+
+@pytest.mark.parametrize("body", [b"[1]", b"{", b'{"slots": "many"}'])
+def test_a_bad_announcement_is_refused(pair, body):
+    port = pair[0].daemon.announce.port
+    assert ask(port, "POST", "/announce", body).name == "MALFORMED_REQUEST"
+    assert ask(port, "GET", "/announce").name == "NOT_FOUND"
