--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -113,8 +113,8 @@
     ours, sent = Queues(seed, {"t3": 8.0}).run(Better("a"), arrivals)
     for at_random in (True, False):
         naive, _ = Queues(seed, {"t3": 8.0}).run(Naive(at_random), arrivals)
-        assert p99(ours) < p99(naive) / 3
-    assert sent["t3"] < len(arrivals) / 10
+        assert p99(ours) < p99(naive) / 50
+    assert sent["t3"] < len(arrivals) / 50
 
 
 def test_all_well_choice_is_no_worse_than_chance():
