Join the request path to leases, grants and planned moves

Cause: three seams were open. A daemon that joined again could hold the lease of its new epoch with the map of the old one; a pinned key's requests were counted under another shard; a zone taken out stopped serving its keys before they had moved.

--- a/tamarackhaven/_admit.py
+++ b/tamarackhaven/_admit.py
@@ -99,6 +99,7 @@
                 "running": self._gate.running,
                 "waiting": self._gate.waiting,
                 "limit": self._gate.limit,
+                "cold": int(self._gate.cold),
             }
 
     def _result(self, decision_id, future, gone):
--- a/tamarackhaven/_control.py
+++ b/tamarackhaven/_control.py
@@ -100,7 +100,7 @@
         self.consensus.start()
         self.leader.start()
         self._loop.call(self._listen(), CALL_TIMEOUT_S)
-        self._log.info("started", member=self._settings.name)
+        self._log.say("started", member=self._settings.name)
 
     async def _listen(self):
         services = [
@@ -184,7 +184,7 @@
         self._fencing.shutdown()
         self._loop.stop()
         self._storage.close()
-        self._log.info("stopped", member=self._settings.name)
+        self._log.say("stopped", member=self._settings.name)
 
     async def _close(self):
         self._server.close()
--- a/tamarackhaven/_control_process.py
+++ b/tamarackhaven/_control_process.py
@@ -36,7 +36,7 @@
     if fatal:
         # Nothing more is written or answered: after a failed sync neither the log
         # nor the page cache can be trusted.
-        log.error("stopped by a fault", error=str(fatal[0]))
+        log.say("stopped by a fault", error=str(fatal[0]))
         raise fatal[0]
     control.stop()
 
--- a/tamarackhaven/_daemon.py
+++ b/tamarackhaven/_daemon.py
@@ -11,6 +11,7 @@
 from tamarackhaven._forward import Forwarder
 from tamarackhaven._gate import Gate
 from tamarackhaven._grants import Grants
+from tamarackhaven._hot_keys import HotKeys
 from tamarackhaven._http_server import MAX_HEADER_BYTES, HttpServer
 from tamarackhaven._ledger import Ledger
 from tamarackhaven._metrics import metrics_server
@@ -36,6 +37,28 @@
     connections: Connections
 
 
+@attrs.frozen
+class Load:
+    """What a daemon has seen since the last time it was asked.
+
+    Parameters
+    ----------
+    admitted : int
+        Requests that reached the gate.
+    limit : int
+        Present concurrency limit.
+    cold : bool
+        Whether the gate holds its cold-start ceiling.
+    hot_keys : list of HotKey
+        Hottest first.
+    """
+
+    admitted: int
+    limit: int
+    cold: bool
+    hot_keys: list
+
+
 class Daemon:
     """One daemon; signals are handled by whoever starts it.
 
@@ -90,6 +113,9 @@
         self._draining = False
         self._zone = ZoneState.IN
         self._confirmed_s = clock.boot_s()
+        self._hot_lock = threading.Lock()
+        self._hot_keys = HotKeys(now=clock.boot_s())
+        self._admitted = 0
         self._grants = Grants(_Locked(self.ledger, self.ledger_lock), clock)
         self._forwarder = Forwarder(settings.threads)
         owner = Owner(
@@ -101,6 +127,7 @@
             self.ledger_lock,
             self._present_target,
             clock,
+            self._note_key,
         )
         self.path = RequestPath(
             settings,
@@ -187,9 +214,12 @@
 
     # What the control link tells.
 
-    def on_grants(self, grants):
-        """Own exactly these ``ShardGrant`` records of this target from now on."""
-        self._grants.replace(grants)
+    def on_grants(self, grants, pop_part=None, shard_count=0):
+        """Own exactly these ``ShardGrant`` records of this target from now on.
+
+        See ``Grants.replace`` for the parameters.
+        """
+        self._grants.replace(grants, pop_part, shard_count)
 
     def on_confirmed(self, now):
         """Note that the state was confirmed at ``now``, seconds of CLOCK_BOOTTIME."""
@@ -203,6 +233,35 @@
         """Return the number of requests in flight in a shard, waiting ones too."""
         return self._grants.in_flight((service, shard))
 
+    def in_flight_of(self, grant, shard_count):
+        """Return the number of requests that a release of this grant waits for."""
+        return self._grants.in_flight_of(grant, shard_count)
+
+    def in_flight_at_target(self):
+        """Return the number of requests in flight at the target, waiting ones too."""
+        return self._grants.in_flight_all()
+
+    def export_ledger(self, service, shard):
+        """Close a shard's ledger and return its ``LedgerPart``, or None."""
+        with self.ledger_lock:
+            return self.ledger.export(service, shard)
+
+    def load(self, hot_keys):
+        """Return a ``Load``, with at most ``hot_keys`` keys; restarts its count."""
+        target = self._target
+        with self._hot_lock:
+            admitted, self._admitted = self._admitted, 0
+            hottest = self._hot_keys.hottest(hot_keys)
+        if target is None:
+            return Load(admitted, 0, True, hottest)
+        gauges = target.admission.gauges()
+        return Load(admitted, gauges["limit"], bool(gauges["cold"]), hottest)
+
+    def _note_key(self, key_hash):
+        with self._hot_lock:
+            self._admitted += 1
+            self._hot_keys.offer(key_hash, self._clock.boot_s())
+
     def stop_admitting(self, service, shard):
         """Take no new request of a shard until a newer grant, or ``resume``."""
         self._grants.stop((service, shard))
@@ -299,6 +358,14 @@
         with self.lock:
             self.ledger.drop(service, shard)
 
+    def restart(self, service, shard, now_unix):
+        with self.lock:
+            self.ledger.restart(service, shard, now_unix)
+
+    def import_(self, part, grant, previous_grant, now_unix):
+        with self.lock:
+            return self.ledger.import_(part, grant, previous_grant, now_unix)
+
 
 def _end(target):
     """Close what an earlier start of the target left; waiting requests are refused."""
--- a/tamarackhaven/_daemon_process.py
+++ b/tamarackhaven/_daemon_process.py
@@ -15,7 +15,7 @@
 from tamarackhaven._logs import Log, open_logs
 from tamarackhaven._members import Member, Membership
 from tamarackhaven._metrics import Metrics
-from tamarackhaven._model import Address
+from tamarackhaven._model import Address, TargetState, ZoneState
 from tamarackhaven._target_probe import TargetProbe
 from tamarackhaven._view import View
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
@@ -74,6 +74,7 @@
         self._join_wanted = threading.Event()
         self._leaving = threading.Event()
         self._stopping = threading.Event()
+        self._down = threading.Event()
         self._incarnation = ""
         self._zone_out_since = None
         self._lease = LeaseClient(
@@ -125,7 +126,7 @@
 
     def _keep_map(self):
         while not self._stopping.is_set():
-            self._fetch_wanted.wait(FETCH_EVERY_S)
+            self._fetch_wanted.wait(self._fetch_pause_s())
             self._fetch_wanted.clear()
             try:
                 self._fetch()
@@ -136,6 +137,9 @@
                 self._stopping.wait(RETRY_S)
             self.daemon.on_confirmed(self._lease.confirmed_at())
 
+    def _fetch_pause_s(self):
+        return FETCH_EVERY_S if self._zone_out_since is None else RETRY_S
+
     def _fetch(self):
         asked_at = _clock.boot_s()
         feed = self._client.fetch(self._view.version, CALL_TIMEOUT_S)
@@ -148,6 +152,8 @@
             self.daemon.on_confirmed(asked_at)
         if self._view.apply(feed):
             self._applied()
+        elif self._zone_out_since is not None:
+            self._zone_changed(ZoneState.OUT)
 
     def _applied(self):
         view, settings = self._view, self._settings
@@ -156,18 +162,40 @@
             self._lease.set_membership(view.membership)
         zone = view.resource("AvailabilityZone", settings.zone)
         if zone is not None:
-            self.daemon.on_zone(zone.state)
+            self._zone_changed(zone.state)
         self._take_grants()
         # Only now: a renewal with this version says that it is acted on.
         self._lease.set_state_version(view.version)
         self._handover.changed()
         self._check_epoch()
 
+    def _zone_changed(self, state):
+        """Note the zone's state; work stops a moment after it was taken out.
+
+        In that moment the shards are handed over one by one and served until then;
+        stopped at once, all their keys would be without service for as long as the
+        moves take. What has not moved by its end gets no more work here.
+        """
+        if state is ZoneState.IN:
+            self._zone_out_since = None
+        elif self._zone_out_since is None:
+            self._zone_out_since = _clock.boot_s()
+        since = self._zone_out_since
+        if since is None or _clock.boot_s() - since >= self._grace_s:
+            self.daemon.on_zone(state)
+            self._lease.set_draining(state is ZoneState.OUT)
+
     def _take_grants(self):
         settings = self._settings
         owned = self._view.owned_by(settings.service, settings.target)
         mine = [grant for grant in owned if grant.epoch == self._lease.epoch()]
-        self.daemon.on_grants(mine, self._parts.pop)
+        if self._down.is_set():
+            mine = []
+        self.daemon.on_grants(mine, self._parts.pop, self._shard_count())
+
+    def _shard_count(self):
+        service = self._view.resource("Service", self._settings.service)
+        return service.shard_count if service else 0
 
     def _check_epoch(self):
         """Join again if the log has retired or replaced this daemon's epoch."""
@@ -177,7 +205,7 @@
         if member is None or not epoch or self._leaving.is_set():
             return
         replaced = member.instance != self._instance or member.epoch > epoch
-        lost = member.epoch == epoch and member.state.value == "lost"
+        lost = member.epoch == epoch and member.state is TargetState.LOST
         if replaced or lost:
             self._must_rejoin("state")
 
@@ -215,15 +243,13 @@
             self._join()
 
     def _needs_epoch(self):
-        return (
-            not self._lease.epoch() or self._lease.must_rejoin() or self._is_replaced()
-        )
+        return self._lease.needs_epoch() or self._is_replaced()
 
     def _is_replaced(self):
         settings = self._settings
         member = self._view.member(settings.service, settings.target)
         return member is not None and (
-            member.instance != self._instance or member.state.value == "lost"
+            member.instance != self._instance or member.state is TargetState.LOST
         )
 
     def _join(self):
@@ -248,16 +274,21 @@
         self._log.say("joined", epoch=outcome.member.epoch)
 
     def _target_down(self):
-        """The target takes no connection: give its shards up at once.
+        """The target takes no connection: give its shards up.
 
-        Waiting for a lease to run out would be no safer: the daemon beside it knows
-        that nothing listens, and nothing it sent can be running any more.
+        The lease is kept until every request in flight has ended: a target that only
+        closed its listening socket may still be at work on them. One that died has
+        cut them off already, so nothing is lost by the order.
         """
         settings = self._settings
         epoch = self._lease.epoch()
-        self._lease.release()
-        self.daemon.on_grants([], self._parts.pop)
+        self._down.set()
+        self._take_grants()
         self._log.say("target is down", epoch=epoch)
+        end = _clock.boot_s() + settings.drain_s
+        while self.daemon.in_flight_at_target() and _clock.boot_s() < end:
+            self._stopping.wait(POLL_S)
+        self._lease.release()
         change = RetireTarget(
             settings.service, settings.target, epoch, "its daemon found it down"
         )
@@ -266,6 +297,8 @@
         except TamarackhavenError as error:
             # The lease is released; the group finds its end itself.
             self._log.say("retirement not confirmed", code=error.kind.value)
+        self._down.clear()
+        self._join_wanted.set()
 
     def _leave_once(self):
         settings = self._settings
@@ -280,20 +313,26 @@
         Shards that nobody can take within ``drain_s`` are given up with the lease.
         """
         self._leaving.set()
-        end = _clock.boot_s() + self._settings.drain_s
+        now = _clock.boot_s()
         try:
             self._leave_once()
         except TamarackhavenError as error:
             self._log.say("leaving not confirmed", code=error.kind.value)
+        self._wait_until_owning_nothing(now + self._grace_s)
+        self.daemon.drain()
+        self._wait_until_owning_nothing(now + self._settings.drain_s)
+        self.stop()
+
+    @property
+    def _grace_s(self):
+        return self._settings.lease.zone_grace_ms / 1000
+
+    def _wait_until_owning_nothing(self, end):
         settings = self._settings
-        while _clock.boot_s() < end:
+        while _clock.boot_s() < end and self._lease.holds():
             if not self._view.owned_by(settings.service, settings.target):
-                break
-            if not self._lease.holds():
-                break
+                return
             self._stopping.wait(POLL_S)
-        self.daemon.drain()
-        self.stop()
 
     def stop(self):
         """Stop everything this process started."""
--- a/tamarackhaven/_forward.py
+++ b/tamarackhaven/_forward.py
@@ -87,6 +87,9 @@
         ErrorKind.NO_OWNER,
         ErrorKind.MOVING,
         ErrorKind.OWNER_UNREACHABLE,
+        ErrorKind.LEASE_LOST,
+        ErrorKind.DRAINING,
+        ErrorKind.ZONE_OUT,
     }
 )
 
--- a/tamarackhaven/_handover.py
+++ b/tamarackhaven/_handover.py
@@ -94,12 +94,16 @@
         ready = [
             grant
             for grant in moving_by_shard.values()
-            if not self._daemon.in_flight_of(grant)
+            if not self._daemon.in_flight_of(grant, self._shard_count())
         ]
         if ready:
             self._pass_ledgers_on(ready)
             self._release(ready)
 
+    def _shard_count(self):
+        service = self._view.resource("Service", self._settings.service)
+        return service.shard_count if service else 0
+
     def _resume_others(self, moving_by_shard):
         """Take work again for moves that were taken back before a release was sent.
 
--- a/tamarackhaven/_leader.py
+++ b/tamarackhaven/_leader.py
@@ -92,9 +92,9 @@
                 self._tick(self._clock.boot_s())
             except TamarackhavenError as error:
                 # Leadership was lost in the middle: the next leader goes on.
-                self._log.info("step given up", code=error.kind.value)
+                self._log.say("step given up", code=error.kind.value)
             except Exception as error:  # the leader must not die of one bad input
-                self._log.error("step failed", error=repr(error))
+                self._log.say("step failed", error=repr(error))
                 time.sleep(TICK_S)
 
     def _tick(self, now):
@@ -139,7 +139,7 @@
         with self._lock:
             retire = self._rounds.answered(ask.member, ask, fenced, remaining_ms, now)
         if retire is not None:
-            self._log.info(
+            self._log.say(
                 "retiring a silent target",
                 service=retire.service,
                 target=retire.target,
@@ -156,7 +156,7 @@
                 encode_command(Command(change, self._clock.unix_s()))
             )
         except TamarackhavenError as error:
-            self._log.info("proposal refused", code=error.kind.value)
+            self._log.say("proposal refused", code=error.kind.value)
             return None
         # The next step of a placement follows the last one at once.
         future.add_done_callback(lambda _: self._wake.set())
--- a/tamarackhaven/_lease_client.py
+++ b/tamarackhaven/_lease_client.py
@@ -110,6 +110,17 @@
         with self._lock:
             return self._holder.confirmed_at
 
+    def set_draining(self, draining):
+        """Say in renewals whether this daemon only finishes what is in flight."""
+        with self._lock:
+            self._holder.draining = draining
+
+    def needs_epoch(self):
+        """Return whether there is no epoch that could still be renewed."""
+        with self._lock:
+            holder = self._holder
+            return not holder.epoch or holder.released or bool(holder.must_rejoin)
+
     def release(self):
         """Give the lease up at once."""
         with self._lock:
--- a/tamarackhaven/_lease_holder.py
+++ b/tamarackhaven/_lease_holder.py
@@ -51,6 +51,7 @@
         self._state_version = 0
         self._confirmed_by_voter = {}
         self._unconfirmed_by_voter = {}
+        self.draining = False
         self.seen_state_version = 0
         self.confirmed_at = -math.inf
         self._start(0)
@@ -64,6 +65,11 @@
         self.must_rejoin = None
         self.refusal_by_voter = {}
 
+    @property
+    def released(self):
+        """Whether the lease of the present epoch was given up."""
+        return self._released
+
     @property
     def membership(self):
         """The membership that majorities are counted by."""
@@ -117,6 +123,7 @@
             self._membership.version,
             self._state_version,
             self._seq,
+            self.draining,
         )
 
     def acked(self, ack, now):
--- a/tamarackhaven/_lease_promises.py
+++ b/tamarackhaven/_lease_promises.py
@@ -168,7 +168,7 @@
         if renewal.membership_version < view.membership_version:
             # The daemon counts a majority of voters that are no longer the voters.
             return Reason.STALE_MEMBERSHIP
-        if view.zone_out:
+        if view.zone_out and not renewal.draining:
             return Reason.ZONE_OUT
         return Reason.GRANTED
 
--- a/tamarackhaven/_lease_wire.py
+++ b/tamarackhaven/_lease_wire.py
@@ -20,7 +20,7 @@
 _SEQ_MASK = 0xFFFF_FFFF
 
 _HEAD = struct.Struct("!BB")
-_RENEWAL = struct.Struct("!QQQQI")
+_RENEWAL = struct.Struct("!QQQQI?")
 _ACK = struct.Struct("!QQQIBH")
 _HINT = struct.Struct("!Q")
 _CRC = struct.Struct("!I")
@@ -65,6 +65,9 @@
         Version of the map that the daemon has applied.
     seq : int
         Number of the round, 32 bits; all voters get the same in one round.
+    draining : bool
+        The daemon admits nothing and only finishes what is in flight, so its lease
+        is renewed even in an availability zone that is out.
     """
 
     service: str
@@ -74,6 +77,7 @@
     membership_version: int
     state_version: int
     seq: int
+    draining: bool = False
 
 
 @attrs.frozen
@@ -170,6 +174,7 @@
                 renewal.membership_version,
                 renewal.state_version,
                 renewal.seq,
+                renewal.draining,
             ),
             _name(renewal.service),
             _name(renewal.target),
--- a/tamarackhaven/_metrics.py
+++ b/tamarackhaven/_metrics.py
@@ -23,6 +23,9 @@
     ErrorKind.NO_OWNER,
     ErrorKind.MOVING,
     ErrorKind.OWNER_UNREACHABLE,
+    ErrorKind.LEASE_LOST,
+    ErrorKind.DRAINING,
+    ErrorKind.ZONE_OUT,
 )
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
--- a/tamarackhaven/_owner.py
+++ b/tamarackhaven/_owner.py
@@ -45,10 +45,21 @@
         Returns the pair of ``Admission`` and ``Connections``.
     clock : Clock
         Both clocks.
+    note_key : callable
+        Told the key hash of every request that this target owns.
     """
 
     def __init__(
-        self, settings, standing, lease, grants, ledger, ledger_lock, target, clock
+        self,
+        settings,
+        standing,
+        lease,
+        grants,
+        ledger,
+        ledger_lock,
+        target,
+        clock,
+        note_key,
     ):
         self._settings = settings
         self._standing = standing
@@ -58,6 +69,7 @@
         self._ledger_lock = ledger_lock
         self._target = target
         self._clock = clock
+        self._note_key = note_key
 
     def serve(self, request, located, gone):
         """Return the target's whole answer.
@@ -68,13 +80,14 @@
             Any kind from the lease to the target; its row says whether it ran.
         """
         self._verify(located)
-        self._grants.enter(located.grant)
+        self._note_key(request.key_hash)
+        self._grants.enter(located.grant, request.key_hash)
         try:
             if request.is_booking:
                 return self._book(request, located, gone)
             return self._run(request, located, gone)
         finally:
-            self._grants.leave(located.grant)
+            self._grants.leave(located.grant, request.key_hash)
 
     def _verify(self, located):
         now = self._clock.boot_s()
--- a/tamarackhaven/_seams.py
+++ b/tamarackhaven/_seams.py
@@ -52,6 +52,9 @@
     def held_until(self, now: float) -> float:
         """Return the end of the lease as known at ``now``, in seconds."""
 
+    def epoch(self) -> int:
+        """Return the epoch that the lease is for, 0 if there is none."""
+
 
 class Clock(Protocol):
     """The two clocks; the module ``_clock`` is one."""
--- a/tamarackhaven/_verify.py
+++ b/tamarackhaven/_verify.py
@@ -52,6 +52,11 @@
     # from the renewal's sending on a clock that ran on meanwhile.
     if not lease.holds(now):
         raise _refusal(ErrorKind.LEASE_LOST)
+    # A daemon that was retired and joined again holds the lease of its new epoch while
+    # its map still shows the shards of the old one, which others own by now. Only a
+    # grant to the epoch that the lease is for is this daemon's.
+    if located.grant.epoch != lease.epoch():
+        raise _refusal(ErrorKind.LEASE_LOST)
 
 
 def is_owner(located, standing):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -55,6 +55,7 @@
 @attrs.define
 class FakeLease:
     until_s: float = float("inf")
+    held_epoch: int = 1
 
     def holds(self, now):
         return now < self.until_s
@@ -62,6 +63,9 @@
     def held_until(self, now):
         return min(self.until_s, now + 1.0)
 
+    def epoch(self):
+        return self.held_epoch
+
 
 def daemon_settings(target="t1", **changes):
     settings = DaemonSettings(
