--- /dev/null
+++ b/standin/cluster.py
@@ -0,0 +1,278 @@
+"""Runs a whole deployment as real processes on the loopback interface.
+
+Used by the demo, by the tests of failures and by benches. It ends only the processes
+that it started, by their ids.
+"""
+
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import attrs
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+STOP_S = 15.0
+START_S = 60.0
+GIVEN_PORTS = set()
+
+
+@attrs.frozen
+class TargetSpec:
+    """One target with its daemon."""
+
+    service: str
+    name: str
+    zone: str
+    slots: int = 12
+    cold_s: float = 2.0
+    cold_slots: int = 4
+    service_ms: float = 2.0
+
+
+@attrs.frozen
+class Ports:
+    """The ports of one daemon and its target."""
+
+    caller: int
+    peer: int
+    announce: int
+    metrics: int
+    target: int
+
+
+def free_port():
+    """Return a TCP port that is free for UDP, too, and was not given before."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind((HOST, 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return port
+
+
+def wait_until(condition, timeout_s, what):
+    """Wait until ``condition()`` is true; fail with ``what`` after ``timeout_s``."""
+    end = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > end:
+            raise TimeoutError(f"not within {timeout_s} s: {what}")
+        time.sleep(0.02)
+
+
+class Cluster:
+    """A control group, daemons and stand-in targets.
+
+    Parameters
+    ----------
+    folder : Path
+        Where all data folders and settings go; emptied first but for the unpacked
+        programs.
+    program : list of str
+        Command that runs the program.
+    targets : list of TargetSpec
+        What to run.
+    controls : int
+        Number of control VMs.
+    extra : dict of str to str
+        TOML tables added to the settings of daemons and control VMs, by role.
+    """
+
+    def __init__(self, folder, program, targets, controls=3, extra=None):
+        self.folder = Path(folder)
+        self.program = program
+        self.spec_by_name = {spec.name: spec for spec in targets}
+        self.control_names = [f"c{number + 1}" for number in range(controls)]
+        self.extra = extra or {}
+        self.process_by_name = {}
+        self.ports_by_name = {}
+        self._clear()
+        self._control_rows = ""
+        self._member_rows = ""
+        self._write_settings()
+
+    def _clear(self):
+        for path in self.folder.glob("*"):
+            for inner in path.glob("*") if path.is_dir() else [path]:
+                if inner.name == "program":
+                    continue
+                shutil.rmtree(inner) if inner.is_dir() else inner.unlink()
+
+    def _write_settings(self):
+        self.control_ports = {n: (free_port(), free_port()) for n in self.control_names}
+        for name, (port, lease_port) in self.control_ports.items():
+            row = f'name = "{name}"\nhost = "{HOST}"\nport = {port}\n'
+            row += f"lease_port = {lease_port}\n"
+            self._member_rows += f"\n[[members]]\n{row}"
+            self._control_rows += f"\n[[control]]\n{row}"
+        for name in self.control_names:
+            self.write_control(name)
+        for spec in self.spec_by_name.values():
+            self._write_daemon(spec)
+        operator = self._data_folder("operator") + self._control_rows
+        self._path("operator").write_text(operator)
+
+    def write_control(self, name, more="", members=""):
+        """Write the settings file of one control VM."""
+        text = f'name = "{name}"\nzone = "a"\n{self._data_folder(name)}{more}'
+        text += _listen("metrics", free_port()) + self._member_rows + members
+        text += self.extra.get("control", "") + '\n[logs]\nfile = "log"\n'
+        self._path(name).write_text(text)
+
+    def _write_daemon(self, spec):
+        ports = Ports(*(free_port() for _ in range(5)))
+        self.ports_by_name[spec.name] = ports
+        text = f'service = "{spec.service}"\ntarget = "{spec.name}"\n'
+        text += f'zone = "{spec.zone}"\n{self._data_folder("d-" + spec.name)}'
+        for name in ("caller", "peer", "announce", "metrics"):
+            text += _listen(name, getattr(ports, name))
+        text += _listen("target_address", ports.target) + self._control_rows
+        text += self.extra.get("daemon", "") + '\n[logs]\nfile = "log"\n'
+        self._path(f"d-{spec.name}").write_text(text)
+
+    def _path(self, name):
+        folder = self.folder / name
+        folder.mkdir(parents=True, exist_ok=True)
+        return folder / "settings.toml"
+
+    def _data_folder(self, name):
+        return f'data_folder = "{self.folder / name}"\n'
+
+    def start(self, resources):
+        """Start everything, apply ``resources`` (TOML text), wait for owners."""
+        for name in self.control_names:
+            self.start_control(name, "--first-start")
+        self.apply(resources)
+        for name in self.spec_by_name:
+            self.start_target(name)
+            self.start_daemon(name)
+        wait_until(self.all_owned, START_S, "every shard has an owner")
+
+    def start_control(self, name, *words):
+        """Start one control VM."""
+        settings = str(self._path(name))
+        self._start(name, [*self.program, "control", "--settings", settings, *words])
+
+    def start_daemon(self, name):
+        """Start the daemon beside one target."""
+        settings = str(self._path(f"d-{name}"))
+        self._start(f"d-{name}", [*self.program, "daemon", "--settings", settings])
+
+    def start_target(self, name):
+        """Start one stand-in target; its journal is ``journal-NAME``."""
+        spec, ports = self.spec_by_name[name], self.ports_by_name[name]
+        command = [sys.executable, "-m", "standin.target", "--port", str(ports.target)]
+        command += ["--name", name, "--service", spec.service]
+        command += ["--announce", f"{HOST}:{ports.announce}"]
+        command += ["--slots", str(spec.slots), "--cold-slots", str(spec.cold_slots)]
+        command += ["--cold-s", str(spec.cold_s)]
+        command += ["--service-ms", str(spec.service_ms)]
+        command += ["--journal", str(self.folder / f"journal-{name}")]
+        self._start(f"t-{name}", command)
+
+    def _start(self, name, command):
+        out = open(self.folder / f"out-{name}", "ab")  # noqa: SIM115
+        with out:
+            self.process_by_name[name] = subprocess.Popen(
+                command, cwd=ROOT, stdout=out, stderr=out, stdin=subprocess.DEVNULL
+            )
+
+    def send_signal(self, name, number):
+        """Send a signal to one process."""
+        self.process_by_name[name].send_signal(number)
+
+    def kill(self, *names):
+        """Kill processes and wait for their end."""
+        for name in names:
+            self.process_by_name[name].kill()
+        for name in names:
+            self.process_by_name[name].wait(STOP_S)
+
+    def terminate(self, name):
+        """Ask one process to end, wait, and return its exit code."""
+        process = self.process_by_name[name]
+        process.terminate()
+        return process.wait(STOP_S * 4)
+
+    def stop(self):
+        """End all processes that still run."""
+        running = [p for p in self.process_by_name.values() if p.poll() is None]
+        for process in running:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in running:
+            process.wait(STOP_S)
+
+    def command(self, *words, check=True):
+        """Run one operators' command and return the finished process."""
+        settings = ["--settings", str(self._path("operator"))]
+        return subprocess.run(
+            [*self.program, *words, *settings],
+            cwd=ROOT,
+            check=check,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
+    def apply(self, resources, *words):
+        """Apply resources given as TOML text; return the finished process."""
+        path = self.folder / "resources.toml"
+        path.write_text(resources)
+        return self.command("apply", str(path), *words)
+
+    def records(self, kind):
+        """Return the records in force of one kind, as dicts."""
+        done = self.command("get", kind, "--output", "json")
+        return [json.loads(line) for line in done.stdout.splitlines()]
+
+    def all_owned(self):
+        """Whether every shard has an owner, and none is on the move."""
+        done = self.command("get", "shard", "--output", "json", check=False)
+        rows = [json.loads(line) for line in done.stdout.splitlines()]
+        return bool(rows) and all(r["owner"] and not r["moving_to"] for r in rows)
+
+    def leader(self):
+        """Return the name of the control VM that leads, or an empty text."""
+        done = self.command("status", "--output", "json", check=False)
+        for line in done.stdout.splitlines():
+            row = json.loads(line)
+            if row["role"] == "leader":
+                return row["member"]
+        return ""
+
+    def journal(self):
+        """Return the idempotency keys of all executions, one for each execution."""
+        keys = []
+        for path in self.folder.glob("journal-*"):
+            keys += [json.loads(line)["key"] for line in path.read_text().splitlines()]
+        return keys
+
+    def resident_mb(self, name):
+        """Return the resident memory of a process in MB (1e6 bytes)."""
+        status = Path(f"/proc/{self.process_by_name[name].pid}/status").read_text()
+        for line in status.splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) * 1024 / 1e6
+        return 0.0
+
+    def cpu_s(self, name):
+        """Return the processor time of a process so far, in seconds."""
+        stat = Path(f"/proc/{self.process_by_name[name].pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _listen(name, port):
+    return f'\n[{name}]\nhost = "{HOST}"\nport = {port}\n'
