Tell a caller that its try did not run when the key's owner changed

Cause: a fresh booking within the clock margin after a change of owner got the lasting answer "unknown", though this very try had not run; its caller could never book again.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,7 +1,7 @@
 """The main job with real processes on loopback; fails if a booking is lost or doubled.
 
-Two services with seven targets in two availability zones, three control VMs, lookups and
-bookings over HTTP. One target is killed together with its daemon while callers ask.
+Two services with seven targets in two availability zones, three control VMs, lookups
+and bookings over HTTP. One target is killed with its daemon while callers ask.
 """
 
 import sys
--- a/tamarackhaven/_ledger.py
+++ b/tamarackhaven/_ledger.py
@@ -237,8 +237,10 @@
         # Failure: the first try ran at a former owner that was lost with its ledger.
         # Symptom: the resend runs a second time here. Whatever a former owner could
         # have got was sent before this ledger's start, give or take the margin.
+        # This try itself did not run, and the caller is told so: one whose earlier
+        # tries all did not run may send it as a new booking.
         if booking.first_sent_s < shard.start_s + margin_s:
-            return ErrorKind.BOOKING_UNKNOWN
+            return ErrorKind.BOOKING_OWNER_CHANGED
         if self._size >= self._settings.ledger_entries:
             return ErrorKind.LEDGER_FULL
         return None
--- a/tamarackhaven/_owner.py
+++ b/tamarackhaven/_owner.py
@@ -18,6 +18,7 @@
 from tamarackhaven._verify import verify
 from tamarackhaven.errors import ErrorKind, Ran, TamarackhavenError
 
+IN_PROGRESS_RETRY_S = 0.5
 BODY_DROPPED_HEADER = "Tamarackhaven-Body-Dropped"
 _DID_NOT_RUN = "1"
 _OWN_ANSWER_HEADERS = frozenset(
@@ -98,7 +99,7 @@
         with self._ledger_lock:
             begun = self._ledger.begin(booking, self._clock.unix_s())
         if isinstance(begun, BookingRefused):
-            raise TamarackhavenError(begun.kind)
+            raise TamarackhavenError(begun.kind, "", self._retry_after_s(begun.kind))
         if isinstance(begun, Replay):
             return _replayed(begun.answer, request)
         end, kept = BookingEnd.UNKNOWN, None
@@ -114,6 +115,13 @@
             with self._ledger_lock:
                 self._ledger.finish(begun.token, end, kept, self._clock.unix_s())
 
+    def _retry_after_s(self, kind):
+        if kind is ErrorKind.BOOKING_OWNER_CHANGED:
+            return self._settings.bookings.caller_clock_margin_s
+        if kind is ErrorKind.BOOKING_IN_PROGRESS:
+            return IN_PROGRESS_RETRY_S
+        return 0.0
+
     def _run(self, request, located, gone):
         admission, connections = self._target()
         decision_id = _admitted(admission, request, gone)
--- a/tamarackhaven/errors.py
+++ b/tamarackhaven/errors.py
@@ -73,6 +73,7 @@
     BOOKING_TOO_OLD = "TH503"
     BOOKING_MISMATCH = "TH504"
     LEDGER_FULL = "TH505"
+    BOOKING_OWNER_CHANGED = "TH506"
     # Resources and the control group.
     INVALID_RESOURCE = "TH601"
     NOT_FOUND = "TH602"
@@ -222,6 +223,13 @@
     _K.BOOKING_MISMATCH: Answer(
         422, 52, _NO, _NEVER, "The idempotency key was used for another request."
     ),
+    _K.BOOKING_OWNER_CHANGED: Answer(
+        409,
+        51,
+        _NO,
+        _LATER,
+        "This try did not run; an earlier one may have, at a former owner.",
+    ),
     _K.LEDGER_FULL: Answer(503, 30, _NO, _LATER, "The ledger of bookings is full."),
     _K.INVALID_RESOURCE: Answer(422, 60, _NO, _NEVER, "The resource is not valid."),
     _K.NOT_FOUND: Answer(404, 61, _NO, _NEVER, "There is no such resource."),
