--- /dev/null
+++ b/tamarackhaven/_raft.py
@@ -0,0 +1,414 @@
+"""One member of the consensus group as a pure state machine (Raft).
+
+Source: Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm"
+(2014), and Ongaro's thesis for pre-vote, check-quorum, learners and read index.
+"""
+
+import enum
+import functools
+
+from tamarackhaven import _raft_follower
+from tamarackhaven._raft_core import Core
+from tamarackhaven._raft_election import Election
+from tamarackhaven._raft_leader import Leader
+from tamarackhaven._raft_log import RaftLog
+from tamarackhaven._raft_messages import (
+    Append,
+    AppendReply,
+    InstallSnapshot,
+    InstallSnapshotReply,
+    PreVote,
+    PreVoteReply,
+    Snapshot,
+    Vote,
+    VoteReply,
+    WriteEntries,
+    WriteSnapshot,
+)
+from tamarackhaven._raft_outbox import Outbox
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+# The part of ``snapshot_entries`` kept in memory before a snapshot, for members that
+# are only a little behind it.
+KEPT_PART = 4
+
+
+class Role(enum.Enum):
+    """What a member is at the moment."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    LEARNER = "learner"  # has no vote, or is no member
+
+
+class Raft:
+    """One member.
+
+    Each method takes the time and returns an ``Output``, which the driver carries
+    out in full and in order before it sends anything of a later one.
+
+    Parameters
+    ----------
+    name : str
+        This member's name.
+    settings : RaftSettings
+        Timings and sizes.
+    hard_state : HardState
+        As recovered from storage.
+    snapshot : Snapshot
+        As recovered; index 0 with the first membership at a fresh start.
+    entries : sequence of Entry
+        The entries after the snapshot, as recovered.
+    now : float
+        Time in seconds; any origin.
+    rng : random.Random
+        For the election timeouts; ``random()`` only.
+    """
+
+    def __init__(self, name, settings, hard_state, snapshot, entries, now, rng):
+        log = RaftLog(snapshot, entries)
+        self._outbox = Outbox(hard_state)
+        self._core = Core(name, settings, hard_state, log, self._outbox)
+        self._rng = rng
+        self._now = now
+        self._heard_at = float("-inf")
+        self._election = None
+        self._leadership = None
+        self._receiver = _raft_follower.SnapshotReceiver()
+        self._reset_election_timer()
+
+    # What others may see.
+
+    @property
+    def role(self):
+        """The member's ``Role``."""
+        if self._leadership:
+            return Role.LEADER
+        if not self._is_voter:
+            return Role.LEARNER
+        return Role.CANDIDATE if self._election else Role.FOLLOWER
+
+    @property
+    def leader(self):
+        """Name of the leader, empty if none is known."""
+        return self._core.leader
+
+    @property
+    def term(self):
+        """The present term."""
+        return self._core.term
+
+    @property
+    def commit(self):
+        """Index of the last committed entry."""
+        return self._core.commit
+
+    @property
+    def last_index(self):
+        """Index of the last entry."""
+        return self._core.log.last_index
+
+    @property
+    def membership(self):
+        """The membership in effect, committed or not."""
+        return self._core.log.membership
+
+    @property
+    def snapshot_index(self):
+        """Index of the newest snapshot."""
+        return self._core.log.snapshot.index
+
+    def snapshot_at(self, index, data):
+        """Return the ``Snapshot`` of state ``data``, applied up to ``index``."""
+        log = self._core.log
+        return Snapshot(index, log.term_at(index), log.membership_at(index), data)
+
+    # Inputs.
+
+    def tick(self, now):
+        """Let time pass: heartbeats, check-quorum, elections."""
+        self._now = now
+        if self._leadership:
+            if not self._leadership.tick(now):
+                self._follow(leader="")
+        elif now >= self._election_due and self._is_voter:
+            self._campaign(is_pre_vote=True)
+        return self._take()
+
+    def step(self, message, now):
+        """Take in one message of another member."""
+        self._now = now
+        if message.receiver == self._core.name and self._is_timely(message):
+            self._on(message)
+        return self._take()
+
+    def propose(self, command, now):
+        """Append a change to the log.
+
+        Returns
+        -------
+        tuple of (int, int, Output)
+            Index and term of the entry; committed only if exactly these come back.
+
+        Raises
+        ------
+        TamarackhavenError
+            NO_QUORUM if this member does not lead.
+        """
+        self._now = now
+        index = self._lead().propose(command)
+        return index, self._core.term, self._take()
+
+    def change_membership(self, step, now):
+        """Append one membership change, in effect at once; as ``propose``.
+
+        Raises
+        ------
+        TamarackhavenError
+            NO_QUORUM if this member does not lead; MEMBERSHIP_BUSY while another
+            change is open or a learner has not caught up; ALREADY_EXISTS, NOT_FOUND
+            or INVALID_RESOURCE for a step that makes no sense.
+        """
+        self._now = now
+        index = self._lead().change_membership(step)
+        return index, self._core.term, self._take()
+
+    def read(self, token, now):
+        """Ask for the index that a linearizable read has to wait for."""
+        self._now = now
+        if self._leadership:
+            self._leadership.read(token, now)
+        else:
+            self._outbox.dropped_reads.append(token)
+        return self._take()
+
+    def persisted(self, output_writes, now):
+        """Take note that ``output_writes`` are synced."""
+        self._now = now
+        for write in output_writes:
+            _note_synced(write, self._core)
+        if self._leadership:
+            self._leadership.persisted(now)
+            self._stop_if_removed()
+        return self._take()
+
+    def compacted(self, snapshot):
+        """Replace the log up to a snapshot of applied state."""
+        core = self._core
+        if snapshot.index > core.log.snapshot.index:
+            core.log.compact(snapshot, core.settings.snapshot_entries // KEPT_PART)
+            self._outbox.writes.append(WriteSnapshot(snapshot))
+        return self._take()
+
+    def _take(self):
+        return self._outbox.take(self._core.hard_state)
+
+    def _lead(self):
+        if not self._leadership:
+            leader = self._core.leader or "none known"
+            raise TamarackhavenError(ErrorKind.NO_QUORUM, f"leader: {leader}", 0.1)
+        return self._leadership
+
+    # Roles.
+
+    @property
+    def _is_voter(self):
+        return self._core.name in self._core.voters
+
+    def _hears_leader(self):
+        heard_lately = self._now - self._heard_at < self._core.election_s
+        return self._leadership is not None or heard_lately
+
+    def _reset_election_timer(self):
+        wait = self._core.election_s * (1 + self._rng.random())
+        self._election_due = self._now + wait
+
+    def _follow(self, leader):
+        """Stop leading or standing for election."""
+        if self._leadership:
+            self._leadership.stop()
+            self._leadership = None
+        self._election = None
+        self._core.leader = leader
+        self._reset_election_timer()
+
+    def _enter_term(self, term, leader):
+        core = self._core
+        core.term = term
+        core.vote = ""
+        self._follow(leader)
+
+    def _campaign(self, is_pre_vote):
+        core = self._core
+        core.leader = ""
+        if not is_pre_vote:
+            core.term += 1
+            core.vote = core.name
+        self._reset_election_timer()
+        self._election = Election(core, is_pre_vote)
+        self._election.ask()
+        self._finish_election()
+
+    def _finish_election(self):
+        if not self._election.is_won:
+            return
+        if self._election.is_pre_vote:
+            self._campaign(is_pre_vote=False)
+            return
+        self._election = None
+        self._core.leader = self._core.name
+        self._leadership = Leader(self._core, self._now)
+
+    def _stop_if_removed(self):
+        """Stop leading once the own removal is committed."""
+        core = self._core
+        if core.log.membership_index > core.commit or self._is_voter:
+            return
+        self._follow(leader="")
+
+    # Terms.
+
+    def _is_timely(self, message):
+        """Bring the term up to date; tell whether the message counts in it."""
+        if isinstance(message, PreVote):
+            return True
+        if isinstance(message, PreVoteReply) and message.accepted:
+            return True
+        if message.term > self._core.term:
+            return self._is_newer_term_welcome(message)
+        if message.term < self._core.term:
+            self._refuse_old_term(message)
+            return False
+        return True
+
+    def _is_newer_term_welcome(self, message):
+        # Failure: a member that doesn't hear the leader, or was removed, asks for
+        # votes. Symptom: it deposes a leader that a quorum hears, again and again.
+        # Enough: a member that hears the leader takes no part, and leaves the term.
+        if isinstance(message, Vote) and self._hears_leader():
+            return False
+        is_leader = isinstance(message, Append | InstallSnapshot)
+        self._enter_term(message.term, message.sender if is_leader else "")
+        return True
+
+    def _refuse_old_term(self, message):
+        """Tell a leader of an older term that it is none any more."""
+        core = self._core
+        if isinstance(message, Append | InstallSnapshot):
+            core.send(
+                AppendReply(
+                    sender=core.name,
+                    receiver=message.sender,
+                    term=core.term,
+                    accepted=False,
+                    match_index=0,
+                    round=message.round,
+                )
+            )
+        elif isinstance(message, Vote):
+            self._reply_vote(VoteReply, message, False, core.term)
+
+    # Messages.
+
+    @functools.singledispatchmethod
+    def _on(self, message):
+        raise TypeError(f"no message of consensus: {type(message).__name__}")
+
+    @_on.register
+    def _(self, message: PreVote):
+        # Failure: a member cut off for long starts elections that nobody hears.
+        # Symptom: it returns with a higher term and deposes a leader that works.
+        # Enough: it raises its term only after a quorum heard no leader either.
+        core = self._core
+        accepted = (
+            message.term > core.term
+            and not self._hears_leader()
+            and core.log.is_covered_by(message.last_index, message.last_term)
+        )
+        term = message.term if accepted else core.term
+        self._reply_vote(PreVoteReply, message, accepted, term)
+
+    @_on.register
+    def _(self, message: Vote):
+        core = self._core
+        accepted = core.vote in ("", message.sender) and core.log.is_covered_by(
+            message.last_index, message.last_term
+        )
+        if accepted:
+            core.vote = message.sender
+            self._reset_election_timer()
+        self._reply_vote(VoteReply, message, accepted, core.term)
+
+    def _reply_vote(self, kind, message, accepted, term):
+        self._core.send(
+            kind(
+                sender=self._core.name,
+                receiver=message.sender,
+                term=term,
+                accepted=accepted,
+            )
+        )
+
+    @_on.register
+    def _(self, message: PreVoteReply):
+        self._count(message, is_pre_vote=True)
+
+    @_on.register
+    def _(self, message: VoteReply):
+        self._count(message, is_pre_vote=False)
+
+    def _count(self, message, is_pre_vote):
+        election = self._election
+        if election is None or election.is_pre_vote is not is_pre_vote:
+            return
+        if message.accepted and message.term != election.term:
+            return
+        election.count(message)
+        self._finish_election()
+
+    @_on.register
+    def _(self, message: Append):
+        if self._hear(message):
+            _raft_follower.on_append(self._core, message)
+
+    @_on.register
+    def _(self, message: InstallSnapshot):
+        if self._hear(message):
+            self._receiver.on_piece(self._core, message)
+
+    def _hear(self, message):
+        """Note the leader of the term; false for a message that claims to be ours."""
+        if self._leadership:
+            return False
+        self._heard_at = self._now
+        self._follow(message.sender)
+        return True
+
+    @_on.register
+    def _(self, message: AppendReply):
+        if self._leadership:
+            self._leadership.on_append_reply(message, self._now)
+            self._stop_if_removed()
+
+    @_on.register
+    def _(self, message: InstallSnapshotReply):
+        if self._leadership:
+            self._leadership.on_snapshot_reply(message, self._now)
+            self._stop_if_removed()
+
+
+@functools.singledispatch
+def _note_synced(_write, _core):
+    """Count what a write made durable; a term or vote makes no entry durable."""
+
+
+@_note_synced.register
+def _(write: WriteEntries, core):
+    last = write.entries[-1]
+    core.note_synced(last.index, last.term)
+
+
+@_note_synced.register
+def _(write: WriteSnapshot, core):
+    core.note_synced(write.snapshot.index, write.snapshot.term)
--- /dev/null
+++ b/tamarackhaven/_raft_core.py
@@ -0,0 +1,73 @@
+"""What a member of the consensus group has in every role."""
+
+from tamarackhaven._raft_messages import HardState
+
+
+class Core:
+    """Term, vote, log and commit index of one member.
+
+    Parameters
+    ----------
+    name : str
+        This member's name.
+    settings : RaftSettings
+        Timings and sizes.
+    hard_state : HardState
+        What storage holds.
+    log : RaftLog
+        What storage holds.
+    outbox : Outbox
+        Takes what is to be written, sent and applied.
+    """
+
+    def __init__(self, name, settings, hard_state, log, outbox):
+        self.name = name
+        self.settings = settings
+        self.term = hard_state.term
+        self.vote = hard_state.vote
+        self.log = log
+        self.outbox = outbox
+        self.commit = log.snapshot.index
+        self.synced_index = log.last_index
+        self.leader = ""
+
+    @property
+    def heartbeat_s(self):
+        """Time between heartbeats, in seconds."""
+        return self.settings.heartbeat_ms / 1000
+
+    @property
+    def election_s(self):
+        """Shortest time without a leader before an election, in seconds."""
+        return self.settings.election_ms / 1000
+
+    @property
+    def hard_state(self):
+        """The term and vote to be kept."""
+        return HardState(self.term, self.vote)
+
+    @property
+    def voters(self):
+        """Names of the voters in effect."""
+        return self.log.membership.voters
+
+    @property
+    def quorum(self):
+        """Number of voters that make a majority."""
+        return self.log.membership.quorum
+
+    def send(self, message):
+        """Send a message after the writes of this output are synced."""
+        self.outbox.messages.append(message)
+
+    def commit_to(self, index):
+        """Commit all entries up to ``index``."""
+        if index <= self.commit:
+            return
+        self.outbox.committed.extend(self.log.between(self.commit + 1, index))
+        self.commit = index
+
+    def note_synced(self, index, term):
+        """Note that entry ``index`` is synced, unless it was replaced meanwhile."""
+        if self.log.term_at(index) == term:
+            self.synced_index = max(self.synced_index, index)
--- /dev/null
+++ b/tamarackhaven/_raft_follower.py
@@ -0,0 +1,108 @@
+"""How a member takes in entries and snapshots from the leader of its term."""
+
+from tamarackhaven._raft_messages import (
+    AppendReply,
+    InstallSnapshotReply,
+    Snapshot,
+    WriteEntries,
+    WriteSnapshot,
+)
+
+
+def on_append(core, message):
+    """Take in entries if they fit the log; answer either way."""
+    if message.last_index < core.commit:
+        message_entries = _after(message.entries, core.commit)
+    elif core.log.term_at(message.last_index) != message.last_term:
+        hint = core.log.backoff_hint(message.last_index, core.commit)
+        _reply_append(core, message, False, hint)
+        return
+    else:
+        message_entries = message.entries
+    _store(core, message_entries)
+    match_index = max(message.last_index + len(message.entries), core.commit)
+    _reply_append(core, message, True, match_index)
+    core.commit_to(min(message.commit, match_index))
+
+
+def _after(entries, index):
+    """Drop the entries up to ``index``, which are committed and so equal."""
+    return tuple(entry for entry in entries if entry.index > index)
+
+
+def _store(core, entries):
+    new = core.log.merge(entries, core.commit)
+    if not new:
+        return
+    core.synced_index = min(core.synced_index, new[0].index - 1)
+    core.outbox.writes.append(WriteEntries(new))
+
+
+def _reply_append(core, message, accepted, match_index):
+    core.send(
+        AppendReply(
+            sender=core.name,
+            receiver=message.sender,
+            term=core.term,
+            accepted=accepted,
+            match_index=match_index,
+            round=message.round,
+        )
+    )
+
+
+class SnapshotReceiver:
+    """Puts the pieces of one snapshot together."""
+
+    def __init__(self):
+        self._key = None
+        self._data = bytearray()
+
+    def on_piece(self, core, message):
+        """Take in one piece; install the snapshot once it is whole."""
+        if message.last_index <= core.commit:
+            self._reply(core, message, match_index=core.commit)
+            return
+        self._collect(message)
+        is_whole = message.done and message.offset + len(message.chunk) == len(
+            self._data
+        )
+        if not is_whole:
+            self._reply(core, message, match_index=0)
+            return
+        self._install(core, message)
+        self._reply(core, message, match_index=message.last_index)
+
+    def _collect(self, message):
+        key = (message.sender, message.term, message.last_index, message.last_term)
+        if key != self._key:
+            self._key = key
+            self._data = bytearray()
+        if message.offset == len(self._data):
+            self._data += message.chunk
+
+    def _install(self, core, message):
+        snapshot = Snapshot(
+            index=message.last_index,
+            term=message.last_term,
+            membership=message.membership,
+            data=bytes(self._data),
+        )
+        core.log.restore(snapshot)
+        core.commit = snapshot.index
+        core.synced_index = min(core.synced_index, core.log.last_index)
+        core.outbox.writes.append(WriteSnapshot(snapshot))
+        core.outbox.restored = snapshot
+        self._key = None
+
+    def _reply(self, core, message, match_index):
+        core.send(
+            InstallSnapshotReply(
+                sender=core.name,
+                receiver=message.sender,
+                term=core.term,
+                offset=len(self._data),
+                match_index=match_index,
+                round=message.round,
+            )
+        )
--- /dev/null
+++ b/tamarackhaven/_raft_log.py
@@ -0,0 +1,164 @@
+"""The replicated log in memory, with the memberships that its entries carry."""
+
+import itertools
+
+from tamarackhaven import _codec
+from tamarackhaven._members import Membership
+from tamarackhaven._raft_messages import EntryKind
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+# Load: a member far behind under large commands. Harm: one message over the
+# transport's limit (4 MiB for gRPC) would be refused again and again, and the member
+# would never catch up. Limit: a quarter of that; one entry always goes.
+BATCH_BYTES = 1 << 20
+
+
+class RaftLog:
+    """Entries after a start, which lies at the snapshot or a little before it.
+
+    Parameters
+    ----------
+    snapshot : Snapshot
+        The newest snapshot; index 0 at a fresh start.
+    entries : sequence of Entry
+        The entries after the snapshot, in order.
+    """
+
+    def __init__(self, snapshot, entries):
+        self._reset(snapshot)
+        self._extend(entries)
+
+    def _reset(self, snapshot):
+        self.snapshot = snapshot
+        self.start_index = snapshot.index
+        self._start_term = snapshot.term
+        self._entries = []
+        self._memberships = [(snapshot.index, snapshot.membership)]
+
+    def _extend(self, entries):
+        for entry in entries:
+            self._entries.append(entry)
+            if entry.kind is EntryKind.MEMBERSHIP:
+                membership = _codec.loads(entry.command, Membership)
+                self._memberships.append((entry.index, membership))
+
+    @property
+    def last_index(self):
+        """Index of the last entry."""
+        return self.start_index + len(self._entries)
+
+    @property
+    def last_term(self):
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self._start_term
+
+    @property
+    def membership(self):
+        """The newest membership, committed or not."""
+        return self._memberships[-1][1]
+
+    @property
+    def membership_index(self):
+        """Index of the entry that holds ``membership``."""
+        return self._memberships[-1][0]
+
+    def membership_at(self, index):
+        """Return the membership in effect at ``index``."""
+        past = [kept for at, kept in self._memberships if at <= index]
+        return past[-1]
+
+    def term_at(self, index):
+        """Return the term of entry ``index``, or -1 if it isn't held."""
+        if index == self.start_index:
+            return self._start_term
+        if not self.start_index < index <= self.last_index:
+            return -1
+        return self._entries[index - self.start_index - 1].term
+
+    def between(self, first, last):
+        """Return the entries ``first`` to ``last``, both included."""
+        start = self.start_index + 1
+        return tuple(self._entries[first - start : last - start + 1])
+
+    def batch(self, first, last, limit):
+        """Return at most ``limit`` entries and about ``BATCH_BYTES`` from ``first``."""
+        entries = self.between(first, min(last, first + limit - 1))
+        sizes = itertools.accumulate(len(entry.command) for entry in entries)
+        count = sum(1 for size in sizes if size <= BATCH_BYTES)
+        return entries[: max(count, 1)]
+
+    def is_covered_by(self, index, term):
+        """Tell whether a log that ends at ``index`` and ``term`` is as new as this."""
+        return (term, index) >= (self.last_term, self.last_index)
+
+    def append(self, entries):
+        """Append entries that follow the last one."""
+        self._extend(entries)
+
+    def truncate(self, last):
+        """Drop the entries after ``last``, and the memberships that they carried."""
+        del self._entries[last - self.start_index :]
+        self._memberships = [kept for kept in self._memberships if kept[0] <= last]
+
+    def merge(self, entries, commit):
+        """Take in a leader's entries, which fit the log; return the new ones.
+
+        Entries already held are skipped, so that a late duplicate of an old message
+        never shortens the log. Entries that differ are truncated first.
+
+        Raises
+        ------
+        TamarackhavenError
+            LOG_DAMAGED if a committed entry differs; to go on would lose it.
+        """
+        for position, entry in enumerate(entries):
+            if entry.index <= self.start_index:
+                continue
+            if self.term_at(entry.index) == entry.term:
+                continue
+            if entry.index <= commit:
+                raise TamarackhavenError(
+                    ErrorKind.LOG_DAMAGED, f"committed entry {entry.index} differs"
+                )
+            new = tuple(entries[position:])
+            self.truncate(entry.index - 1)
+            self._extend(new)
+            return new
+        return ()
+
+    def backoff_hint(self, index, floor):
+        """Return where a leader that was wrong about ``index`` may go on from.
+
+        Skips the whole term of the entry at ``index``, so that a leader needs one
+        round a term and not one an entry; never below ``floor``, which is equal.
+        """
+        if index > self.last_index:
+            return self.last_index
+        term = self.term_at(index)
+        while index > floor and self.term_at(index) == term:
+            index -= 1
+        return max(index, floor)
+
+    def compact(self, snapshot, keep):
+        """Note a snapshot of applied state; keep ``keep`` entries before it.
+
+        Those entries let a member that is a little behind catch up without a
+        snapshot.
+        """
+        start = min(max(self.start_index, snapshot.index - keep), snapshot.index)
+        term = self.term_at(start)
+        del self._entries[: start - self.start_index]
+        self.start_index, self._start_term = start, term
+        self.snapshot = snapshot
+        older = [kept for kept in self._memberships if kept[0] <= snapshot.index]
+        newer = [kept for kept in self._memberships if kept[0] > snapshot.index]
+        self._memberships = older[-1:] + newer
+
+    def restore(self, snapshot):
+        """Replace the log by a leader's snapshot, but for entries that follow it."""
+        if self.term_at(snapshot.index) != snapshot.term:
+            self._reset(snapshot)
+            return
+        after = self.between(snapshot.index + 1, self.last_index)
+        self._reset(snapshot)
+        self._extend(after)
--- /dev/null
+++ b/tamarackhaven/_raft_membership.py
@@ -0,0 +1,68 @@
+"""What one membership change leads to, and when it is refused."""
+
+import attrs
+
+from tamarackhaven._members import Membership
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+
+def changed(membership, step, index, has_caught_up):
+    """Return the membership after ``step``; its version is ``index``.
+
+    Parameters
+    ----------
+    membership : Membership
+        The membership in effect.
+    step : Step
+        The change.
+    index : int
+        Index of the log entry that will hold the result.
+    has_caught_up : bool
+        Whether the member of ``step`` is within one batch of the leader's log.
+
+    Raises
+    ------
+    TamarackhavenError
+        ALREADY_EXISTS, NOT_FOUND, INVALID_RESOURCE, or MEMBERSHIP_BUSY for a learner
+        that has not caught up.
+    """
+    decide = _BY_ACTION.get(step.action)
+    if decide is None:
+        raise TamarackhavenError(ErrorKind.INVALID_RESOURCE, f"action {step.action!r}")
+    by_name = dict(membership.by_name)
+    decide(by_name, step.member, has_caught_up)
+    if not any(member.voter for member in by_name.values()):
+        raise TamarackhavenError(ErrorKind.INVALID_RESOURCE, "no voter would be left")
+    return Membership(tuple(by_name.values()), version=index)
+
+
+def _add(by_name, member, _has_caught_up):
+    if member.name in by_name:
+        raise TamarackhavenError(ErrorKind.ALREADY_EXISTS, f"member {member.name!r}")
+    by_name[member.name] = attrs.evolve(member, voter=False)
+
+
+def _promote(by_name, member, has_caught_up):
+    # Failure: a learner with an empty log becomes the third voter and another member
+    # is lost. Symptom: no entry commits until the learner has the whole state.
+    # Enough: it is within one batch, so it answers within a round or two.
+    present = _present(by_name, member)
+    if not has_caught_up:
+        raise TamarackhavenError(
+            ErrorKind.MEMBERSHIP_BUSY, f"member {member.name!r} has not caught up", 1.0
+        )
+    by_name[member.name] = attrs.evolve(present, voter=True)
+
+
+def _remove(by_name, member, _has_caught_up):
+    _present(by_name, member)
+    del by_name[member.name]
+
+
+def _present(by_name, member):
+    if member.name not in by_name:
+        raise TamarackhavenError(ErrorKind.NOT_FOUND, f"member {member.name!r}")
+    return by_name[member.name]
+
+
+_BY_ACTION = {"add": _add, "promote": _promote, "remove": _remove}
--- a/tamarackhaven/errors.py
+++ b/tamarackhaven/errors.py
@@ -89,6 +89,7 @@
     NAME_CLAIMED = "TH613"
     STALE_GRANT = "TH614"
     CONTROL_UNREACHABLE = "TH615"
+    MEMBERSHIP_BUSY = "TH616"
     # A process and its files.
     USAGE = "TH701"
     SETTINGS_MISSING = "TH702"
@@ -252,6 +253,9 @@
     ),
     _K.STALE_GRANT: Answer(409, 72, _NO, _NEVER, "The shard has a newer grant."),
     _K.CONTROL_UNREACHABLE: Answer(503, 70, _NO, _LATER, "No control VM answered."),
+    _K.MEMBERSHIP_BUSY: Answer(
+        409, 70, _NO, _LATER, "The control group's members can't change yet."
+    ),
     _K.USAGE: Answer(400, 2, _NO, _NEVER, "The command line is not valid."),
     _K.SETTINGS_MISSING: Answer(500, 80, _NO, _NEVER, "The settings file is missing."),
     _K.SETTINGS_SYNTAX: Answer(500, 81, _NO, _NEVER, "The settings are not TOML."),
--- /dev/null
+++ b/tests/raft_group.py
@@ -0,0 +1,228 @@
+"""Members of one group over a network and disks made of plain lists, for tests."""
+
+import random
+
+from tamarackhaven._members import Member, Membership, Step
+from tamarackhaven._raft import Raft, Role
+from tamarackhaven._raft_messages import (
+    EntryKind,
+    HardState,
+    Snapshot,
+    WriteEntries,
+    WriteHardState,
+)
+from tamarackhaven._settings import RaftSettings
+
+SETTINGS = RaftSettings(batch_entries=4, snapshot_entries=16, chunk_bytes=1024)
+
+
+def member(name):
+    return Member(name, "127.0.0.1", 1, 2)
+
+
+def membership(*names):
+    return Membership(tuple(member(name) for name in names))
+
+
+class Disk:
+    """What one member has synced."""
+
+    def __init__(self, first):
+        self.hard_state = HardState()
+        self.snapshot = Snapshot(0, 0, first)
+        self.entries = []
+
+    def write(self, writes):
+        for write in writes:
+            if isinstance(write, WriteHardState):
+                self.hard_state = write.hard_state
+            elif isinstance(write, WriteEntries):
+                first = write.entries[0].index
+                kept = [e for e in self.entries if e.index < first]
+                self.entries = [*kept, *write.entries]
+            else:
+                self._replace(write.snapshot)
+
+    def _replace(self, snapshot):
+        terms = {entry.index: entry.term for entry in self.entries}
+        if terms.get(snapshot.index) != snapshot.term:
+            self.entries = []
+        self.entries = [e for e in self.entries if e.index > snapshot.index]
+        self.snapshot = snapshot
+
+
+class Group:
+    """Runs members by hand: nothing moves unless a test says so.
+
+    ``committed_by_index`` is the naive record: the first member to commit an index
+    says what it is, and all others must agree for ever.
+    """
+
+    def __init__(self, *names, seed=0, settings=SETTINGS):
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.settings = settings
+        first = membership(*names)
+        self.disks = {name: Disk(first) for name in names}
+        self.nodes = {}
+        self.wire = []
+        self.applied = {}
+        self.reads = {}
+        self.committed_by_index = {}
+        self.leader_by_term = {}
+        self.blocked = set()
+        self.log = None
+        for name in names:
+            self.start(name)
+
+    def join(self, name):
+        self.disks[name] = Disk(Membership(()))
+        self.start(name)
+
+    def start(self, name):
+        disk = self.disks[name]
+        self.applied[name] = disk.snapshot.index
+        self.nodes[name] = Raft(
+            name,
+            self.settings,
+            disk.hard_state,
+            disk.snapshot,
+            tuple(disk.entries),
+            self.now,
+            self.rng,
+        )
+
+    def crash(self, name):
+        del self.nodes[name]
+
+    def take(self, name, output, syncs=True):
+        """Carry out an output; without ``syncs`` the member crashes before it."""
+        if not syncs:
+            self.crash(name)
+            return
+        if output.writes:
+            self.disks[name].write(output.writes)
+            self.note(name, "sync", output.writes)
+        self._send(name, output.messages)
+        self._apply(name, output)
+        for ready in output.reads:
+            self.reads[ready.token] = ready.index
+        for token in output.dropped_reads:
+            self.reads[token] = None
+        if output.writes:
+            self.take(name, self.nodes[name].persisted(output.writes, self.now))
+        self._check_leader(name)
+
+    def _send(self, name, messages):
+        for message in messages:
+            self.note(name, "send", [message])
+            self.wire.append(message)
+
+    def _apply(self, name, output):
+        if output.restored:
+            self.note(name, "restore", [output.restored])
+            self.applied[name] = output.restored.index
+        for entry in output.committed:
+            assert entry.index == self.applied[name] + 1
+            assert self.committed_by_index.setdefault(entry.index, entry) == entry
+            self.applied[name] = entry.index
+        if output.committed:
+            self.note(name, "commit", output.committed)
+
+    def _check_leader(self, name):
+        node = self.nodes[name]
+        if node.role is Role.LEADER:
+            assert self.leader_by_term.setdefault(node.term, name) == name
+
+    def note(self, name, what, items):
+        if self.log is not None:
+            self.log.extend(f"  {name} {what} {render(item)}" for item in items)
+
+    def say(self, text):
+        self.log.append(text)
+
+    def tick(self, name, seconds=0.0):
+        self.now = round(self.now + seconds, 6)
+        self.take(name, self.nodes[name].tick(self.now))
+
+    def deliver(self, message, syncs=True):
+        link = (message.sender, message.receiver)
+        node = self.nodes.get(message.receiver)
+        if node and link not in self.blocked:
+            output = node.step(message, self.now)
+            self.take(message.receiver, output, syncs)
+
+    def settle(self):
+        """Deliver until nothing is on the wire."""
+        for _ in range(10_000):
+            if not self.wire:
+                return
+            self.deliver(self.wire.pop(0))
+        raise AssertionError("the members never fall silent")
+
+    def run(self, seconds, step=0.01):
+        """Tick all members and deliver everything, for some time."""
+        for _ in range(round(seconds / step)):
+            self.now = round(self.now + step, 6)
+            for name in sorted(self.nodes):
+                self.tick(name)
+            self.settle()
+
+    def elect(self, name):
+        """Let ``name`` alone run out of patience; return it as leader."""
+        self.now += 1.0
+        self.tick(name)
+        self.settle()
+        assert self.nodes[name].role is Role.LEADER
+        return self.nodes[name]
+
+    def leader(self):
+        leads = [n for n in self.nodes if self.nodes[n].role is Role.LEADER]
+        return max(leads, key=lambda n: self.nodes[n].term) if leads else None
+
+    def propose(self, name, command):
+        index, _term, output = self.nodes[name].propose(command, self.now)
+        self.take(name, output)
+        return index
+
+    def change(self, name, action, subject):
+        step = Step(action, member(subject))
+        index, _term, output = self.nodes[name].change_membership(step, self.now)
+        self.take(name, output)
+        return index
+
+    def compact(self, name):
+        node = self.nodes[name]
+        if self.applied[name] > node.snapshot_index:
+            data = b"state" * 600
+            snapshot = node.snapshot_at(self.applied[name], data)
+            self.take(name, node.compacted(snapshot))
+
+    def cut(self, *names):
+        """Cut ``names`` from all others, both ways."""
+        for one in names:
+            for other in set(self.disks) - set(names):
+                self.blocked |= {(one, other), (other, one)}
+
+    def heal(self):
+        self.blocked.clear()
+
+
+def render(item):
+    """One line for a person: class name, then fields that say something."""
+    if isinstance(item, tuple):
+        return "[" + " ".join(render(each) for each in item) + "]"
+    kind = type(item).__name__
+    if kind == "Entry":
+        text = item.command.decode() if item.kind is EntryKind.CHANGE else ""
+        return f"{item.index}@{item.term}:{item.kind.name}{':' + text if text else ''}"
+    if kind == "Membership":
+        names = [m.name + ("" if m.voter else "(learner)") for m in item.members]
+        return ",".join(names)
+    if isinstance(item, bytes):
+        return f"{len(item)}B"
+    if not hasattr(item, "__attrs_attrs__"):
+        return str(item)
+    fields = [a.name for a in item.__attrs_attrs__ if a.name != "sender"]
+    parts = [f"{name}={render(getattr(item, name))}" for name in fields]
+    return f"{kind} " + " ".join(parts)
--- /dev/null
+++ b/tests/test_raft_random.py
@@ -0,0 +1,141 @@
+"""Random sessions of the consensus state machine against a naive record."""
+
+import pytest
+
+from tamarackhaven._raft import Role
+from tamarackhaven.errors import TamarackhavenError
+from tests.raft_group import Group
+
+ACTIONS = (
+    ["tick"] * 30
+    + ["deliver"] * 60
+    + ["late", "drop", "duplicate", "propose", "propose", "propose"] * 3
+    + ["crash", "start", "start", "start", "torn", "cut", "one_way"]
+    + ["heal", "heal", "compact", "member"]
+)
+
+
+class Session:
+    """One random session; every action may meet a member that is down."""
+
+    def __init__(self, seed):
+        self.group = Group("a", "b", "c", seed=seed)
+        self.rng = self.group.rng
+        self.joined = 0
+
+    def run(self, steps):
+        for number in range(steps):
+            action = self.rng.choice(ACTIONS)
+            getattr(self, f"_{action}")(number)
+        self._calm_down()
+
+    def _calm_down(self):
+        group = self.group
+        group.heal()
+        for name in set(group.disks) - set(group.nodes):
+            group.start(name)
+        group.run(4.0, step=0.02)
+        leader = group.leader()
+        assert leader is not None
+        index = group.propose(leader, b"last")
+        group.run(1.0, step=0.02)
+        for name in group.nodes[leader].membership.by_name:
+            assert group.applied[name] >= index
+        self._check_logs_match()
+
+    def _check_logs_match(self):
+        kept = {}
+        for disk in self.group.disks.values():
+            for entry in disk.entries:
+                same = kept.setdefault((entry.index, entry.term), entry)
+                assert same == entry
+
+    def _any_node(self):
+        return self.rng.choice(sorted(self.group.nodes) or [None])
+
+    def _tick(self, _number):
+        if name := self._any_node():
+            self.group.tick(name, self.rng.random() * 0.02)
+
+    def _pop(self, position):
+        return self.group.wire.pop(position) if self.group.wire else None
+
+    def _deliver(self, _number):
+        if message := self._pop(0):
+            self.group.deliver(message)
+
+    def _late(self, _number):
+        if self.group.wire:
+            position = self.rng.randrange(len(self.group.wire))
+            self.group.deliver(self._pop(position))
+
+    def _drop(self, _number):
+        self._pop(0)
+
+    def _duplicate(self, _number):
+        if self.group.wire:
+            self.group.wire.append(self.rng.choice(self.group.wire))
+
+    def _torn(self, _number):
+        """The member takes a message in and is lost before its sync."""
+        if message := self._pop(0):
+            self.group.deliver(message, syncs=False)
+
+    def _propose(self, number):
+        for name, node in list(self.group.nodes.items()):
+            if node.role is Role.LEADER:
+                self.group.propose(name, b"%d" % number)
+
+    def _crash(self, _number):
+        if name := self._any_node():
+            self.group.crash(name)
+
+    def _start(self, _number):
+        down = sorted(set(self.group.disks) - set(self.group.nodes))
+        if down:
+            self.group.start(self.rng.choice(down))
+
+    def _cut(self, _number):
+        self.group.cut(self.rng.choice(sorted(self.group.disks)))
+
+    def _one_way(self, _number):
+        pair = self.rng.sample(sorted(self.group.disks), 2)
+        self.group.blocked.add(tuple(pair))
+
+    def _heal(self, _number):
+        self.group.heal()
+
+    def _compact(self, _number):
+        if name := self._any_node():
+            self.group.compact(name)
+
+    def _member(self, _number):
+        """Add a learner, promote one, or remove a member, as the group allows."""
+        leader = self.group.leader()
+        if leader is None:
+            return
+        members = self.group.nodes[leader].membership.by_name
+        learners = [name for name in members if not members[name].voter]
+        try:
+            if learners:
+                self.group.change(leader, "promote", learners[0])
+            elif len(members) > 3:
+                self.group.change(leader, "remove", self.rng.choice(sorted(members)))
+            else:
+                self.joined += 1
+                self.group.change(leader, "add", f"n{self.joined}")
+                self.group.join(f"n{self.joined}")
+        except TamarackhavenError:
+            return
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_random_faults_lose_no_committed_entry(seed):
+    """Callers see every acknowledged entry for ever, whatever fails.
+
+    Messages are dropped, doubled and reordered, members crash with or without their
+    last sync, links break one way or both, logs are compacted, members change. The
+    group checks at each commit that all agree and that a term has one leader. At the
+    end all heals, and every member must catch up.
+    """
+    Session(seed).run(1500)
