--- /dev/null
+++ b/tamarackhaven/_fences.py
@@ -0,0 +1,87 @@
+"""The epochs that this control VM refuses from now on, kept on disk."""
+
+import pathlib
+
+import attrs
+
+from tamarackhaven import _codec, _files, _record
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+_NAME = "fences"
+
+
+@attrs.frozen
+class Fence:
+    """Epochs of a target up to ``epoch`` are refused."""
+
+    service: str
+    target: str
+    epoch: int
+
+
+class FenceFile:
+    """The fences of one control VM; use ``FenceFile.open``.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The file.
+    files : Files
+        File operations.
+    epochs_by_target : dict of (str, str) to int
+        Highest refused epoch by service and target.
+    """
+
+    def __init__(self, path, files, epochs_by_target):
+        self._path = path
+        self._files = files
+        self._failure = None
+        self.epochs_by_target = epochs_by_target
+
+    @classmethod
+    def open(cls, folder, files=None):
+        """Read the fences of a data folder; the caller holds the folder's lock.
+
+        Raises
+        ------
+        TamarackhavenError
+            LOG_DAMAGED or FORMAT_UNKNOWN.
+        """
+        path = pathlib.Path(folder) / _NAME
+        return cls(path, files or _files.Files(), _read(path))
+
+    def fence(self, service, target, epoch):
+        """Refuse ``epoch`` and all before it; durable when this returns.
+
+        Raises
+        ------
+        TamarackhavenError
+            SYNC_FAILED or DISK_FULL, and again at every later call.
+        """
+        if self._failure:
+            raise self._failure
+        key = (service, target)
+        if epoch <= self.epochs_by_target.get(key, 0):
+            return
+        epochs = self.epochs_by_target | {key: epoch}
+        try:
+            _files.replace(self._files, self._path, _to_bytes(epochs))
+        except TamarackhavenError as error:
+            self._failure = error
+            raise
+        self.epochs_by_target = epochs
+
+
+def _to_bytes(epochs_by_target):
+    fences = [Fence(*key, epoch) for key, epoch in sorted(epochs_by_target.items())]
+    return _record.HEADER + _record.record(_codec.dumps(fences, list[Fence]))
+
+
+def _read(path):
+    if not path.exists():
+        return {}
+    found = _record.scan(path.read_bytes(), path)
+    if not found.bodies:
+        raise TamarackhavenError(ErrorKind.LOG_DAMAGED, f"{path} at offset 0")
+    fences = _codec.loads(found.bodies[0], list[Fence])
+    return {(each.service, each.target): each.epoch for each in fences}
--- /dev/null
+++ b/tamarackhaven/_record.py
@@ -0,0 +1,195 @@
+"""Checksummed records in files, and how consensus writes are kept in them.
+
+A file is a header and then records. One call to storage makes one record, so that a
+write cut short by a crash leaves at most one bad record, at the end.
+"""
+
+import itertools
+import struct
+import zlib
+from functools import singledispatch
+
+import attrs
+
+from tamarackhaven import _codec
+from tamarackhaven._members import Membership
+from tamarackhaven._raft_messages import (
+    Entry,
+    EntryKind,
+    HardState,
+    Snapshot,
+    WriteEntries,
+    WriteHardState,
+    WriteSnapshot,
+)
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+FORMAT_VERSION = 1
+_HEADER = struct.Struct(">6sH")
+_FILE_MARK = b"THAVEN"
+_RECORD_MARK = b"\xf1REC"
+_FRAME = struct.Struct(">4sII")  # mark, length of the body, checksum of both
+_PART = struct.Struct(">BI")  # kind of a write, length of its body
+_TERM = struct.Struct(">Q")
+_ENTRY = struct.Struct(">QQB")  # index, term, kind
+_SNAPSHOT = struct.Struct(">QQI")  # index, term, length of the membership
+
+HEADER = _HEADER.pack(_FILE_MARK, FORMAT_VERSION)
+
+
+@attrs.frozen
+class Scan:
+    """The bodies of the valid records of a file, and where the last one ends."""
+
+    bodies: tuple[bytes, ...]
+    end: int
+
+
+def record(body):
+    """Return ``body`` framed with its length and checksum."""
+    return _FRAME.pack(_RECORD_MARK, len(body), _checksum(body)) + body
+
+
+def _checksum(body):
+    return zlib.crc32(body, len(body))
+
+
+def scan(data, path):
+    """Read all records of a file.
+
+    A bad record with a valid one after it is damage; one without is a torn tail.
+
+    Raises
+    ------
+    TamarackhavenError
+        FORMAT_UNKNOWN, or LOG_DAMAGED with the file and the offset.
+    """
+    _check_header(data, path)
+    bodies = []
+    offset = len(HEADER)
+    while offset < len(data):
+        body = _body_at(data, offset)
+        if body is None:
+            _refuse_damage(data, offset, path)
+            break
+        bodies.append(body)
+        offset += _FRAME.size + len(body)
+    return Scan(tuple(bodies), offset)
+
+
+def _check_header(data, path):
+    if len(data) < len(HEADER):
+        raise damaged(path, 0)
+    mark, version = _HEADER.unpack_from(data)
+    if mark != _FILE_MARK:
+        raise damaged(path, 0)
+    if version != FORMAT_VERSION:
+        raise TamarackhavenError(ErrorKind.FORMAT_UNKNOWN, f"{path}: version {version}")
+
+
+def _body_at(data, offset):
+    """Return the body of the record at ``offset``, None if it isn't valid."""
+    start = offset + _FRAME.size
+    if start > len(data):
+        return None
+    mark, length, checksum = _FRAME.unpack_from(data, offset)
+    body = data[start : start + length]
+    is_valid = (
+        mark == _RECORD_MARK and len(body) == length and _checksum(body) == checksum
+    )
+    return body if is_valid else None
+
+
+def _refuse_damage(data, offset, path):
+    # Failure: a synced record has gone bad. Symptom: cut like a torn tail, it would
+    # take acknowledged entries and a vote with it. Enough: each record is synced
+    # before the next is written, so what a crash tears has no valid record after it.
+    candidate = data.find(_RECORD_MARK, offset + 1)
+    while candidate >= 0:
+        if _body_at(data, candidate) is not None:
+            raise damaged(path, offset)
+        candidate = data.find(_RECORD_MARK, candidate + 1)
+
+
+def damaged(path, offset):
+    """Return the error for a damaged file."""
+    return TamarackhavenError(ErrorKind.LOG_DAMAGED, f"{path} at offset {offset}")
+
+
+# Consensus writes.
+
+_KIND_HARD_STATE = 1
+_KIND_ENTRY = 2
+_KIND_SNAPSHOT = 3
+
+
+def pack(writes):
+    """Return the body of one record with all of ``writes``."""
+    return b"".join(itertools.chain.from_iterable(_parts(write) for write in writes))
+
+
+def _part(kind, *pieces):
+    body = b"".join(pieces)
+    return _PART.pack(kind, len(body)) + body
+
+
+@singledispatch
+def _parts(write):
+    raise TypeError(f"no write: {type(write).__name__}")
+
+
+@_parts.register
+def _(write: WriteHardState):
+    state = write.hard_state
+    yield _part(_KIND_HARD_STATE, _TERM.pack(state.term), state.vote.encode())
+
+
+@_parts.register
+def _(write: WriteEntries):
+    for entry in write.entries:
+        head = _ENTRY.pack(entry.index, entry.term, entry.kind)
+        yield _part(_KIND_ENTRY, head, entry.command)
+
+
+@_parts.register
+def _(write: WriteSnapshot):
+    snapshot = write.snapshot
+    membership = _codec.dumps(snapshot.membership, Membership)
+    head = _SNAPSHOT.pack(snapshot.index, snapshot.term, len(membership))
+    yield _part(_KIND_SNAPSHOT, head, membership, snapshot.data)
+
+
+def unpack(body):
+    """Return the writes in one record; each entry as a write of its own."""
+    offset = 0
+    writes = []
+    while offset < len(body):
+        kind, length = _PART.unpack_from(body, offset)
+        offset += _PART.size
+        writes.append(_READ_BY_KIND[kind](body[offset : offset + length]))
+        offset += length
+    return writes
+
+
+def _read_hard_state(body):
+    (term,) = _TERM.unpack_from(body)
+    return WriteHardState(HardState(term, body[_TERM.size :].decode()))
+
+
+def _read_entry(body):
+    index, term, kind = _ENTRY.unpack_from(body)
+    return WriteEntries((Entry(index, term, EntryKind(kind), body[_ENTRY.size :]),))
+
+
+def _read_snapshot(body):
+    index, term, length = _SNAPSHOT.unpack_from(body)
+    start = _SNAPSHOT.size
+    membership = _codec.loads(body[start : start + length], Membership)
+    return WriteSnapshot(Snapshot(index, term, membership, body[start + length :]))
+
+
+_READ_BY_KIND = {
+    _KIND_HARD_STATE: _read_hard_state,
+    _KIND_ENTRY: _read_entry,
+    _KIND_SNAPSHOT: _read_snapshot,
+}
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,269 @@
+"""Tests of the data folder: what survives, and what stops the member."""
+
+import subprocess
+import sys
+
+import pytest
+
+from tamarackhaven import _record
+from tamarackhaven._fences import FenceFile
+from tamarackhaven._raft_messages import (
+    Entry,
+    EntryKind,
+    HardState,
+    Snapshot,
+    WriteEntries,
+    WriteHardState,
+    WriteSnapshot,
+)
+from tamarackhaven._storage import Identity, Storage
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+from tests.broken_files import BrokenFiles
+from tests.raft_group import membership
+
+FIRST = Snapshot(0, 0, membership("a", "b"))
+IDENTITY = Identity("a", "f1")
+
+
+def entries(first, last, term=1):
+    return tuple(
+        Entry(index, term, EntryKind.CHANGE, b"command %d" % index)
+        for index in range(first, last + 1)
+    )
+
+
+def fresh(folder, files=None):
+    storage = Storage.open(folder, files)
+    storage.create(IDENTITY, FIRST)
+    return storage
+
+
+def write(storage, *writes):
+    storage.write(writes)
+
+
+def reopened(folder):
+    storage = Storage.open(folder)
+    recovered = storage.recovered
+    storage.close()
+    return recovered
+
+
+def refusal(call, *args):
+    with pytest.raises(TamarackhavenError) as caught:
+        call(*args)
+    return caught.value
+
+
+def log_path(folder):
+    return max(folder.glob("log-" + "[0-9]" * 8))
+
+
+def test_what_was_written_is_recovered(tmp_path):
+    storage = fresh(tmp_path)
+    assert not storage.is_new
+    write(storage, WriteHardState(HardState(2, "b")), WriteEntries(entries(1, 5)))
+    write(storage, WriteEntries(entries(4, 4, term=2)))
+    storage.close()
+    recovered = reopened(tmp_path)
+    assert recovered.hard_state == HardState(2, "b")
+    assert recovered.snapshot == FIRST
+    assert recovered.entries == entries(1, 3) + entries(4, 4, term=2)
+
+
+@pytest.mark.parametrize(
+    ("term", "kept"), [(1, entries(4, 5)), (2, ())], ids=["continues", "differs"]
+)
+def test_snapshot_replaces_the_log_up_to_it(tmp_path, term, kept):
+    storage = fresh(tmp_path)
+    write(storage, WriteEntries(entries(1, 5)), WriteHardState(HardState(3, "a")))
+    snapshot = Snapshot(3, term, membership("a"), b"state")
+    write(storage, WriteSnapshot(snapshot))
+    storage.close()
+    recovered = reopened(tmp_path)
+    assert recovered.snapshot == snapshot
+    assert recovered.entries == kept
+    assert recovered.hard_state == HardState(3, "a")
+    assert len(list(tmp_path.glob("log-*"))) == 1
+
+
+def test_torn_tail_is_cut_at_every_length(tmp_path):
+    """The VM stops while a record is written, and the member starts again.
+
+    Whatever part of the last record is there, all earlier ones are recovered, the
+    part is cut, and records written afterwards are recovered too.
+    """
+    storage = fresh(tmp_path)
+    write(storage, WriteEntries(entries(1, 1)))
+    path = log_path(tmp_path)
+    whole = path.stat().st_size
+    write(storage, WriteEntries(entries(2, 3)))
+    storage.close()
+    data = path.read_bytes()
+    for length in range(whole, len(data)):
+        path.write_bytes(data[:length])
+        storage = Storage.open(tmp_path)
+        assert storage.recovered.entries == entries(1, 1)
+        write(storage, WriteEntries(entries(2, 2, term=7)))
+        storage.close()
+        assert reopened(tmp_path).entries == entries(1, 1) + entries(2, 2, term=7)
+
+
+def test_damage_inside_the_log_stops_with_file_and_offset(tmp_path):
+    """A synced record has gone bad on the disk; synced records follow it.
+
+    Cut like a torn tail it would take acknowledged entries with it, so the member
+    refuses to start and names the file and the record's offset. The same holds for
+    the header, the first record, and the identity.
+    """
+    storage = fresh(tmp_path)
+    path = log_path(tmp_path)
+    offset = path.stat().st_size
+    write(storage, WriteEntries(entries(1, 1)))
+    write(storage, WriteEntries(entries(2, 2)))
+    storage.close()
+    data = path.read_bytes()
+    identity = tmp_path / "identity"
+    places = {(path, 1): 0, (path, 20): 8, (path, offset): offset}
+    for at in range(offset, offset + 12):
+        places[path, at] = offset
+    places[identity, identity.stat().st_size - 1] = 8
+    for (where, at), named in places.items():
+        good = where.read_bytes()
+        bad = bytearray(good)
+        bad[at] ^= 0xFF
+        where.write_bytes(bad)
+        error = refusal(Storage.open, tmp_path)
+        assert error.kind is ErrorKind.LOG_DAMAGED
+        assert error.detail == f"{where} at offset {named}"
+        where.write_bytes(good)
+    assert path.read_bytes() == data
+    assert reopened(tmp_path).entries == entries(1, 2)
+
+
+@pytest.mark.parametrize(
+    ("failure", "kind"),
+    [
+        ("sync", ErrorKind.SYNC_FAILED),
+        ("full", ErrorKind.DISK_FULL),
+        ("short", ErrorKind.DISK_FULL),
+    ],
+)
+def test_failed_write_is_never_retried_as_if_clean(tmp_path, failure, kind):
+    """A write or its sync fails once, and the disk seems well again afterwards.
+
+    The system may have dropped the data and report success for the next sync, so
+    every later call fails the same way. A new start finds what was synced before.
+    """
+    files = BrokenFiles()
+    storage = fresh(tmp_path, files)
+    write(storage, WriteEntries(entries(1, 1)))
+    files.failure = failure
+    assert refusal(write, storage, WriteEntries(entries(2, 2))).kind is kind
+    files.failure = ""
+    assert refusal(write, storage, WriteEntries(entries(3, 3))).kind is kind
+    storage.close()
+    assert reopened(tmp_path).entries[:1] == entries(1, 1)
+
+
+def test_write_taken_in_small_parts_is_whole(tmp_path):
+    files = BrokenFiles()
+    storage = fresh(tmp_path, files)
+    files.failure = "slow"
+    write(storage, WriteEntries(entries(1, 3)))
+    storage.close()
+    assert reopened(tmp_path).entries == entries(1, 3)
+
+
+@pytest.mark.parametrize("failure", ["sync", "full", "short", "rename", "remove"])
+def test_snapshot_that_fails_half_way_leaves_the_old_or_the_new(tmp_path, failure):
+    """The VM fails amid the replacement of the log by a snapshot.
+
+    Whatever step fails, the storage refuses to go on, and the next start finds the
+    old log whole or the new one whole.
+    """
+    files = BrokenFiles()
+    storage = fresh(tmp_path, files)
+    write(storage, WriteEntries(entries(1, 5)))
+    before = storage.recovered
+    files.failure = failure
+    snapshot = Snapshot(3, 1, membership("a"), b"state" * 100)
+    refusal(write, storage, WriteSnapshot(snapshot))
+    after = storage.recovered
+    storage.close()
+    assert reopened(tmp_path) == (after if failure == "remove" else before)
+
+
+def test_replacement_is_synced_before_it_gets_the_name(tmp_path):
+    files = BrokenFiles()
+    storage = fresh(tmp_path, files)
+    files.done.clear()
+    write(storage, WriteSnapshot(Snapshot(1, 1, membership("a"), b"x")))
+    assert files.done == ["write", "sync", "rename", "sync"]
+    files.done.clear()
+    write(storage, WriteEntries(entries(2, 2)))
+    assert files.done == ["write", "sync"]
+
+
+def test_second_process_is_refused(tmp_path):
+    storage = fresh(tmp_path)
+    code = (
+        "import sys; from tamarackhaven._storage import Storage; "
+        "from tamarackhaven.errors import TamarackhavenError\n"
+        "try: Storage.open(sys.argv[1])\n"
+        "except TamarackhavenError as error: print(error.kind.name)"
+    )
+    command = [sys.executable, "-c", code, str(tmp_path)]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert done.stdout.strip() == "FOLDER_LOCKED"
+    storage.close()
+    assert Storage.open(tmp_path).recovered.snapshot == FIRST
+
+
+def test_unknown_format_is_refused(tmp_path):
+    fresh(tmp_path).close()
+    path = log_path(tmp_path)
+    path.write_bytes(path.read_bytes()[:6] + b"\x00\x63" + path.read_bytes()[8:])
+    assert refusal(Storage.open, tmp_path).kind is ErrorKind.FORMAT_UNKNOWN
+
+
+def test_lost_identity_is_damage_but_an_unfinished_start_is_new(tmp_path):
+    """The identity file is missing: a crash amid the first start, or a loss.
+
+    Only a log without any promise in it may be thrown away.
+    """
+    storage = fresh(tmp_path)
+    (tmp_path / "identity").unlink()
+    storage.close()
+    storage = Storage.open(tmp_path)
+    assert storage.is_new
+    storage.create(IDENTITY, FIRST)
+    write(storage, WriteHardState(HardState(1, "b")))
+    storage.close()
+    (tmp_path / "identity").unlink()
+    assert refusal(Storage.open, tmp_path).kind is ErrorKind.LOG_DAMAGED
+    log_path(tmp_path).unlink()
+    assert Storage.open(tmp_path).is_new
+
+
+def test_record_checks_its_length_too():
+    body = b"\0" * 8
+    framed = _record.record(body)
+    shorter = framed[:4] + b"\0\0\0\7" + framed[8:]
+    assert _record.scan(_record.HEADER + shorter, "f").bodies == ()
+
+
+def test_fences_rise_only_and_are_durable_before_the_return(tmp_path):
+    files = BrokenFiles()
+    fences = FenceFile.open(tmp_path, files)
+    fences.fence("booking", "t1", 7)
+    assert files.done == ["write", "sync", "rename", "sync"]
+    fences.fence("booking", "t1", 5)
+    fences.fence("booking", "t2", 3)
+    again = FenceFile.open(tmp_path).epochs_by_target
+    assert again == {("booking", "t1"): 7, ("booking", "t2"): 3}
+    files.failure = "sync"
+    error = refusal(fences.fence, "booking", "t1", 9)
+    assert error.kind is ErrorKind.SYNC_FAILED
+    assert refusal(fences.fence, "rota", "t1", 1).kind is ErrorKind.SYNC_FAILED
+    assert fences.epochs_by_target == again
