Run a member on a thread of its own, with one sync for many writers

**Cause:** the control process needs futures for changes and reads, and a sync for each change would bound the group's commits. **Change:** a driver owns state machine, storage and applied state; a batch of inputs shares one sync and one round of heartbeats. A disk failure answers all that waits and stops the member.

--- /dev/null
+++ b/tamarackhaven/_consensus.py
@@ -0,0 +1,383 @@
+"""Runs one member of the consensus group on a thread of its own.
+
+The thread owns the state machine, the storage and the applied state. All others put
+inputs into its queue and get futures.
+"""
+
+import collections
+import concurrent.futures
+import contextlib
+import queue
+from functools import singledispatchmethod
+
+import attrs
+
+from tamarackhaven._consensus_waiting import Waiting
+from tamarackhaven._members import Membership, Step
+from tamarackhaven._raft import Raft, Role
+from tamarackhaven._raft_messages import Message, Snapshot
+from tamarackhaven._storage import Identity
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+# Load: many writers at once. Harm: one sync each would bound the group to a few
+# thousand commits a second; an endless batch would hold back heartbeats. Limit: a
+# thousand inputs are handled well within one heartbeat.
+MAX_BATCH = 1024
+# The queue is read at least this often within a heartbeat, so that a tick is late by
+# a small part of it only.
+TICKS_PER_HEARTBEAT = 4
+# Load: long commands. Harm: the log outgrows the disk before ``snapshot_entries`` is
+# reached. Limit: the larger of this and twice the snapshot, so that rewriting a large
+# state stays rare.
+COMPACT_BYTES = 8 << 20
+
+
+@attrs.frozen
+class Status:
+    """What one member knows of the group and of itself."""
+
+    name: str
+    role: Role
+    leader: str
+    term: int
+    commit: int
+    applied: int
+    membership: Membership
+
+
+@attrs.frozen
+class _Deliver:
+    messages: tuple[Message, ...]
+
+
+@attrs.frozen
+class _Propose:
+    command: bytes
+    future: concurrent.futures.Future
+
+
+@attrs.frozen
+class _ChangeMembership:
+    step: Step
+    future: concurrent.futures.Future
+
+
+@attrs.frozen
+class _Read:
+    future: concurrent.futures.Future
+
+
+@attrs.frozen
+class _Stop:
+    """Ends the thread."""
+
+
+class Consensus:
+    """One running member.
+
+    Parameters
+    ----------
+    name : str
+        This member's name.
+    settings : RaftSettings
+        Timings and sizes.
+    storage : Storage
+        Open; closed by ``stop`` and after a fatal error.
+    membership_at_first_start : Membership
+        Used if the storage is new; without members for one that joins a group.
+    send : callable
+        Takes a sequence of messages; must not block. Messages may be lost.
+    machine : object
+        Has ``apply(entry)``, ``snapshot()`` giving bytes, and ``restore(snapshot)``;
+        called from this member's thread only. ``apply`` gets entries of all kinds.
+    clock : callable
+        Returns seconds that also count while the VM is suspended.
+    rng : random.Random
+        For election timeouts and the folder's id.
+    on_fatal : callable
+        Called once with the error if the member has to stop for good.
+
+    Raises
+    ------
+    TamarackhavenError
+        MEMBER_UNKNOWN if the folder is another member's; errors of the storage.
+    """
+
+    def __init__(
+        self,
+        name,
+        settings,
+        storage,
+        membership_at_first_start,
+        send,
+        machine,
+        clock,
+        rng,
+        on_fatal=lambda error: None,
+    ):
+        self._name = name
+        self._settings = settings
+        self._storage = storage
+        self._send = send
+        self._machine = machine
+        self._clock = clock
+        self._on_fatal = on_fatal
+        self._prepare_storage(membership_at_first_start, rng)
+        self._raft = self._recover(rng)
+        self._tick_s = settings.heartbeat_ms / 1000 / TICKS_PER_HEARTBEAT
+        self._tick_due = clock()
+        self._queue = queue.SimpleQueue()
+        self._inputs = collections.deque()
+        self._waiting = Waiting()
+        self._error = None
+        self._is_stopping = False
+        self._executor = None
+        self._thread_done = None
+        self._status = self._describe()
+
+    def _prepare_storage(self, membership, rng):
+        storage = self._storage
+        if storage.is_new:
+            identity = Identity(self._name, f"{rng.getrandbits(64):016x}")
+            storage.create(identity, Snapshot(0, 0, membership))
+        if storage.identity.name != self._name:
+            raise TamarackhavenError(
+                ErrorKind.MEMBER_UNKNOWN,
+                f"the folder belongs to member {storage.identity.name!r}",
+            )
+
+    def _recover(self, rng):
+        recovered = self._storage.recovered
+        snapshot = recovered.snapshot
+        self._applied = snapshot.index
+        self._snapshot_bytes = len(snapshot.data)
+        if snapshot.index:
+            self._machine.restore(snapshot)
+        return Raft(
+            self._name,
+            self._settings,
+            recovered.hard_state,
+            snapshot,
+            recovered.entries,
+            self._clock(),
+            rng,
+        )
+
+    # Any thread.
+
+    def start(self):
+        """Start the member's thread."""
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            1, thread_name_prefix=f"consensus-{self._name}"
+        )
+        self._thread_done = self._executor.submit(self._run)
+
+    def stop(self):
+        """Stop the thread and close the storage; what waits is answered."""
+        self._queue.put(_Stop())
+        if self._executor:
+            self._executor.shutdown(wait=True)
+        else:
+            self._finish(_stopped())
+
+    def deliver(self, messages):
+        """Take in messages of other members."""
+        self._queue.put(_Deliver(tuple(messages)))
+
+    def propose(self, command):
+        """Add a change to the log.
+
+        Returns
+        -------
+        concurrent.futures.Future
+            What ``machine.apply`` returned for this entry. Fails with NO_QUORUM if
+            this member doesn't lead, with CHANGE_UNCONFIRMED if the entry is in the
+            log and may yet commit or not, or with the fatal error if it never came
+            into the log. Callbacks run on the member's thread and must not block.
+        """
+        return self._ask(_Propose, command)
+
+    def change_membership(self, step):
+        """Add one membership change to the log; as ``propose``."""
+        return self._ask(_ChangeMembership, step)
+
+    def read(self):
+        """Wait for a moment at which all that was committed before is applied.
+
+        Returns
+        -------
+        concurrent.futures.Future
+            The applied index. Fails with NO_QUORUM if this member doesn't lead.
+        """
+        return self._ask(_Read)
+
+    def _ask(self, kind, *values):
+        future = concurrent.futures.Future()
+        future.set_running_or_notify_cancel()
+        self._queue.put(kind(*values, future))
+        if self._error:
+            self._refuse_queued()
+        return future
+
+    def status(self):
+        """Return the ``Status`` after the last input."""
+        return self._status
+
+    def _describe(self):
+        raft = self._raft
+        return Status(
+            name=self._name,
+            role=raft.role,
+            leader=raft.leader,
+            term=raft.term,
+            commit=raft.commit,
+            applied=self._applied,
+            membership=raft.membership,
+        )
+
+    # The member's thread.
+
+    def _run(self):
+        error = _stopped()
+        fatal = None
+        try:
+            while not self._is_stopping:
+                self._turn()
+        except TamarackhavenError as caught:
+            error = fatal = caught
+        except Exception as caught:
+            error = fatal = TamarackhavenError(ErrorKind.INTERNAL, repr(caught))
+            fatal.__cause__ = caught
+        self._finish(error)
+        if fatal:
+            self._on_fatal(fatal)
+
+    def _finish(self, error):
+        """Answer all that waits; a failed member takes part in nothing any more."""
+        self._error = error
+        self._status = attrs.evolve(self._status, role=Role.FOLLOWER, leader="")
+        self._storage.close()
+        self._waiting.fail_all(error)
+        for item in self._inputs:
+            self._refuse(item)
+        self._inputs.clear()
+        self._refuse_queued()
+
+    def _refuse_queued(self):
+        with contextlib.suppress(queue.Empty):
+            while True:
+                self._refuse(self._queue.get_nowait())
+
+    def _refuse(self, item):
+        if isinstance(item, _Propose | _ChangeMembership | _Read):
+            item.future.set_exception(self._error)
+
+    def _turn(self):
+        """Handle one batch of inputs with one sync."""
+        self._take_inputs()
+        self._now = self._clock()
+        outputs = []
+        if self._now >= self._tick_due:
+            self._tick_due = self._now + self._tick_s
+            outputs.append(self._raft.tick(self._now))
+        while self._inputs:
+            outputs.extend(self._handle(self._inputs.popleft()))
+        if self._waiting.has_new_reads:
+            # All reads of a batch share one round of heartbeats.
+            token = self._waiting.start_reads()
+            outputs.append(self._raft.read(token, self._now))
+        self._carry_out(outputs)
+        self._compact_if_large()
+        self._waiting.leave_terms_but(self._leading_term())
+        self._status = self._describe()
+
+    def _take_inputs(self):
+        wait_s = max(self._tick_due - self._clock(), 0.0)
+        with contextlib.suppress(queue.Empty):
+            self._inputs.append(self._queue.get(timeout=min(wait_s, self._tick_s)))
+            while len(self._inputs) < MAX_BATCH:
+                self._inputs.append(self._queue.get_nowait())
+
+    def _leading_term(self):
+        return self._raft.term if self._raft.role is Role.LEADER else None
+
+    @singledispatchmethod
+    def _handle(self, item):
+        raise TypeError(f"no input: {type(item).__name__}")
+
+    @_handle.register
+    def _(self, item: _Deliver):
+        return [self._raft.step(message, self._now) for message in item.messages]
+
+    @_handle.register
+    def _(self, item: _Propose):
+        return self._append(self._raft.propose, item.command, item.future)
+
+    @_handle.register
+    def _(self, item: _ChangeMembership):
+        return self._append(self._raft.change_membership, item.step, item.future)
+
+    def _append(self, method, value, future):
+        try:
+            index, term, output = method(value, self._now)
+        except TamarackhavenError as error:
+            future.set_exception(error)
+            return []
+        self._waiting.add_entry(index, term, future)
+        return [output]
+
+    @_handle.register
+    def _(self, item: _Read):
+        self._waiting.add_read(item.future)
+        return []
+
+    @_handle.register
+    def _(self, _item: _Stop):
+        self._is_stopping = True
+        return []
+
+    def _carry_out(self, outputs):
+        """Sync all writes at once, then send, apply and answer in order."""
+        while outputs:
+            writes = [write for output in outputs for write in output.writes]
+            following = []
+            if writes:
+                # Failure: an answer leaves before its write is synced, and the VM
+                # stops. Symptom: a vote is given twice, or an acknowledged entry is
+                # gone. Enough: nothing below runs unless this has returned.
+                self._storage.write(writes)
+                following = [self._raft.persisted(writes, self._now)]
+            for output in outputs:
+                self._finish_output(output)
+            outputs = following
+
+    def _finish_output(self, output):
+        if output.messages:
+            self._send(output.messages)
+        if output.restored:
+            self._machine.restore(output.restored)
+            self._applied = output.restored.index
+            self._snapshot_bytes = len(output.restored.data)
+        for entry in output.committed:
+            result = self._machine.apply(entry)
+            self._applied = entry.index
+            self._waiting.finish_entry(entry, result)
+        for ready in output.reads:
+            self._waiting.confirm_read(ready)
+        self._waiting.drop_reads(output.dropped_reads)
+        self._waiting.finish_reads(self._applied)
+
+    def _compact_if_large(self):
+        entries = self._applied - self._raft.snapshot_index
+        limit = max(COMPACT_BYTES, 2 * self._snapshot_bytes)
+        is_large = self._storage.log_bytes > limit and entries > 0
+        if not is_large and entries < self._settings.snapshot_entries:
+            return
+        data = self._machine.snapshot()
+        self._snapshot_bytes = len(data)
+        snapshot = self._raft.snapshot_at(self._applied, data)
+        self._carry_out([self._raft.compacted(snapshot)])
+
+
+def _stopped():
+    return TamarackhavenError(ErrorKind.NO_QUORUM, "the member has stopped")
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,230 @@
+"""Tests of the running member: three of them in one process, real threads."""
+
+import itertools
+import random
+import time
+
+import pytest
+
+from tamarackhaven import _clock, _raft_wire
+from tamarackhaven._consensus import Consensus
+from tamarackhaven._members import Membership, Step
+from tamarackhaven._raft import Role
+from tamarackhaven._raft_messages import EntryKind
+from tamarackhaven._settings import RaftSettings
+from tamarackhaven._storage import Storage
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+from tests.broken_files import BrokenFiles
+from tests.raft_group import member, membership
+
+WAIT_S = 30.0
+SETTINGS = RaftSettings(heartbeat_ms=20, election_ms=200, snapshot_entries=16)
+
+
+class ListMachine:
+    """Applied state is the list of commands."""
+
+    def __init__(self):
+        self.commands = []
+
+    def apply(self, entry):
+        if entry.kind is EntryKind.CHANGE:
+            self.commands.append(entry.command)
+        return len(self.commands)
+
+    def snapshot(self):
+        return b",".join(self.commands)
+
+    def restore(self, snapshot):
+        self.commands = snapshot.data.split(b",") if snapshot.data else []
+
+
+class Trio:
+    """Members that reach each other by a call, as bytes of the wire format."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.first = membership("a", "b", "c")
+        self.running = {}
+        self.machines = {}
+        self.files = {}
+        self.fatal = {}
+        self.cut = set()
+
+    def start(self, name, first=None):
+        self.files[name] = BrokenFiles()
+        storage = Storage.open(self.folder / name, self.files[name])
+        self.machines[name] = ListMachine()
+        self.running[name] = Consensus(
+            name,
+            SETTINGS,
+            storage,
+            first or self.first,
+            self.send,
+            self.machines[name],
+            _clock.boot_s,
+            random.Random(name),
+            on_fatal=lambda error: self.fatal.update({name: error}),
+        )
+        self.running[name].start()
+        return self.running[name]
+
+    def send(self, messages):
+        for message in messages:
+            to = self.running.get(message.receiver)
+            if to and not {message.sender, message.receiver} & self.cut:
+                kind = type(_raft_wire.to_wire(message))
+                data = _raft_wire.to_wire(message).SerializeToString()
+                to.deliver([_raft_wire.from_wire(kind.FromString(data))])
+
+    def stop(self, name):
+        self.running.pop(name).stop()
+
+    def leader(self, among=None):
+        def found():
+            for each in list(self.running.values()):
+                status = each.status()
+                if status.role is Role.LEADER and status.name in (
+                    among or self.running
+                ):
+                    return each
+            return None
+
+        return wait_for(found)
+
+
+def wait_for(condition):
+    end = time.monotonic() + WAIT_S
+    while time.monotonic() < end:
+        if result := condition():
+            return result
+        time.sleep(0.005)
+    raise AssertionError("not within the wait")
+
+
+@pytest.fixture
+def trio(tmp_path):
+    group = Trio(tmp_path)
+    for name in "abc":
+        group.start(name)
+    yield group
+    for name in list(group.running):
+        group.stop(name)
+
+
+def committed(trio, command):
+    """Propose until it is confirmed, as an operator would; return the leader."""
+    for _ in range(100):
+        leader = trio.leader()
+        try:
+            leader.propose(command).result(WAIT_S)
+            return leader
+        except TamarackhavenError as error:
+            assert error.kind in (ErrorKind.NO_QUORUM, ErrorKind.CHANGE_UNCONFIRMED)
+    raise AssertionError("never confirmed")
+
+
+def test_every_member_applies_what_was_confirmed_and_keeps_it(trio):
+    leader = committed(trio, b"first")
+    futures = [leader.propose(b"%d" % n) for n in range(100)]
+    assert [f.result(WAIT_S) for f in futures] == list(range(2, 102))
+    assert leader.read().result(WAIT_S) >= 101
+    others = [name for name in "abc" if name != leader.status().name]
+    with pytest.raises(TamarackhavenError) as caught:
+        trio.running[others[0]].propose(b"x").result(WAIT_S)
+    assert caught.value.kind is ErrorKind.NO_QUORUM
+    expected = [b"first"] + [b"%d" % n for n in range(100)]
+    wait_for(lambda: all(m.commands == expected for m in trio.machines.values()))
+    for name in "abc":
+        trio.stop(name)
+    for name in "abc":
+        trio.start(name)
+    committed(trio, b"after")
+    wait_for(lambda: all(m.commands[:101] == expected for m in trio.machines.values()))
+
+
+def test_leader_cut_off_answers_at_once_that_it_does_not_know(trio):
+    """A caller's change is in the log of a leader that nobody hears any more.
+
+    The leader is cut off, gets a change, hears no quorum for an election timeout and
+    steps down. The caller gets CHANGE_UNCONFIRMED then and is not kept waiting; the
+    others elect a leader, and the old one returns without that change.
+    """
+    old = committed(trio, b"kept")
+    name = old.status().name
+    trio.cut = {name}
+    future = old.propose(b"lost")
+    with pytest.raises(TamarackhavenError) as caught:
+        future.result(WAIT_S)
+    assert caught.value.kind is ErrorKind.CHANGE_UNCONFIRMED
+    trio.leader(among=set("abc") - {name})
+    trio.cut = set()
+    committed(trio, b"new")
+    wait_for(lambda: trio.machines[name].commands == [b"kept", b"new"])
+
+
+@pytest.mark.parametrize("failure", ["sync", "full"], ids=["failed sync", "full disk"])
+def test_failed_disk_stops_the_member_and_the_others_go_on(trio, failure):
+    """A caller's change waits at a leader whose disk fails under it.
+
+    The write or its sync fails; the entry may be on the disk or not, so the caller
+    hears CHANGE_UNCONFIRMED, later callers hear the disk's error, the member votes
+    and answers no more, and the two others elect a leader and serve.
+    """
+    leader = committed(trio, b"kept")
+    name = leader.status().name
+    trio.files[name].failure = failure
+    with pytest.raises(TamarackhavenError) as caught:
+        leader.propose(b"unknown").result(WAIT_S)
+    assert caught.value.kind is ErrorKind.CHANGE_UNCONFIRMED
+    kind = {"sync": ErrorKind.SYNC_FAILED, "full": ErrorKind.DISK_FULL}[failure]
+    wait_for(lambda: name in trio.fatal)
+    assert trio.fatal[name].kind is kind
+    for ask in (lambda: leader.propose(b"later"), leader.read):
+        with pytest.raises(TamarackhavenError) as caught:
+            ask().result(WAIT_S)
+        assert caught.value.kind is kind
+    trio.running.pop(name)
+    committed(trio, b"after")
+
+
+def test_member_with_a_lost_disk_comes_back_under_a_new_name(trio):
+    """Operators replace a VM whose disk is gone, and a second VM is lost right after.
+
+    The lost member is removed, a new one joins empty, catches up by snapshot, is
+    promoted; then another old member stops. Changes are still confirmed.
+    """
+    leader = committed(trio, b"0")
+    lost = next(name for name in "abc" if name != leader.status().name)
+    trio.stop(lost)
+    for number in range(1, 40):
+        leader.propose(b"%d" % number).result(WAIT_S)
+    for action, name in (("remove", lost), ("add", "d")):
+        leader.change_membership(Step(action, member(name))).result(WAIT_S)
+    trio.start("d", first=Membership(()))
+    _promote(leader, "d")
+    second = next(n for n in "abc" if n not in (lost, leader.status().name))
+    trio.stop(second)
+    committed(trio, b"40")
+    expected = [b"%d" % number for number in range(41)]
+    wait_for(lambda: trio.machines["d"].commands == expected)
+
+
+def _promote(leader, name):
+    for _ in itertools.count():
+        try:
+            leader.change_membership(Step("promote", member(name))).result(WAIT_S)
+            return
+        except TamarackhavenError as error:
+            assert error.kind is ErrorKind.MEMBERSHIP_BUSY
+            time.sleep(0.02)
+
+
+def test_folder_of_another_member_is_refused(tmp_path):
+    trio = Trio(tmp_path)
+    trio.start("a")
+    trio.stop("a")
+    (tmp_path / "a").rename(tmp_path / "b")
+    with pytest.raises(TamarackhavenError) as caught:
+        trio.start("b")
+    assert caught.value.kind is ErrorKind.MEMBER_UNKNOWN
