--- a/standin/load.py
+++ b/standin/load.py
@@ -36,7 +36,7 @@
 
     key: str
     idempotency_key: str
-    first_sent_ms: int
+    first_sent_s: float
     acknowledged: bool = False
     doubtful: bool = False
     tries: int = 0
@@ -137,14 +137,14 @@
             self.answers[_name(response)] += 1
 
     def _book(self, rng):
-        booking = Booking(rng.choice(self._keys), uuid.uuid4().hex, _now_ms())
+        booking = Booking(rng.choice(self._keys), uuid.uuid4().hex, time.time())
         with self._lock:
             self.bookings.append(booking)
         while booking.tries < BOOKING_TRIES:
             booking.tries += 1
             headers = {
                 "Idempotency-Key": booking.idempotency_key,
-                "Tamarackhaven-First-Sent": str(booking.first_sent_ms),
+                "Tamarackhaven-First-Sent": f"{booking.first_sent_s:.3f}",
             }
             response = self._send(rng, booking.key, "POST", headers)
             self._note(response)
@@ -156,7 +156,7 @@
             elif not booking.doubtful:
                 # No try can have run, so this is a new booking as far as any owner
                 # is concerned, and may say so.
-                booking.first_sent_ms = _now_ms()
+                booking.first_sent_s = time.time()
             time.sleep(min(max(response.retry_after_s, PAUSE_S), LONGEST_PAUSE_S))
 
     def audit(self, executed):
@@ -200,10 +200,6 @@
     return str(response.status) if response.status else "no answer"
 
 
-def _now_ms():
-    return int(time.time() * 1000)
-
-
 def outage_s(port, service, key, start_s, timeout_s=10.0):
     """Return the time from ``start_s`` until a key is answered, by asking again.
 
--- a/tamarackhaven/__main__.py
+++ b/tamarackhaven/__main__.py
@@ -27,7 +27,7 @@
             COMMANDS,
             argv=arguments,
             version=f"tamarackhaven {__version__}",
-            cli_options="all",
+            argparse_kwargs={"prog": "tamarackhaven"},
         )
     except TamarackhavenError as error:
         _fail(error)
--- a/tamarackhaven/porcelain.py
+++ b/tamarackhaven/porcelain.py
@@ -1,37 +1,24 @@
 """The commands: a thin layer over ``plumbing`` that prints for people or programs."""
 
-import enum
 import json
 import signal
 import sys
 import threading
+from typing import Literal
 
 from tamarackhaven import _codec, plumbing
 from tamarackhaven._model import ShardGrant, TargetMember
 from tamarackhaven._settings import ControlSettings, DaemonSettings, OperatorSettings
-from tamarackhaven._settings_file import read_settings
+from tamarackhaven._settings_file import load_settings
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
-
-class Output(enum.Enum):
-    """How a command prints."""
-
-    TEXT = "text"
-    JSON = "json"
-
-
-class Role(enum.Enum):
-    """Whose settings a file holds."""
-
-    DAEMON = "daemon"
-    CONTROL = "control"
-    OPERATOR = "operator"
-
+Output = Literal["text", "json"]
+Role = Literal["daemon", "control", "operator"]
 
 SETTINGS_BY_ROLE = {
-    Role.DAEMON: DaemonSettings,
-    Role.CONTROL: ControlSettings,
-    Role.OPERATOR: OperatorSettings,
+    "daemon": DaemonSettings,
+    "control": ControlSettings,
+    "operator": OperatorSettings,
 }
 
 
@@ -43,7 +30,7 @@
     from tamarackhaven._daemon_process import DaemonProcess
 
     stop = _stop_event()
-    process = DaemonProcess(read_settings(settings, DaemonSettings))
+    process = DaemonProcess(load_settings(settings, DaemonSettings))
     process.start()
     stop.wait()
     process.leave()
@@ -58,7 +45,7 @@
     """
     from tamarackhaven._control_process import run_control
 
-    run_control(read_settings(settings, ControlSettings), first_start, _stop_event())
+    run_control(load_settings(settings, ControlSettings), first_start, _stop_event())
 
 
 def apply(
@@ -67,7 +54,7 @@
     settings: str,
     change_id: str = "",
     allow_last_zone_out: bool = False,
-    output: Output = Output.TEXT,
+    output: Output = "text",
 ):
     """Create or change the resources of a TOML file.
 
@@ -97,7 +84,7 @@
     *,
     settings: str,
     change_id: str = "",
-    output: Output = Output.TEXT,
+    output: Output = "text",
 ):
     """Delete a resource.
 
@@ -124,7 +111,7 @@
     name: str = "",
     *,
     settings: str,
-    output: Output = Output.TEXT,
+    output: Output = "text",
 ):
     """Print what is in force.
 
@@ -155,7 +142,7 @@
     settings: str,
     from_version: int = 0,
     until_version: int = 0,
-    output: Output = Output.TEXT,
+    output: Output = "text",
 ):
     """Stream every change from a version on, until interrupted.
 
@@ -183,7 +170,7 @@
     settings: str,
     decision: str = "",
     limit: int = 20,
-    output: Output = Output.TEXT,
+    output: Output = "text",
 ):
     """Print why: the recorded decisions about a service, a key or a resource.
 
@@ -205,7 +192,7 @@
         raise TamarackhavenError(ErrorKind.NOT_FOUND, f"decision {decision!r}")
 
 
-def status(*, settings: str, output: Output = Output.TEXT):
+def status(*, settings: str, output: Output = "text"):
     """Print what each control VM says of the group.
 
     :param settings: Path of the operator's TOML file.
@@ -232,7 +219,7 @@
     :param file: Path of the TOML file.
     :param role: daemon, control or operator.
     """
-    read_settings(file, SETTINGS_BY_ROLE[role])
+    load_settings(file, SETTINGS_BY_ROLE[role])
     print(f"{file}: ok")
 
 
@@ -240,7 +227,7 @@
     """The calls to the control VMs of an operator's settings file."""
 
     def __init__(self, settings_path):
-        settings = read_settings(settings_path, OperatorSettings)
+        settings = load_settings(settings_path, OperatorSettings)
         self.members = settings.control
         self.timeout_s = settings.timeout_ms / 1000
         self.calls = plumbing.ControlClient(settings.control)
@@ -280,4 +267,4 @@
 
 
 def _print_line(plain, output, text):
-    print(json.dumps(plain, sort_keys=True) if output is Output.JSON else text)
+    print(json.dumps(plain, sort_keys=True) if output == "json" else text)
