Read settings files and tell all their problems at once

**Cause:** a process could not be told its addresses by a file. **Change:** TOML files become the settings classes, checked whole before anything starts; each problem names file and dotted key, an unknown key its nearest name.

--- /dev/null
+++ b/tamarackhaven/_settings_file.py
@@ -0,0 +1,163 @@
+"""Reads a part's settings from a TOML file and reports all its problems at once."""
+
+import difflib
+import pathlib
+import tomllib
+import types
+import typing
+
+import attrs
+
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+_NAME_BY_TYPE = {
+    str: "a text",
+    int: "a whole number",
+    float: "a number",
+    bool: "true or false",
+    list: "a list",
+    dict: "a table",
+}
+
+
+@attrs.frozen
+class Problem:
+    """One thing that is wrong in a file; ``key`` is dotted, as ``gate.queue_ms``."""
+
+    kind: ErrorKind
+    key: str
+    text: str
+
+    def __str__(self):
+        return f"{self.key}: {self.text}"
+
+
+class SettingsError(TamarackhavenError):
+    """A settings file with one problem or more; the kind is that of the first.
+
+    Parameters
+    ----------
+    path : str or Path
+        The file.
+    problems : list of Problem
+        All that is wrong in it.
+    """
+
+    def __init__(self, path, problems):
+        texts = "; ".join(str(problem) for problem in problems)
+        super().__init__(problems[0].kind, f"{path}: {texts}")
+        self.problems = problems
+
+
+def load_settings(path, settings_class):
+    """Return the settings in a file.
+
+    Parameters
+    ----------
+    path : str or Path
+        A TOML file.
+    settings_class : type
+        An ``attrs`` class of ``_settings``.
+
+    Raises
+    ------
+    TamarackhavenError
+        SETTINGS_MISSING, SETTINGS_SYNTAX, SETTINGS_UNKNOWN_KEY, SETTINGS_WRONG_TYPE
+        or SETTINGS_OUT_OF_RANGE; the detail names the file, each key and the cause.
+    """
+    table = _read(path)
+    problems = []
+    settings = _build(table, settings_class, "", problems)
+    if problems:
+        raise SettingsError(path, problems)
+    return settings
+
+
+def _read(path):
+    try:
+        return tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise TamarackhavenError(
+            ErrorKind.SETTINGS_MISSING, f"{path}: {error.strerror}."
+        ) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise TamarackhavenError(
+            ErrorKind.SETTINGS_SYNTAX, f"{path}: {error}."
+        ) from error
+
+
+def _build(table, settings_class, prefix, problems):
+    """Return an instance, or None after adding to ``problems``."""
+    before = len(problems)
+    field_by_name = attrs.fields_dict(attrs.resolve_types(settings_class))
+    for name in table:
+        if name not in field_by_name:
+            problems.append(_unknown(name, field_by_name, prefix))
+    value_by_name = {}
+    for name, field in field_by_name.items():
+        key = prefix + name
+        if name in table:
+            value = _convert(table[name], field.type, key, problems)
+            value_by_name[name] = value
+            _check(field, value, key, problems)
+        elif field.default is attrs.NOTHING:
+            text = "is missing and has no default"
+            problems.append(Problem(ErrorKind.SETTINGS_MISSING, key, text))
+    if len(problems) > before:
+        return None
+    return settings_class(**value_by_name)
+
+
+def _unknown(name, field_by_name, prefix):
+    near = difflib.get_close_matches(name, field_by_name, n=1)
+    text = f"is unknown; did you mean {prefix}{near[0]}?" if near else "is unknown"
+    return Problem(ErrorKind.SETTINGS_UNKNOWN_KEY, prefix + name, text)
+
+
+def _convert(value, wanted, key, problems):
+    """Return the value as the field's type wants it, None after a problem."""
+    if attrs.has(wanted):
+        if isinstance(value, dict):
+            return _build(value, wanted, f"{key}.", problems)
+        problems.append(_wrong_type(key, dict, value))
+        return None
+    if typing.get_origin(wanted) is list:
+        return _convert_list(value, typing.get_args(wanted)[0], key, problems)
+    accepted = (int, float) if wanted is float else (wanted,)
+    if type(value) not in accepted:
+        problems.append(_wrong_type(key, wanted, value))
+        return None
+    return value
+
+
+def _convert_list(value, wanted, key, problems):
+    if not isinstance(value, list):
+        problems.append(_wrong_type(key, list, value))
+        return None
+    items = []
+    for number, item in enumerate(value):
+        items.append(_convert(item, wanted, f"{key}[{number}]", problems))
+    return items
+
+
+def _wrong_type(key, wanted, value):
+    name = _NAME_BY_TYPE.get(wanted, wanted.__name__)
+    found = _NAME_BY_TYPE.get(type(value), type(value).__name__)
+    text = f"must be {name}, not {found}"
+    return Problem(ErrorKind.SETTINGS_WRONG_TYPE, key, text)
+
+
+def _check(field, value, key, problems):
+    """Run the field's own validator, which knows its range."""
+    if value is None or field.validator is None or _has_problem(key, problems):
+        return
+    # Validators name their field; a stand-in instance is all that they need besides.
+    try:
+        field.validator(types.SimpleNamespace(), field, value)
+    except (ValueError, TypeError) as error:
+        text = f"is out of range: {error.args[0]}"
+        problems.append(Problem(ErrorKind.SETTINGS_OUT_OF_RANGE, key, text))
+
+
+def _has_problem(key, problems):
+    return any(problem.key.startswith(key) for problem in problems)
--- /dev/null
+++ b/tests/test_settings_file.py
@@ -0,0 +1,100 @@
+"""Settings files: the examples, and every kind of mistake."""
+
+import pathlib
+
+import attrs
+import pytest
+
+from tamarackhaven._settings import (
+    ControlSettings,
+    DaemonSettings,
+    OperatorSettings,
+    PlacementSettings,
+)
+from tamarackhaven._settings_file import load_settings
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+
+EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
+CLASS_BY_NAME = {
+    "daemon": DaemonSettings,
+    "control": ControlSettings,
+    "operator": OperatorSettings,
+}
+
+
+@pytest.mark.parametrize("name", CLASS_BY_NAME)
+def test_each_example_loads_and_names_every_key_with_a_comment(name):
+    path = EXAMPLES / f"{name}.toml"
+    settings = load_settings(path, CLASS_BY_NAME[name])
+    lines = path.read_text().splitlines()
+    for value in _parts(settings):
+        for field in attrs.fields(type(value)):
+            number = _line_of(lines, field.name)
+            before = lines[number - 1]
+            assert before.startswith("#") or "#" in lines[number], field.name
+            if not attrs.has(field.type) and field.default is not attrs.NOTHING:
+                assert getattr(value, field.name) == field.default, field.name
+
+
+def _parts(settings):
+    yield settings
+    for value in attrs.asdict(settings, recurse=False).values():
+        if attrs.has(type(value)):
+            yield from _parts(value)
+        elif isinstance(value, list):
+            yield from value
+
+
+def _line_of(lines, name):
+    starts = (f"{name} =", f"[{name}]", f"[[{name}]]")
+    for number, line in enumerate(lines):
+        if line.startswith(starts):
+            return number
+    raise AssertionError(f"{name} is not in the example")
+
+
+@pytest.mark.parametrize(
+    ("text", "kind", "key", "words"),
+    [
+        ("tick_ms = ]\n", "SETTINGS_SYNTAX", "line 1", ""),
+        ("tick_sm = 5", "SETTINGS_UNKNOWN_KEY", "tick_sm", "did you mean tick_ms?"),
+        ("tick_ms = '5'", "SETTINGS_WRONG_TYPE", "tick_ms", "a whole number, not a t"),
+        ("tick_ms = true", "SETTINGS_WRONG_TYPE", "tick_ms", "not true or false"),
+        ("tick_ms = 5.0", "SETTINGS_WRONG_TYPE", "tick_ms", "whole number"),
+        ("tick_ms = 5", "SETTINGS_OUT_OF_RANGE", "tick_ms", ">= 10"),
+    ],
+)
+def test_a_mistake_names_file_and_key(tmp_path, text, kind, key, words):
+    path = tmp_path / "p.toml"
+    path.write_text(text)
+    with pytest.raises(TamarackhavenError) as caught:
+        load_settings(path, PlacementSettings)
+    assert caught.value.kind is ErrorKind[kind]
+    for part in (str(path), key, words):
+        assert part in caught.value.detail
+
+
+def test_all_problems_are_told_at_once_with_dotted_keys(tmp_path):
+    path = tmp_path / "d.toml"
+    text = (EXAMPLES / "daemon.toml").read_text()
+    text = text.replace('service = "rota"\n', "")
+    text = text.replace("queue_ms = 500", "queue_ms = -1")
+    text = text.replace("lease_port = 7101", 'lease_port = "x"')
+    path.write_text(text)
+    with pytest.raises(TamarackhavenError) as caught:
+        load_settings(path, DaemonSettings)
+    assert [problem.key for problem in caught.value.problems] == [
+        "service",
+        "control[0].lease_port",
+        "gate.queue_ms",
+    ]
+    path.write_text("control = []")
+    with pytest.raises(TamarackhavenError, match="control: is out of range"):
+        load_settings(path, OperatorSettings)
+
+
+def test_a_missing_file_is_named(tmp_path):
+    with pytest.raises(TamarackhavenError) as caught:
+        load_settings(tmp_path / "none.toml", OperatorSettings)
+    assert caught.value.kind is ErrorKind.SETTINGS_MISSING
+    assert "none.toml" in caught.value.detail
