Test log lines, counters and quantiles

**Cause:** logs and metrics had no tests of their own. **Change:** tests of prefix, ids, the limit on repeated lines, counters at zero from the start, and quantiles against a sorted list. **Measured:** all pass; without the limit on repeats and without the registration of counters the matching test was seen failing.

--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,45 @@
+"""Log lines: prefix, ids, and the limit on repeated ones."""
+
+import json
+
+from tamarackhaven._logs import WINDOW_S, Log, open_logs
+from tamarackhaven._settings import LogSettings
+
+
+def test_lines_are_json_with_prefix_and_ids(tmp_path):
+    close = open_logs(LogSettings(file="logs/d.log"), tmp_path)
+    Log("path").part("gate").say("full", "r1", "r1.7", waiting=3)
+    close()
+    Log("gate").say("nobody reads this")
+    (line,) = (tmp_path / "logs/d.log").read_text().splitlines()
+    found = json.loads(line)
+    wanted = {
+        "sentence": "gate: full",
+        "request_id": "r1",
+        "decision_id": "r1.7",
+        "waiting": 3,
+        "message_type": "tamarackhaven:gate",
+    }
+    assert {name: found[name] for name in wanted} == wanted
+
+
+def test_repeated_lines_are_dropped_and_counted():
+    """A target is down and thousands of refusals a second want a line each.
+
+    Only the limit's number of lines is written in a minute, other sentences still
+    are, and the next minute's first line says how many are missing.
+    """
+    now = [0.0]
+    lines = []
+    log = Log("gate", 3, lambda: now[0], lambda **fields: lines.append(fields))
+    for number in range(1000):
+        log.say("full", f"r{number}")
+    log.say("other")
+    now[0] = WINDOW_S
+    log.say("full", "late")
+    assert [line["sentence"] for line in lines] == ["gate: full"] * 3 + [
+        "gate: other",
+        "gate: full",
+    ]
+    assert lines[-1]["dropped_before"] == 997
+    assert "dropped_before" not in lines[0]
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,49 @@
+"""Counters and quantiles, and the page of them."""
+
+import re
+from concurrent.futures import ThreadPoolExecutor
+
+from hypothesis import given, settings, strategies as st
+
+from tamarackhaven._metrics import LATENCY, REFUSALS, RETRIES, RETRY_REASONS, Metrics
+from tamarackhaven.errors import ErrorKind
+
+_SAMPLE = re.compile(
+    r'[a-z_]+(\{[a-z_]+="([^"\\\n]|\\.)*"(,[a-z_]+="([^"\\\n]|\\.)*")*\})? [-+.e\d]+'
+)
+
+
+def test_every_refusal_kind_and_retry_reason_starts_at_zero():
+    page = Metrics().page()
+    for kind in ErrorKind:
+        assert f'{REFUSALS}{{kind="{kind.name}"}} 0\n' in page
+    for reason in RETRY_REASONS:
+        assert f'{RETRIES}{{reason="{reason.name}"}} 0\n' in page
+
+
+def test_counts_from_many_threads_add_up():
+    metrics = Metrics()
+    with ThreadPoolExecutor(8) as pool:
+        for _ in range(800):
+            pool.submit(metrics.count, REFUSALS, kind="INTERNAL")
+            pool.submit(metrics.observe, 0.001, service="s", target="t")
+    assert metrics.counter(REFUSALS, kind="INTERNAL") == 800
+    assert f'{LATENCY}_count{{service="s",target="t"}} 800' in metrics.page()
+
+
+@settings(
+    derandomize=True, deadline=None, print_blob=False, database=None, max_examples=12
+)
+@given(
+    name=st.text(st.characters(codec="utf-8", exclude_categories=("Cs",))),
+    seconds=st.lists(st.floats(0.0001, 500), min_size=1, max_size=60),
+)
+def test_the_page_parses_and_quantiles_match_a_sorted_list(name, seconds):
+    metrics = Metrics()
+    for value in seconds:
+        metrics.observe(value, service=name, target="t")
+    for line in metrics.page().strip("\n").split("\n"):
+        assert line.startswith("# ") or _SAMPLE.fullmatch(line), line
+    naive = sorted(seconds)[max(0, -(-len(seconds) * 50 // 100) - 1)]
+    found = metrics.quantile_s(50, service=name, target="t")
+    assert abs(found - naive) <= naive * 0.02 + 0.000_002
