--- a/tamarackhaven/_raft.py
+++ b/tamarackhaven/_raft.py
@@ -190,7 +190,6 @@
             _note_synced(write, self._core)
         if self._leadership:
             self._leadership.persisted(now)
-            self._stop_if_removed()
         return self._take()
 
     def compacted(self, snapshot):
--- a/tamarackhaven/_raft_leader.py
+++ b/tamarackhaven/_raft_leader.py
@@ -36,11 +36,10 @@
         self._core = core
         self._now = now
         self._round = 0
-        self._heartbeat_due = now
+        self._heartbeat_due = now + core.heartbeat_s
         self._progress = {}
         self._reads = PendingReads()
         self._append(EntryKind.EMPTY, b"")
-        self._heartbeat()
 
     def tick(self, now):
         """Send heartbeats that are due; tell whether a quorum was heard of late."""
@@ -117,9 +116,9 @@
     def _follow_membership(self):
         core = self._core
         names = set(core.log.membership.by_name) - {core.name}
-        for name in names - set(self._progress):
+        for name in sorted(names - set(self._progress)):
             self._progress[name] = Progress(core.synced_index + 1, self._now)
-        for name in set(self._progress) - names:
+        for name in sorted(set(self._progress) - names):
             del self._progress[name]
 
     def persisted(self, now):
--- a/tests/raft_group.py
+++ b/tests/raft_group.py
@@ -43,6 +43,14 @@
             else:
                 self._replace(write.snapshot)
 
+    def check_equals(self, node):
+        """Compare the log in memory with this naive one."""
+        last = self.entries[-1].index if self.entries else self.snapshot.index
+        assert node.last_index == last
+        assert node.snapshot_at(last, b"").term == (
+            self.entries[-1].term if self.entries else self.snapshot.term
+        )
+
     def _replace(self, snapshot):
         terms = {entry.index: entry.term for entry in self.entries}
         if terms.get(snapshot.index) != snapshot.term:
@@ -102,6 +110,7 @@
             return
         if output.writes:
             self.disks[name].write(output.writes)
+            self.disks[name].check_equals(self.nodes[name])
             self.note(name, "sync", output.writes)
         self._send(name, output.messages)
         self._apply(name, output)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -10,7 +10,7 @@
 from tamarackhaven._consensus import Consensus
 from tamarackhaven._members import Membership, Step
 from tamarackhaven._raft import Role
-from tamarackhaven._raft_messages import EntryKind
+from tamarackhaven._raft_messages import Append, Entry, EntryKind, Vote
 from tamarackhaven._settings import RaftSettings
 from tamarackhaven._storage import Storage
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
@@ -228,3 +228,33 @@
     with pytest.raises(TamarackhavenError) as caught:
         trio.start("b")
     assert caught.value.kind is ErrorKind.MEMBER_UNKNOWN
+
+
+def test_nothing_is_answered_before_it_is_synced(tmp_path):
+    """A follower's disk fails under entries that the leader has sent.
+
+    An answer that left before the sync would let the leader confirm a change to its
+    caller that is on one disk only. No message may leave, and none ever after.
+    """
+    sent, fatal, files = [], [], BrokenFiles()
+    follower = Consensus(
+        "b",
+        SETTINGS,
+        Storage.open(tmp_path, files),
+        membership("a", "b", "c"),
+        sent.extend,
+        ListMachine(),
+        _clock.boot_s,
+        random.Random(1),
+        on_fatal=fatal.append,
+    )
+    files.failure = "sync"
+    entry = Entry(1, 1, EntryKind.CHANGE, b"x")
+    follower.deliver([Append("a", "b", 1, 0, 0, 0, 1, (entry,))])
+    follower.deliver([Vote("c", "b", 2, 5, 1)])
+    follower.start()
+    wait_for(lambda: fatal)
+    follower.deliver([Vote("c", "b", 2, 5, 1)])
+    follower.stop()
+    assert fatal[0].kind is ErrorKind.SYNC_FAILED
+    assert sent == []
--- a/tests/test_raft_random.py
+++ b/tests/test_raft_random.py
@@ -9,7 +9,7 @@
 ACTIONS = (
     ["tick"] * 30
     + ["deliver"] * 60
-    + ["late", "drop", "duplicate", "propose", "propose", "propose"] * 3
+    + ["late", "drop", "read", "duplicate", "propose", "propose", "propose"] * 3
     + ["crash", "start", "start", "start", "torn", "cut", "one_way"]
     + ["heal", "heal", "compact", "member"]
 )
@@ -22,6 +22,7 @@
         self.group = Group("a", "b", "c", seed=seed)
         self.rng = self.group.rng
         self.joined = 0
+        self.floor_by_token = {}
 
     def run(self, steps):
         for number in range(steps):
@@ -42,6 +43,9 @@
         for name in group.nodes[leader].membership.by_name:
             assert group.applied[name] >= index
         self._check_logs_match()
+        for token, floor in self.floor_by_token.items():
+            confirmed = group.reads.get(token)
+            assert confirmed is None or confirmed >= floor
 
     def _check_logs_match(self):
         kept = {}
@@ -86,6 +90,13 @@
             if node.role is Role.LEADER:
                 self.group.propose(name, b"%d" % number)
 
+    def _read(self, number):
+        """A read must see all that any member had committed before it."""
+        if name := self._any_node():
+            self.floor_by_token[number] = max(self.group.committed_by_index, default=0)
+            output = self.group.nodes[name].read(number, self.group.now)
+            self.group.take(name, output)
+
     def _crash(self, _number):
         if name := self._any_node():
             self.group.crash(name)
@@ -135,7 +146,8 @@
 
     Messages are dropped, doubled and reordered, members crash with or without their
     last sync, links break one way or both, logs are compacted, members change. The
-    group checks at each commit that all agree and that a term has one leader. At the
-    end all heals, and every member must catch up.
+    group checks at each commit that all agree, that a term has one leader, and that
+    logs equal the naive disks. At the end all heals, every member must catch up, and
+    no confirmed read may have missed what was committed before it.
     """
     Session(seed).run(1500)
