--- a/tamarackhaven/_balance.py
+++ b/tamarackhaven/_balance.py
@@ -18,6 +18,7 @@
     def __init__(self, grants_by_load):
         self.rows = sorted(grants_by_load, key=lambda row: row[:2])
         self.sizes = [row[0] for row in self.rows]
+        self.total = sum(self.sizes)
 
     def __bool__(self):
         return bool(self.rows)
@@ -26,6 +27,10 @@
         """Return the grant of the lightest shard."""
         return self.rows[0][2]
 
+    def mean(self):
+        """Return the mean load of a shard."""
+        return self.total / len(self.sizes)
+
     def choose(self, most, enough, pin_allowed):
         """Return the index of the shard to move, -1 if there is none.
 
@@ -40,7 +45,7 @@
 
     def pop(self, index):
         """Remove the row at ``index`` and return its grant."""
-        del self.sizes[index]
+        self.total -= self.sizes.pop(index)
         return self.rows.pop(index)[2]
 
 
@@ -66,11 +71,16 @@
 
 
 def _relieve(draft, donor, shards):
-    """Move shards off ``donor`` until it is within the slack."""
+    """Move shards off ``donor`` until it is within the slack.
+
+    Only to a target below the mean. Failure: the targets of a zone that has returned
+    are cold and have all that they can bear. Symptom: full targets pass shards to each
+    other, step after step, until those are warm.
+    """
     loads = draft.loads
     while shards and draft.budget > 0 and loads.excess(donor) > loads.slack:
-        target = loads.lightest_bearing(shards.sizes[0])
-        if target is None:
+        target = loads.lightest_bearing(shards.mean())
+        if target is None or loads.relative(target) >= loads.mean:
             draft.hold(shards.first(), HoldCause.NO_ROOM)
             return
         room = max(loads.room(target), shards.sizes[0])
@@ -80,7 +90,12 @@
 
 
 def _fill(draft, takers, shards_by_owner):
-    """Move shards from the fullest targets to those below the slack."""
+    """Move shards from the fullest targets to those below the slack.
+
+    A cold target waits until it has room for a shard of the donor's mean load. What it
+    can take grows a little each step, so it would else be filled with the lightest
+    shards, and many of them.
+    """
     loads = draft.loads
     fullest = [(-loads.excess(name), name) for name in shards_by_owner]
     heapq.heapify(fullest)
@@ -88,8 +103,12 @@
         while draft.budget > 0 and loads.deficit(target) > 0.0:
             donor = fullest[0][1]
             shards = shards_by_owner[donor]
-            most = min(loads.deficit(target), -loads.deficit(donor))
-            most = max(most, shards.sizes[0]) if shards else most
+            if not shards:
+                return
+            if not loads.can_bear(target, shards.mean()):
+                break
+            most = min(loads.below_mean(target), -loads.deficit(donor))
+            most = max(most, shards.sizes[0])
             index = shards.choose(most, most, loads.has_pin_room(target))
             if not _move(draft, donor, target, shards, index):
                 return
--- a/tamarackhaven/_pins.py
+++ b/tamarackhaven/_pins.py
@@ -71,7 +71,10 @@
             self._received_by_target[place] = _Received(report, now)
 
     def shares(self, service, now):
-        """Return the share of each reported key in all requests of the service.
+        """Return how heavy each reported key is, as a part of a target's mean load.
+
+        By the mean target and not by the whole service, so that the thresholds mean
+        the same with 4 targets and with 1,500.
 
         Returns
         -------
@@ -79,18 +82,19 @@
             By key hash; each target's report is weighed by its rate and its age.
         """
         self._forget_stale(now)
-        total = 0.0
+        rates = []
         rate_by_key = {}
         for received in self._received_by_target.values():
             report = received.report
             if report.service != service.name:
                 continue
             rate = report.requests_per_s * _freshness(now - received.now)
-            total += rate
+            rates.append(rate)
             for hot in report.hot_keys:
                 known = rate_by_key.get(hot.key_hash, 0.0)
                 rate_by_key[hot.key_hash] = known + rate * hot.share
-        return {key: rate / total for key, rate in rate_by_key.items() if total}
+        mean = sum(rates) / len(rates) if rates else 0.0
+        return {key: rate / mean for key, rate in rate_by_key.items() if mean}
 
     def decide(self, service, policy, grants_by_shard, now, max_moves=None):
         """Return what to pin, to unpin and to move home.
@@ -167,7 +171,7 @@
 
 
 def _pin(service, key, share):
-    return PinKey(service.name, key, f"{share:.1%} of all requests")
+    return PinKey(service.name, key, f"{share:.1%} of a target's mean load")
 
 
 def _bring_home(pin, home, moves, unpins):
--- a/tamarackhaven/_target_loads.py
+++ b/tamarackhaven/_target_loads.py
@@ -88,6 +88,10 @@
         limit = self.mean * self.weight_by_target[target] * (1.0 + self.slack)
         return limit - self.load_by_target[target]
 
+    def below_mean(self, target):
+        """Return the load that the target lacks to come to the mean."""
+        return self.mean * self.weight_by_target[target] - self.load_by_target[target]
+
     def deficit(self, target):
         """Return the load that the target lacks to come within the slack."""
         least = self.mean * self.weight_by_target[target] * (1.0 - self.slack)
--- a/tests/test_hot_keys.py
+++ b/tests/test_hot_keys.py
@@ -54,9 +54,9 @@
     assert {hot.key_hash for hot in sketch.hottest(22)} == set(range(22))
 
 
-def report(planner, now, epoch=1, **share_by_key):
+def report(planner, now, epoch=1, target="t1", **share_by_key):
     keys = [HotKey(int(key[1:]), share) for key, share in share_by_key.items()]
-    planner.report(LoadReport("track", "t1", epoch, 100.0, 12, False, keys), now)
+    planner.report(LoadReport("track", target, epoch, 100.0, 12, False, keys), now)
 
 
 def grants(pin_owner, home_owner="t1", moving_to=""):
@@ -90,6 +90,16 @@
     assert [type(change) for change in decision.changes] == [UnpinKey]
 
 
+def test_thresholds_mean_the_same_with_many_targets():
+    """A key is 6% of its target's requests, and 0.06% of those of all 100 targets."""
+    planner = PinPlanner(PlacementSettings())
+    for number in range(100):
+        report(planner, 0, target=f"t{number}")
+    report(planner, 0, k6=0.06)
+    pinned = planner.decide(SERVICE, POLICY, {}, 1).changes
+    assert [change.key_hash for change in pinned] == [6]
+
+
 def test_stale_and_replaced_reports_decide_nothing():
     """A target is cut off, or a replaced process still reports.
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -175,6 +175,26 @@
     assert HoldCause.NO_ROOM.value in "\n".join(session.lines)
 
 
+def test_a_cold_target_is_filled_with_few_moves():
+    """A target returns cold and warms up a little with each step.
+
+    If each bit of room were filled at once, it would be with the lightest shards, and
+    full targets would pass shards to each other meanwhile; each move makes callers of
+    a key wait. A quarter of 64 shards is 16.
+    """
+    session = polar(shards=64, batch=8)
+    session.loads = {shard: 0.25 + (shard * 7 % 64) / 40 for shard in range(64)}
+    session.member("t1", TargetState.LEAVING)
+    session.settle()
+    session.member("t1", TargetState.ACTIVE)
+    moved = 0
+    for step in range(101):
+        session.warmth = {"t1": 0.1 + 0.9 * step / 100}
+        moved += len(session.step().moves)
+    assert moved <= 20
+    assert session.plan().imbalance_after <= 0.1
+
+
 def test_slow_releases_count_in_the_batch():
     """A zone goes out and its owners take long to finish what is in flight.
 
