--- a/tamarackhaven/_placement.py
+++ b/tamarackhaven/_placement.py
@@ -16,6 +16,13 @@
 
 DEFAULT_LOAD = 1.0
 
+MIN_LOAD_SHARE = 0.05
+"""Least load of a shard, as a part of the mean one.
+
+Shards without a request would else weigh nothing and all go to one target, which would
+be flooded once their callers come.
+"""
+
 
 def plan(inputs, settings):
     """Return the next placement step of one service.
@@ -55,7 +62,7 @@
             if member.service == inputs.service.name
         }
         self.grants = self._all_grants()
-        self.load_by_shard = inputs.loads_by_shard
+        self.load_by_shard = self._weigh()
         self.loads = self._target_loads(settings)
         self.budget = inputs.policy.move_batch
         self.moves_by_shard = {}
@@ -68,8 +75,7 @@
 
     def run(self):
         """Return the plan."""
-        for grant in self.grants:
-            self._sort_in(grant)
+        self._sort_in_all()
         self.loads.start()
         before = self.loads.imbalance()
         self._aim_again()
@@ -94,16 +100,39 @@
         pinned = [by_shard[s] for s in sorted(by_shard) if s >= count]
         return ordinary + pinned
 
+    def _weigh(self):
+        """Return the load of each shard by its number."""
+        known = self.inputs.loads_by_shard.get
+        shards = [grant.shard for grant in self.grants]
+        loads = [known(shard, DEFAULT_LOAD) for shard in shards]
+        mean = sum(loads) / max(1, len(loads))
+        least = mean * MIN_LOAD_SHARE or DEFAULT_LOAD
+        return {
+            shard: load if load > least else least
+            for shard, load in zip(shards, loads, strict=True)
+        }
+
     def _target_loads(self, settings):
         zones = self.inputs.zones_by_name
         members = self.members_by_name.values()
         eligible = [m for m in members if is_eligible(m, zones)]
-        total = sum(self._load(grant) for grant in self.grants)
         warmth = self.inputs.warmth_by_target
+        total = sum(self.load_by_shard.values())
         return TargetLoads(eligible, warmth, total, settings.imbalance)
 
     def _load(self, grant):
-        return self.load_by_shard.get(grant.shard, DEFAULT_LOAD)
+        return self.load_by_shard[grant.shard]
+
+    def _sort_in_all(self):
+        """Count all shards; settled ordinary ones, nearly all, take the short way."""
+        load_by_target = self.loads.load_by_target
+        load_by_shard = self.load_by_shard
+        for grant in self.grants:
+            owner = grant.owner
+            if grant.moving_to or grant.key_hash or owner not in load_by_target:
+                self._sort_in(grant)
+            else:
+                load_by_target[owner] += load_by_shard[grant.shard]
 
     def _sort_in(self, grant):
         """Count a shard at its destination, and note what must happen to it."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -233,6 +233,19 @@
     ]
 
 
+def test_shards_without_requests_are_spread_too():
+    """A service starts with no callers yet, or only half of its keys are in use.
+
+    Counted as nothing, its idle shards would all go to one target.
+    """
+    for busy in (0, 8):
+        session = polar()
+        session.loads = {shard: 100.0 if shard < busy else 0.0 for shard in range(16)}
+        session.settle()
+        owners = [session.grants[shard].owner for shard in range(busy, 16)]
+        assert len(set(owners)) == 4
+
+
 EVENTS = st.tuples(
     st.sampled_from(["lost", "leaving", "active", "in", "out", "load", "cold"]),
     st.integers(0, 5),
