Bound the changes that wait, and notice lost fences

**Cause:** a burst at a member with a slow disk would queue without end; a lost fence file would read as no fences, so an epoch that was refused could be taken again. **Change:** a proposal beyond 4,096 waiting ones is refused at once with the new kind CONTROL_BUSY; a fence file is made at the first start and must exist afterwards.

--- a/tamarackhaven/_consensus.py
+++ b/tamarackhaven/_consensus.py
@@ -30,6 +30,12 @@
 # reached. Limit: the larger of this and twice the snapshot, so that rewriting a large
 # state stays rare.
 COMPACT_BYTES = 8 << 20
+# Load: more changes than the disks can sync, as after an availability zone's return.
+# Harm: a queue without end; each change would wait longer than its caller does, and
+# the log in memory would grow. Limit: about two seconds of the commits measured with
+# many writers; beyond it a caller hears at once that its change is not in the log.
+MAX_WAITING = 4096
+BUSY_RETRY_S = 0.5
 
 
 @attrs.frozen
@@ -191,7 +197,8 @@
         -------
         concurrent.futures.Future
             What ``machine.apply`` returned for this entry. Fails with NO_QUORUM if
-            this member doesn't lead, with CHANGE_UNCONFIRMED if the entry is in the
+            this member doesn't lead, with CONTROL_BUSY if too many changes wait
+            already, with CHANGE_UNCONFIRMED if the entry is in the
             log and may yet commit or not, or with the fatal error if it never came
             into the log. Callbacks run on the member's thread and must not block.
         """
@@ -311,6 +318,13 @@
 
     @_handle.register
     def _(self, item: _Propose):
+        if self._waiting.entry_count >= MAX_WAITING:
+            item.future.set_exception(
+                TamarackhavenError(
+                    ErrorKind.CONTROL_BUSY, f"{MAX_WAITING} changes", BUSY_RETRY_S
+                )
+            )
+            return []
         return self._append(self._raft.propose, item.command, item.future)
 
     @_handle.register
--- a/tamarackhaven/_consensus_waiting.py
+++ b/tamarackhaven/_consensus_waiting.py
@@ -26,6 +26,11 @@
         self._ready = []
         self._token = 0
 
+    @property
+    def entry_count(self):
+        """Number of entries that someone waits for."""
+        return len(self._proposal_by_index)
+
     def add_entry(self, index, term, future):
         """Wait for entry ``index`` of ``term``."""
         self._proposal_by_index[index] = _Proposal(term, future)
--- a/tamarackhaven/_fences.py
+++ b/tamarackhaven/_fences.py
@@ -5,7 +5,7 @@
 import attrs
 
 from tamarackhaven import _codec, _files, _record
-from tamarackhaven.errors import ErrorKind, TamarackhavenError
+from tamarackhaven.errors import TamarackhavenError
 
 _NAME = "fences"
 
@@ -39,16 +39,31 @@
         self.epochs_by_target = epochs_by_target
 
     @classmethod
-    def open(cls, folder, files=None):
+    def open(cls, folder, files=None, must_exist=False):
         """Read the fences of a data folder; the caller holds the folder's lock.
 
+        Parameters
+        ----------
+        folder : path
+            The data folder.
+        files : Files or None
+            File operations, the system's if None.
+        must_exist : bool
+            True for a folder that was in use before. A missing file is then a loss
+            of promises; else an empty one is made, so that a loss can be told.
+
         Raises
         ------
         TamarackhavenError
-            LOG_DAMAGED or FORMAT_UNKNOWN.
+            LOG_DAMAGED, FORMAT_UNKNOWN, SYNC_FAILED or DISK_FULL.
         """
         path = pathlib.Path(folder) / _NAME
-        return cls(path, files or _files.Files(), _read(path))
+        files = files or _files.Files()
+        if not path.exists():
+            if must_exist:
+                raise _record.damaged(path, 0)
+            _files.replace(files, path, _to_bytes({}))
+        return cls(path, files, _read(path))
 
     def fence(self, service, target, epoch):
         """Refuse ``epoch`` and all before it; durable when this returns.
@@ -78,10 +93,8 @@
 
 
 def _read(path):
-    if not path.exists():
-        return {}
     found = _record.scan(path.read_bytes(), path)
     if not found.bodies:
-        raise TamarackhavenError(ErrorKind.LOG_DAMAGED, f"{path} at offset 0")
+        raise _record.damaged(path, len(_record.HEADER))
     fences = _codec.loads(found.bodies[0], list[Fence])
     return {(each.service, each.target): each.epoch for each in fences}
--- a/tamarackhaven/_raft.py
+++ b/tamarackhaven/_raft.py
@@ -8,7 +8,7 @@
 import functools
 
 from tamarackhaven import _raft_follower
-from tamarackhaven._raft_core import Core
+from tamarackhaven._raft_core import Core, note_synced
 from tamarackhaven._raft_election import Election
 from tamarackhaven._raft_leader import Leader
 from tamarackhaven._raft_log import RaftLog
@@ -22,7 +22,6 @@
     Snapshot,
     Vote,
     VoteReply,
-    WriteEntries,
     WriteSnapshot,
 )
 from tamarackhaven._raft_outbox import Outbox
@@ -187,7 +186,7 @@
         """Take note that ``output_writes`` are synced."""
         self._now = now
         for write in output_writes:
-            _note_synced(write, self._core)
+            note_synced(write, self._core)
         if self._leadership:
             self._leadership.persisted(now)
         return self._take()
@@ -395,19 +394,3 @@
         if self._leadership:
             self._leadership.on_snapshot_reply(message, self._now)
             self._stop_if_removed()
-
-
-@functools.singledispatch
-def _note_synced(_write, _core):
-    """Count what a write made durable; a term or vote makes no entry durable."""
-
-
-@_note_synced.register
-def _(write: WriteEntries, core):
-    last = write.entries[-1]
-    core.note_synced(last.index, last.term)
-
-
-@_note_synced.register
-def _(write: WriteSnapshot, core):
-    core.note_synced(write.snapshot.index, write.snapshot.term)
--- a/tamarackhaven/_raft_core.py
+++ b/tamarackhaven/_raft_core.py
@@ -1,6 +1,8 @@
 """What a member of the consensus group has in every role."""
 
-from tamarackhaven._raft_messages import HardState
+import functools
+
+from tamarackhaven._raft_messages import HardState, WriteEntries, WriteSnapshot
 
 
 class Core:
@@ -71,3 +73,19 @@
         """Note that entry ``index`` is synced, unless it was replaced meanwhile."""
         if self.log.term_at(index) == term:
             self.synced_index = max(self.synced_index, index)
+
+
+@functools.singledispatch
+def note_synced(_write, _core):
+    """Count what a write made durable; a term or vote makes no entry durable."""
+
+
+@note_synced.register
+def _(write: WriteEntries, core):
+    last = write.entries[-1]
+    core.note_synced(last.index, last.term)
+
+
+@note_synced.register
+def _(write: WriteSnapshot, core):
+    core.note_synced(write.snapshot.index, write.snapshot.term)
--- a/tamarackhaven/errors.py
+++ b/tamarackhaven/errors.py
@@ -90,6 +90,7 @@
     STALE_GRANT = "TH614"
     CONTROL_UNREACHABLE = "TH615"
     MEMBERSHIP_BUSY = "TH616"
+    CONTROL_BUSY = "TH617"
     # A process and its files.
     USAGE = "TH701"
     SETTINGS_MISSING = "TH702"
@@ -256,6 +257,9 @@
     _K.MEMBERSHIP_BUSY: Answer(
         409, 70, _NO, _LATER, "The control group's members can't change yet."
     ),
+    _K.CONTROL_BUSY: Answer(
+        503, 70, _NO, _LATER, "Too many changes wait in the control group."
+    ),
     _K.USAGE: Answer(400, 2, _NO, _NEVER, "The command line is not valid."),
     _K.SETTINGS_MISSING: Answer(500, 80, _NO, _NEVER, "The settings file is missing."),
     _K.SETTINGS_SYNTAX: Answer(500, 81, _NO, _NEVER, "The settings are not TOML."),
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -2,11 +2,12 @@
 
 import itertools
 import random
+import threading
 import time
 
 import pytest
 
-from tamarackhaven import _clock, _raft_wire
+from tamarackhaven import _clock, _consensus, _raft_wire
 from tamarackhaven._consensus import Consensus
 from tamarackhaven._members import Membership, Step
 from tamarackhaven._raft import Role
@@ -39,6 +40,13 @@
         self.commands = snapshot.data.split(b",") if snapshot.data else []
 
 
+def consensus(name, storage, first, send, machine, on_fatal):
+    clock, rng = _clock.boot_s, random.Random(name)
+    return Consensus(
+        name, SETTINGS, storage, first, send, machine, clock, rng, on_fatal
+    )
+
+
 class Trio:
     """Members that reach each other by a call, as bytes of the wire format."""
 
@@ -55,16 +63,13 @@
         self.files[name] = BrokenFiles()
         storage = Storage.open(self.folder / name, self.files[name])
         self.machines[name] = ListMachine()
-        self.running[name] = Consensus(
+        self.running[name] = consensus(
             name,
-            SETTINGS,
             storage,
             first or self.first,
             self.send,
             self.machines[name],
-            _clock.boot_s,
-            random.Random(name),
-            on_fatal=lambda error: self.fatal.update({name: error}),
+            lambda error: self.fatal.update({name: error}),
         )
         self.running[name].start()
         return self.running[name]
@@ -130,9 +135,8 @@
     assert [f.result(WAIT_S) for f in futures] == list(range(2, 102))
     assert leader.read().result(WAIT_S) >= 101
     others = [name for name in "abc" if name != leader.status().name]
-    with pytest.raises(TamarackhavenError) as caught:
-        trio.running[others[0]].propose(b"x").result(WAIT_S)
-    assert caught.value.kind is ErrorKind.NO_QUORUM
+    error = trio.running[others[0]].propose(b"x").exception(WAIT_S)
+    assert error.kind is ErrorKind.NO_QUORUM
     expected = [b"first"] + [b"%d" % n for n in range(100)]
     wait_for(lambda: all(m.commands == expected for m in trio.machines.values()))
     for name in "abc":
@@ -153,10 +157,8 @@
     old = committed(trio, b"kept")
     name = old.status().name
     trio.cut = {name}
-    future = old.propose(b"lost")
-    with pytest.raises(TamarackhavenError) as caught:
-        future.result(WAIT_S)
-    assert caught.value.kind is ErrorKind.CHANGE_UNCONFIRMED
+    error = old.propose(b"lost").exception(WAIT_S)
+    assert error.kind is ErrorKind.CHANGE_UNCONFIRMED
     trio.leader(among=set("abc") - {name})
     trio.cut = set()
     committed(trio, b"new")
@@ -174,16 +176,13 @@
     leader = committed(trio, b"kept")
     name = leader.status().name
     trio.files[name].failure = failure
-    with pytest.raises(TamarackhavenError) as caught:
-        leader.propose(b"unknown").result(WAIT_S)
-    assert caught.value.kind is ErrorKind.CHANGE_UNCONFIRMED
+    error = leader.propose(b"unknown").exception(WAIT_S)
+    assert error.kind is ErrorKind.CHANGE_UNCONFIRMED
     kind = {"sync": ErrorKind.SYNC_FAILED, "full": ErrorKind.DISK_FULL}[failure]
     wait_for(lambda: name in trio.fatal)
     assert trio.fatal[name].kind is kind
-    for ask in (lambda: leader.propose(b"later"), leader.read):
-        with pytest.raises(TamarackhavenError) as caught:
-            ask().result(WAIT_S)
-        assert caught.value.kind is kind
+    for future in (leader.propose(b"later"), leader.read()):
+        assert future.exception(WAIT_S).kind is kind
     trio.running.pop(name)
     committed(trio, b"after")
 
@@ -230,6 +229,35 @@
     assert caught.value.kind is ErrorKind.MEMBER_UNKNOWN
 
 
+def test_burst_beyond_the_limit_is_refused_at_once(tmp_path, monkeypatch):
+    """More changes arrive than the group can commit while its disk is busy.
+
+    Those within the limit are confirmed; the others hear at once that their change
+    is not in the log and when to come back, instead of waiting past their deadline.
+    """
+    monkeypatch.setattr(_consensus, "MAX_WAITING", 2)
+    trio = Trio(tmp_path)
+    trio.start("a", first=membership("a"))
+    leader = trio.leader()
+    leader.read().result(WAIT_S)
+    is_busy, is_free = threading.Event(), threading.Event()
+
+    def apply(_entry):
+        is_busy.set()
+        is_free.wait(WAIT_S)
+
+    monkeypatch.setattr(trio.machines["a"], "apply", apply)
+    leader.propose(b"first")
+    assert is_busy.wait(WAIT_S)
+    futures = [leader.propose(b"x") for _ in range(5)]
+    is_free.set()
+    errors = [future.exception(WAIT_S) for future in futures]
+    trio.stop("a")
+    assert errors[:2] == [None, None]
+    assert {error.kind for error in errors[2:]} == {ErrorKind.CONTROL_BUSY}
+    assert all(error.retry_after_s > 0 for error in errors[2:])
+
+
 def test_nothing_is_answered_before_it_is_synced(tmp_path):
     """A follower's disk fails under entries that the leader has sent.
 
@@ -237,17 +265,9 @@
     caller that is on one disk only. No message may leave, and none ever after.
     """
     sent, fatal, files = [], [], BrokenFiles()
-    follower = Consensus(
-        "b",
-        SETTINGS,
-        Storage.open(tmp_path, files),
-        membership("a", "b", "c"),
-        sent.extend,
-        ListMachine(),
-        _clock.boot_s,
-        random.Random(1),
-        on_fatal=fatal.append,
-    )
+    storage = Storage.open(tmp_path, files)
+    first = membership("a", "b", "c")
+    follower = consensus("b", storage, first, sent.extend, ListMachine(), fatal.append)
     files.failure = "sync"
     entry = Entry(1, 1, EntryKind.CHANGE, b"x")
     follower.deliver([Append("a", "b", 1, 0, 0, 0, 1, (entry,))])
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from tamarackhaven import _raft_wire
@@ -209,16 +210,7 @@
         last = message.entries[-1:] if isinstance(message, Append) else ()
         if last and last[0].term == 4:
             # The own entry of term 4 gets lost; the old one arrives everywhere.
-            message = Append(
-                message.sender,
-                message.receiver,
-                message.term,
-                message.last_index,
-                message.last_term,
-                message.commit,
-                message.round,
-                message.entries[:-1],
-            )
+            message = attrs.evolve(message, entries=message.entries[:-1])
         group.deliver(message)
     for message in [m for m in group.wire if isinstance(m, AppendReply)]:
         group.deliver(message)
@@ -263,11 +255,8 @@
     group.compact("a")
     group.heal()
     group.tick("a", 0.1)
-    while group.nodes["a"].role is Role.LEADER and group.wire:
-        message = group.wire.pop(0)
-        group.deliver(message)
-        if isinstance(message, AppendReply) and message.sender == "c":
-            break
+    while not isinstance(group.wire[-1], InstallSnapshot):
+        group.deliver(group.wire.pop(0))
     group.log = []
     group.crash("c")
     group.run(3.0)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,9 +1,12 @@
 """Tests of the data folder: what survives, and what stops the member."""
 
+import pathlib
 import subprocess
 import sys
+import tempfile
 
 import pytest
+from hypothesis import given, settings, strategies as st
 
 from tamarackhaven import _record
 from tamarackhaven._fences import FenceFile
@@ -19,7 +22,7 @@
 from tamarackhaven._storage import Identity, Storage
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tests.broken_files import BrokenFiles
-from tests.raft_group import membership
+from tests.raft_group import Disk, membership
 
 FIRST = Snapshot(0, 0, membership("a", "b"))
 IDENTITY = Identity("a", "f1")
@@ -59,32 +62,55 @@
     return max(folder.glob("log-" + "[0-9]" * 8))
 
 
-def test_what_was_written_is_recovered(tmp_path):
-    storage = fresh(tmp_path)
-    assert not storage.is_new
-    write(storage, WriteHardState(HardState(2, "b")), WriteEntries(entries(1, 5)))
-    write(storage, WriteEntries(entries(4, 4, term=2)))
-    storage.close()
-    recovered = reopened(tmp_path)
-    assert recovered.hard_state == HardState(2, "b")
-    assert recovered.snapshot == FIRST
-    assert recovered.entries == entries(1, 3) + entries(4, 4, term=2)
+PLANS = st.lists(
+    st.tuples(
+        st.sampled_from(["append", "vote", "snapshot", "reopen"]),
+        st.integers(0, 6),
+        st.integers(1, 3),
+    ),
+    max_size=12,
+)
 
 
-@pytest.mark.parametrize(
-    ("term", "kept"), [(1, entries(4, 5)), (2, ())], ids=["continues", "differs"]
+def planned(disk, action, back, term):
+    """One write that a member could make on top of what ``disk`` holds."""
+    held = {entry.index: entry.term for entry in disk.entries}
+    base = disk.snapshot.index
+    last = max(held, default=base)
+    if action == "vote":
+        return WriteHardState(HardState(term, "b" * back))
+    if action == "append":
+        first = max(last + 1 - back, base + 1)
+        return WriteEntries(entries(first, first + back, term))
+    index = max(base + 1, last + 2 - back)
+    same_term = held.get(index, term) if back % 2 else term
+    return WriteSnapshot(Snapshot(index, same_term, membership("a"), b"s" * back))
+
+
+@given(PLANS)
+@settings(
+    derandomize=True, deadline=None, print_blob=False, database=None, max_examples=60
 )
-def test_snapshot_replaces_the_log_up_to_it(tmp_path, term, kept):
-    storage = fresh(tmp_path)
-    write(storage, WriteEntries(entries(1, 5)), WriteHardState(HardState(3, "a")))
-    snapshot = Snapshot(3, term, membership("a"), b"state")
-    write(storage, WriteSnapshot(snapshot))
-    storage.close()
-    recovered = reopened(tmp_path)
-    assert recovered.snapshot == snapshot
-    assert recovered.entries == kept
-    assert recovered.hard_state == HardState(3, "a")
-    assert len(list(tmp_path.glob("log-*"))) == 1
+def test_recovers_what_a_naive_disk_holds(plan):
+    """Random writes, in small parts, with new starts between them."""
+    with tempfile.TemporaryDirectory() as name:
+        files, disk = BrokenFiles(), Disk(FIRST.membership)
+        files.failure = "slow"
+        storage = fresh(pathlib.Path(name), files)
+        for action, back, term in [*plan, ("reopen", 0, 1)]:
+            if action == "reopen":
+                storage.close()
+                storage = Storage.open(name, files)
+            else:
+                writes = [planned(disk, action, back, term)]
+                storage.write(writes)
+                disk.write(writes)
+            recovered = storage.recovered
+            assert recovered.hard_state == disk.hard_state
+            assert recovered.snapshot == disk.snapshot
+            assert recovered.entries == tuple(disk.entries)
+        assert len(list(pathlib.Path(name).glob("log-*"))) == 1
+        storage.close()
 
 
 def test_torn_tail_is_cut_at_every_length(tmp_path):
@@ -166,15 +192,6 @@
     assert reopened(tmp_path).entries[:1] == entries(1, 1)
 
 
-def test_write_taken_in_small_parts_is_whole(tmp_path):
-    files = BrokenFiles()
-    storage = fresh(tmp_path, files)
-    files.failure = "slow"
-    write(storage, WriteEntries(entries(1, 3)))
-    storage.close()
-    assert reopened(tmp_path).entries == entries(1, 3)
-
-
 @pytest.mark.parametrize("failure", ["sync", "full", "short", "rename", "remove"])
 def test_snapshot_that_fails_half_way_leaves_the_old_or_the_new(tmp_path, failure):
     """The VM fails amid the replacement of the log by a snapshot.
@@ -255,12 +272,15 @@
 
 def test_fences_rise_only_and_are_durable_before_the_return(tmp_path):
     files = BrokenFiles()
+    error = refusal(FenceFile.open, tmp_path, files, True)
+    assert error.kind is ErrorKind.LOG_DAMAGED
     fences = FenceFile.open(tmp_path, files)
+    files.done.clear()
     fences.fence("booking", "t1", 7)
     assert files.done == ["write", "sync", "rename", "sync"]
     fences.fence("booking", "t1", 5)
     fences.fence("booking", "t2", 3)
-    again = FenceFile.open(tmp_path).epochs_by_target
+    again = FenceFile.open(tmp_path, must_exist=True).epochs_by_target
     assert again == {("booking", "t1"): 7, ("booking", "t2"): 3}
     files.failure = "sync"
     error = refusal(fences.fence, "booking", "t1", 9)
