--- /dev/null
+++ b/tests/test_lease_promises.py
@@ -0,0 +1,70 @@
+"""Tests of what a control VM refuses, and of what a holder counts as confirmed."""
+
+import attrs
+import pytest
+
+from tamarackhaven._lease_holder import LeaseHolder, LeaseLoss
+from tamarackhaven._lease_promises import Fenced, LeasePromises, LeaseView
+from tamarackhaven._lease_wire import Ack, Reason, Renewal
+from tamarackhaven._members import Member, Membership
+from tamarackhaven._settings import LeaseSettings
+
+SETTINGS = LeaseSettings(lease_ms=500, renew_ms=100, drift=0.0)
+RENEWAL = Renewal("s", "t", 1, 5, 2, 0, 1)
+VIEW = LeaseView(2, 9, epoch=5)
+
+
+@pytest.mark.parametrize(
+    "reason, renewal, view, remaining_ms",
+    [
+        (Reason.GRANTED, {}, {}, 0),
+        (Reason.GRANTED, {"epoch": 6, "membership_version": 3}, {"epoch": 0}, 0),
+        (Reason.FENCED, {"epoch": 3}, {}, 0),
+        (Reason.FENCED, {}, {"retired": True}, 0),
+        (Reason.STALE_EPOCH, {"epoch": 4}, {}, 0),
+        (Reason.NAME_CLAIMED, {"target": "held", "epoch": 9}, {}, 250),
+        (Reason.ZONE_OUT, {}, {"zone_out": True}, 0),
+        (Reason.STALE_MEMBERSHIP, {"membership_version": 1}, {}, 0),
+        (Reason.NOT_VOTER, {}, {"voter": False}, 0),
+    ],
+)
+def test_reason_of_an_answer(reason, renewal, view, remaining_ms):
+    promises = LeasePromises("a", SETTINGS, -9.0, {("s", "t"): 3})
+    promises.renewal(attrs.evolve(RENEWAL, target="held"), 0.0, VIEW)
+    asked, seen = attrs.evolve(RENEWAL, **renewal), attrs.evolve(VIEW, **view)
+    ack = promises.renewal(asked, 0.25, seen)
+    assert (ack.reason, ack.remaining_ms) == (reason, remaining_ms)
+
+
+def test_restarted_or_new_voter_waits_a_promise_time():
+    """It neither grants nor fences what it may have promised to someone else."""
+    promises = LeasePromises("a", SETTINGS, 0.0, {("s", "t"): 3})
+    assert promises.renewal(RENEWAL, 0.25, VIEW).reason is Reason.NOT_READY
+    assert promises.fence("s", "t", 5, 0.25) == Fenced(False, 250)
+    assert promises.fence("s", "t", 3, 0.25) == Fenced(True)  # was durable before
+    assert promises.renewal(RENEWAL, 0.5, VIEW).granted
+    promises.joined(1.0)
+    assert promises.renewal(RENEWAL, 1.25, VIEW).reason is Reason.NOT_READY
+    assert not promises.ready_for_membership_change(0.25)
+    assert promises.ready_for_membership_change(0.5)
+
+
+def test_state_is_confirmed_by_a_majority_though_changes_never_pause():
+    """The map is always a version behind, yet each version is confirmed in turn."""
+    members = tuple(Member(name, "h", 1, 1) for name in "abc")
+    holder = LeaseHolder(SETTINGS, Membership(members), "s", "t", "i")
+    assert holder.lost(0.0) is LeaseLoss.NO_GRANT
+    holder.set_grant(5)
+    for second in range(1, 5):
+        renewal = holder.renew(float(second))
+        for name in "ab":
+            ack = Ack(name, 5, renewal.seq, Reason.GRANTED, second, 0)
+            holder.acked(ack, second + 0.1)
+        assert holder.held_until == second + 0.5
+        assert holder.confirmed_at < second
+        holder.set_state_version(second)
+        assert holder.confirmed_at == second
+    assert (holder.seen_state_version, holder.lost(5.0)) == (4, LeaseLoss.EXPIRED)
+    holder.acked(Ack("c", 5, renewal.seq, Reason.FENCED, 4, 0), 5.0)
+    assert holder.renew(5.0) is None
+    assert holder.must_rejoin is Reason.FENCED
