--- a/tamarackhaven/_lease_server.py
+++ b/tamarackhaven/_lease_server.py
@@ -95,10 +95,15 @@
         with self._lock:
             now = self._clock()
             ack = self._promises.renewal(renewal, now, view)
-            if len(self._heard_by_address) < _MAX_ADDRESSES:
-                self._heard_by_address[address] = now
+            self._note_address(address, now)
         self._socket.sendto(encode(ack), address)
 
+    def _note_address(self, address, now):
+        """Remember whom to send hints; a flood of strangers must not fill memory."""
+        known = self._heard_by_address
+        if address in known or len(known) < _MAX_ADDRESSES:
+            known[address] = now
+
     def hint(self, version):
         """Tell every daemon that renewed within a lease: the state is ``version``."""
         data = encode(Hint(version))
--- a/tests/test_lease_promises.py
+++ b/tests/test_lease_promises.py
@@ -56,15 +56,16 @@
     assert holder.lost(0.0) is LeaseLoss.NO_GRANT
     holder.set_grant(5)
     for second in range(1, 5):
-        renewal = holder.renew(float(second))
-        for name in "ab":
-            ack = Ack(name, 5, renewal.seq, Reason.GRANTED, second, 0)
-            holder.acked(ack, second + 0.1)
-        assert holder.held_until == second + 0.5
+        for sent, version in ((second, second), (second + 0.25, second + 1)):
+            renewal = holder.renew(sent)
+            for name in "ab":
+                ack = Ack(name, 5, renewal.seq, Reason.GRANTED, version, 0)
+                holder.acked(ack, sent + 0.1)
+        assert holder.held_until == second + 0.75
         assert holder.confirmed_at < second
         holder.set_state_version(second)
         assert holder.confirmed_at == second
-    assert (holder.seen_state_version, holder.lost(5.0)) == (4, LeaseLoss.EXPIRED)
+    assert (holder.seen_state_version, holder.lost(5.0)) == (5, LeaseLoss.EXPIRED)
     holder.acked(Ack("c", 5, renewal.seq, Reason.FENCED, 4, 0), 5.0)
     assert holder.renew(5.0) is None
     assert holder.must_rejoin is Reason.FENCED
