--- a/tamarackhaven/_owner.py
+++ b/tamarackhaven/_owner.py
@@ -18,6 +18,7 @@
 from tamarackhaven._verify import verify
 from tamarackhaven.errors import ErrorKind, Ran, TamarackhavenError
 
+IN_PROGRESS_RETRY_S = 0.5
 BODY_DROPPED_HEADER = "Tamarackhaven-Body-Dropped"
 _DID_NOT_RUN = "1"
 _OWN_ANSWER_HEADERS = frozenset(
@@ -47,6 +48,8 @@
         Tells the target what nobody waits for.
     clock : Clock
         Both clocks.
+    note_key : callable
+        Told the key hash of every request that this target owns.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         target,
         canceller,
         clock,
+        note_key,
     ):
         self._settings = settings
         self._standing = standing
@@ -70,6 +74,7 @@
         self._target = target
         self._canceller = canceller
         self._clock = clock
+        self._note_key = note_key
 
     def serve(self, request, located, gone):
         """Return the target's whole answer.
@@ -80,13 +85,14 @@
             Any kind from the lease to the target; its row says whether it ran.
         """
         self._verify(located)
-        self._grants.enter(located.grant)
+        self._note_key(request.key_hash)
+        self._grants.enter(located.grant, request.key_hash)
         try:
             if request.is_booking:
                 return self._book(request, located, gone)
             return self._run(request, located, gone)
         finally:
-            self._grants.leave(located.grant)
+            self._grants.leave(located.grant, request.key_hash)
 
     def _verify(self, located):
         now = self._clock.boot_s()
@@ -97,7 +103,7 @@
         with self._ledger_lock:
             begun = self._ledger.begin(booking, self._clock.unix_s())
         if isinstance(begun, BookingRefused):
-            raise TamarackhavenError(begun.kind)
+            raise TamarackhavenError(begun.kind, "", self._retry_after_s(begun.kind))
         if isinstance(begun, Replay):
             return _replayed(begun.answer, request)
         end, kept = BookingEnd.UNKNOWN, None
@@ -113,6 +119,13 @@
             with self._ledger_lock:
                 self._ledger.finish(begun.token, end, kept, self._clock.unix_s())
 
+    def _retry_after_s(self, kind):
+        if kind is ErrorKind.BOOKING_OWNER_CHANGED:
+            return self._settings.bookings.caller_clock_margin_s
+        if kind is ErrorKind.BOOKING_IN_PROGRESS:
+            return IN_PROGRESS_RETRY_S
+        return 0.0
+
     def _run(self, request, located, gone):
         admission, connections = self._target()
         decision_id = _admitted(admission, request, gone)
--- a/tamarackhaven/errors.py
+++ b/tamarackhaven/errors.py
@@ -73,6 +73,7 @@
     BOOKING_TOO_OLD = "TH503"
     BOOKING_MISMATCH = "TH504"
     LEDGER_FULL = "TH505"
+    BOOKING_OWNER_CHANGED = "TH506"
     # Resources and the control group.
     INVALID_RESOURCE = "TH601"
     NOT_FOUND = "TH602"
@@ -89,6 +90,8 @@
     NAME_CLAIMED = "TH613"
     STALE_GRANT = "TH614"
     CONTROL_UNREACHABLE = "TH615"
+    MEMBERSHIP_BUSY = "TH616"
+    CONTROL_BUSY = "TH617"
     # A process and its files.
     USAGE = "TH701"
     SETTINGS_MISSING = "TH702"
@@ -222,6 +225,13 @@
     _K.BOOKING_MISMATCH: Answer(
         422, 52, _NO, _NEVER, "The idempotency key was used for another request."
     ),
+    _K.BOOKING_OWNER_CHANGED: Answer(
+        409,
+        51,
+        _NO,
+        _LATER,
+        "This try did not run; an earlier one may have, at a former owner.",
+    ),
     _K.LEDGER_FULL: Answer(503, 30, _NO, _LATER, "The ledger of bookings is full."),
     _K.INVALID_RESOURCE: Answer(422, 60, _NO, _NEVER, "The resource is not valid."),
     _K.NOT_FOUND: Answer(404, 61, _NO, _NEVER, "There is no such resource."),
@@ -252,6 +262,12 @@
     ),
     _K.STALE_GRANT: Answer(409, 72, _NO, _NEVER, "The shard has a newer grant."),
     _K.CONTROL_UNREACHABLE: Answer(503, 70, _NO, _LATER, "No control VM answered."),
+    _K.MEMBERSHIP_BUSY: Answer(
+        409, 70, _NO, _LATER, "The control group's members can't change yet."
+    ),
+    _K.CONTROL_BUSY: Answer(
+        503, 70, _NO, _LATER, "Too many changes wait in the control group."
+    ),
     _K.USAGE: Answer(400, 2, _NO, _NEVER, "The command line is not valid."),
     _K.SETTINGS_MISSING: Answer(500, 80, _NO, _NEVER, "The settings file is missing."),
     _K.SETTINGS_SYNTAX: Answer(500, 81, _NO, _NEVER, "The settings are not TOML."),
