--- a/tamarackhaven/_admit.py
+++ b/tamarackhaven/_admit.py
@@ -49,7 +49,7 @@
             What the gate refused it for, or CALLER_GONE; it did not run.
         """
         # Callers choose request ids and may choose one twice; the gate needs its own.
-        decision_id = f"{request.request_id}.{next(self._numbers)}"
+        decision_id = f"{request.decision_id}.{next(self._numbers)}"
         offer = Offer(decision_id, request.key_hash, request.caller, request.deadline_s)
         future = Future()
         with self._changed:
--- a/tamarackhaven/_answer.py
+++ b/tamarackhaven/_answer.py
@@ -12,7 +12,7 @@
 DEFAULT_RETRY_AFTER_S = 1.0
 
 
-def answer_error(error, request_id="", ran=None):
+def answer_error(error, request_id="", ran=None, decision_id=""):
     """Return the answer for an error.
 
     Parameters
@@ -23,6 +23,8 @@
         Empty if the request was not read so far.
     ran : Ran or None
         Overrides what the table says.
+    decision_id : str
+        Also on the log lines of this refusal.
 
     Returns
     -------
@@ -51,6 +53,8 @@
         content["retry_after_s"] = round(retry_after_s, 3)
         # The header knows whole seconds only; the body has the exact time.
         headers.append((names.RETRY_AFTER_HEADER, str(math.ceil(retry_after_s))))
+    if decision_id:
+        headers.append((names.DECISION_HEADER, decision_id))
     if request_id:
         headers.append((names.REQUEST_ID_HEADER, request_id))
     body = json.dumps(content, sort_keys=True).encode() + b"\n"
--- a/tamarackhaven/_forward.py
+++ b/tamarackhaven/_forward.py
@@ -50,7 +50,8 @@
             raise TamarackhavenError(kind, error.detail) from error
         kind = _KIND_BY_CODE.get(answer.header(names.ERROR_HEADER))
         if kind in MOVABLE:
-            raise TamarackhavenError(kind, f"{located.owner.target} said so.")
+            detail = f"{located.owner.target} said so."
+            raise TamarackhavenError(kind, detail, _retry_after_s(answer))
         return answer
 
     def close(self):
@@ -80,6 +81,11 @@
             self._connections_by_address.pop(oldest).close()
 
 
+def _retry_after_s(answer):
+    value = answer.header(names.RETRY_AFTER_HEADER)
+    return float(value) if value.isdigit() else 0.0
+
+
 # The request surely did not run, and a newer view may name another owner.
 MOVABLE = frozenset(
     {
--- a/tamarackhaven/_http_server.py
+++ b/tamarackhaven/_http_server.py
@@ -26,7 +26,7 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 _LISTEN_BACKLOG = 1024
 _CONNECTIONS = 2000
-_LOOP_TIMEOUT_S = 0.2
+_LOOP_TIMEOUT_S = 1.0
 _RECEIVED_KEY = "tamarackhaven.received_s"
 _GONE_KEY = "waitress.client_disconnected"
 
--- a/tamarackhaven/_identify.py
+++ b/tamarackhaven/_identify.py
@@ -49,7 +49,7 @@
     return _token(raw, names.REQUEST_ID_HEADER)
 
 
-def identify(raw, request_id):
+def identify(raw, request_id, decision_id=""):
     """Return the request that ``raw`` states.
 
     Parameters
@@ -58,6 +58,8 @@
         The request as it arrived.
     request_id : str
         Its id, stated or made.
+    decision_id : str
+        This daemon's own id of this arrival.
 
     Raises
     ------
@@ -82,6 +84,7 @@
         idempotency_key=_token(raw, names.IDEMPOTENCY_HEADER),
         first_sent_s=_first_sent(raw),
         hops=_hops(raw),
+        decision_id=decision_id,
     )
     _check_booking(request)
     return request
--- a/tamarackhaven/_path.py
+++ b/tamarackhaven/_path.py
@@ -2,6 +2,7 @@
 
 import itertools
 import threading
+import traceback
 import uuid
 
 from tamarackhaven import _metrics
@@ -14,6 +15,7 @@
 
 NO_OWNER_RETRY_S = 0.5
 _WAIT_STEP_S = 0.01
+_TRACE_LIMIT = -5
 _FORWARDED_HOPS = 1
 
 
@@ -83,25 +85,26 @@
 
     def _answer_counted(self, raw, gone, route):
         request_id = ""
+        decision_id = self._make_id()
         try:
-            request_id = read_request_id(raw) or self._make_id()
-            request = identify(raw, request_id)
+            request_id = read_request_id(raw) or decision_id
+            request = identify(raw, request_id, decision_id)
             answer = route(request, raw, gone)
         except TamarackhavenError as error:
-            return self._refused(error, request_id)
+            return self._refused(error, request_id, decision_id)
         except Exception as error:
-            self._log.say("unexpected error", request_id, error=repr(error))
-            internal = TamarackhavenError(ErrorKind.INTERNAL)
-            return self._refused(internal, request_id)
+            trace = traceback.format_exc(limit=_TRACE_LIMIT)
+            self._log.say("unexpected error", request_id, decision_id, trace=trace)
+            internal = TamarackhavenError(ErrorKind.INTERNAL, type(error).__name__)
+            return self._refused(internal, request_id, decision_id)
         self._metrics.count(_metrics.ANSWERS, status=answer.status)
         return answer
 
-    def _refused(self, error, request_id):
+    def _refused(self, error, request_id, decision_id):
         self._metrics.count(_metrics.REFUSALS, kind=error.kind.name)
-        self._log.say(
-            f"request refused as {error.kind.name}", request_id, detail=error.detail
-        )
-        return answer_error(error, request_id, error.answer.ran)
+        sentence = f"request refused as {error.kind.name}"
+        self._log.say(sentence, request_id, decision_id, detail=error.detail)
+        return answer_error(error, request_id, error.answer.ran, decision_id)
 
     def _make_id(self):
         return f"{self._id_prefix}-{next(self._numbers)}"
--- a/tamarackhaven/_request.py
+++ b/tamarackhaven/_request.py
@@ -13,6 +13,7 @@
 SHARD_HEADER = "Tamarackhaven-Shard"
 START_BY_HEADER = "Tamarackhaven-Start-By"
 DEADLINE_HEADER = "Tamarackhaven-Deadline"
+DECISION_HEADER = "Tamarackhaven-Decision"
 RAN_HEADER = "Tamarackhaven-Ran"
 ERROR_HEADER = "Tamarackhaven-Error"
 DID_NOT_RUN_HEADER = "Tamarackhaven-Did-Not-Run"
@@ -73,6 +74,8 @@
         When the caller sent the first try, in seconds of its wall clock.
     hops : int
         Daemons that it has passed.
+    decision_id : str
+        Names what this daemon decided on this arrival; a resend has another one.
     """
 
     request_id: str
@@ -89,6 +92,7 @@
     idempotency_key: str = ""
     first_sent_s: float | None = None
     hops: int = 0
+    decision_id: str = ""
 
     @property
     def is_booking(self):
--- a/tests/test_path_http.py
+++ b/tests/test_path_http.py
@@ -148,6 +148,13 @@
     assert first.metrics.counter("tamarackhaven_refusals_total", kind="ZONE_OUT") == 2
 
 
+def test_a_refusal_is_logged_under_the_ids_that_its_caller_gets(pair):
+    got = pair[0].ask(path="/none/k", Tamarackhaven_Request_Id="r-log")
+    line = next(x for x in pair[0].lines if x.get("request_id") == "r-log")
+    assert line["sentence"] == "path: request refused as UNKNOWN_SERVICE"
+    assert line["decision_id"] == got.headers["tamarackhaven-decision"] != "r-log"
+
+
 def test_state_that_was_not_confirmed_is_not_acted_on():
     node = Node(FakeView(), stale_s=0.1)
     with running(node):
