--- a/tests/test_path_http.py
+++ b/tests/test_path_http.py
@@ -3,6 +3,7 @@
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 import pytest
@@ -12,7 +13,7 @@
 from tamarackhaven._http_server import MAX_BODY_BYTES, MAX_HEADER_BYTES
 from tamarackhaven._keys import hash_key, shard_of
 from tamarackhaven._model import ZoneState
-from tamarackhaven._settings import Listen
+from tamarackhaven._settings import GateSettings, Listen
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tests.fakes import FakeView, Node, ask, booking, daemon_settings, running, wait_for
 
@@ -272,6 +273,27 @@
     assert _refused(node, "CALLER_GONE") == 8
 
 
+def test_a_burst_at_a_cold_target_stays_within_what_it_bears():
+    """Sixteen callers ask at once for a target that bears one request at a time.
+
+    Its daemon admits one, lets some wait and refuses the rest as cold; each caller
+    gets one answer, refusals name a time, and the target never has two at once.
+    """
+    standin = StandinSettings(service_ms=50, cold_slots=1, cold_s=600)
+    gate = GateSettings(cold_requests=1, cold_s=600, queue_requests=4, queue_ms=5000)
+    node = Node(FakeView(), standin=standin, gate=gate, threads=16)
+    with running(node), ThreadPoolExecutor(16) as pool:
+        node.own(*ALL)
+        ids = [f"r{number}" for number in range(16)]
+        got = list(pool.map(lambda r: node.ask(Tamarackhaven_Request_Id=r), ids))
+        assert [g.headers["tamarackhaven-request-id"] for g in got] == ids
+        refused = [g for g in got if g.status != 200]
+        assert len(refused) < len(got)
+        assert all(g.ran == "no" and g.plain["retry_after_s"] > 0 for g in refused)
+        counts = node.standin.target.counts()
+        assert (counts["overruns"], counts["refused"]) == (0, {})
+
+
 def test_a_request_past_its_deadline_is_cancelled_at_the_target(node):
     """The caller hears "unknown" at its deadline, and the target stops working on it.
 
