Refuse callers beyond all threads at once

**Cause:** waitress lets requests wait for a thread without end and without a deadline, and the gate, which would refuse them, does not see them. **Change:** as many requests wait for a thread as there are threads; a thread of its own answers those beyond with QUEUE_FULL, which did not run. **Measured:** 160 tests of the path's modules pass twice, 15 s; without the end of the line the new test fails after 20 s, since the fifth caller hears only then.

--- a/tamarackhaven/_http_server.py
+++ b/tamarackhaven/_http_server.py
@@ -8,7 +8,7 @@
 import waitress
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
-from waitress.task import ErrorTask, WSGITask
+from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 from waitress.utilities import (
     Error,
     InternalServerError,
@@ -28,6 +28,7 @@
 _CONNECTIONS = 2000
 _LOOP_TIMEOUT_S = 1.0
 _RECEIVED_KEY = "tamarackhaven.received_s"
+_OVERLOADED_KEY = "tamarackhaven.overloaded"
 _GONE_KEY = "waitress.client_disconnected"
 
 _KIND_BY_ERROR = {
@@ -50,6 +51,7 @@
 
     duplicate = ""
     received_s = 0.0
+    overloaded = False
 
     def received(self, data):
         consumed = super().received(data)
@@ -86,6 +88,7 @@
     def get_environment(self):
         environ = super().get_environment()
         environ[_RECEIVED_KEY] = self.request.received_s
+        environ[_OVERLOADED_KEY] = self.request.overloaded
         return environ
 
 
@@ -104,6 +107,35 @@
         self.write(answer.body)
 
 
+class _Dispatcher(ThreadedTaskDispatcher):
+    """Threads whose line has an end; one more thread answers what is beyond it.
+
+    Load: callers send more than all threads can take, at a target that is slow. Harm
+    prevented: waitress's own line has no end and no deadline, so its requests would be
+    answered when nobody waits any more, and the gate, which refuses at once, would
+    never see them. Reason for the limit: with as many in line as there are threads,
+    the last one waits for one round of the requests before it.
+    """
+
+    def __init__(self, threads):
+        super().__init__()
+        self._most_waiting = threads
+        self._refusing = ThreadedTaskDispatcher()
+        self._refusing.set_thread_count(1)
+        self.set_thread_count(threads)
+
+    def add_task(self, task):
+        if len(self.queue) >= self._most_waiting and task.requests:
+            task.requests[0].overloaded = True
+            self._refusing.add_task(task)
+        else:
+            super().add_task(task)
+
+    def shutdown(self, cancel_pending=True, timeout=5):
+        self._refusing.shutdown(cancel_pending, timeout)
+        return super().shutdown(cancel_pending, timeout)
+
+
 class _Channel(HTTPChannel):
     """A channel that answers a request which ends before its stated length.
 
@@ -174,6 +206,7 @@
         body=environ["wsgi.input"].read(length) if length else b"",
         peer_host=environ["REMOTE_ADDR"],
         received_s=environ.get(_RECEIVED_KEY) or boot_s(),
+        overloaded=environ.get(_OVERLOADED_KEY, False),
     )
 
 
@@ -212,7 +245,7 @@
         self._server = waitress.create_server(
             app,
             sockets=[_bound(listen)],
-            threads=threads,
+            _dispatcher=_Dispatcher(threads),
             backlog=_LISTEN_BACKLOG,
             connection_limit=_CONNECTIONS,
             max_request_header_size=header_bytes,
@@ -235,6 +268,11 @@
         """Serve from now on."""
         self._thread.start()
 
+    def occupied(self):
+        """Return the number of requests that run or wait for a thread."""
+        dispatcher = self._server.task_dispatcher
+        return dispatcher.active_count + len(dispatcher.queue)
+
     def close_after_answers(self):
         """Close each connection after its next answer.
 
--- a/tamarackhaven/_path.py
+++ b/tamarackhaven/_path.py
@@ -89,6 +89,8 @@
         try:
             request_id = read_request_id(raw) or decision_id
             request = identify(raw, request_id, decision_id)
+            if raw.overloaded:
+                raise TamarackhavenError(ErrorKind.QUEUE_FULL, "All threads are busy.")
             answer = route(request, raw, gone)
         except TamarackhavenError as error:
             return self._refused(error, request_id, decision_id)
--- a/tamarackhaven/_request.py
+++ b/tamarackhaven/_request.py
@@ -50,6 +50,8 @@
     ----------
     received_s : float
         When its last byte arrived, in seconds of CLOCK_BOOTTIME.
+    overloaded : bool
+        All threads of this port are busy, and as many requests wait for one.
     """
 
     method: str
@@ -58,6 +60,7 @@
     body: bytes
     peer_host: str
     received_s: float
+    overloaded: bool = False
 
 
 @attrs.frozen
--- a/tests/test_path_http.py
+++ b/tests/test_path_http.py
@@ -1,5 +1,6 @@
 """The request path over real sockets on loopback."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -261,11 +262,7 @@
     node.standin.target.settings = attrs.evolve(
         node.standin.target.settings, service_ms=1500
     )
-    socks = []
-    for _ in range(8):
-        sock = socket.create_connection(("127.0.0.1", node.daemon.caller.port))
-        sock.sendall(b"GET /s/k HTTP/1.1\r\nHost: h\r\n\r\n")
-        socks.append(sock)
+    socks = [_asking(node, b"9000") for _ in range(8)]
     wait_for(lambda: node.daemon.in_flight("s", SHARD) == 8)
     for sock in socks:
         sock.close()
@@ -294,6 +291,31 @@
         assert (counts["overruns"], counts["refused"]) == (0, {})
 
 
+def test_callers_beyond_all_threads_are_refused_at_once():
+    """Two threads, two in line, a target that takes 20 s: the fifth hears at once.
+
+    Without an end to the line it would hear after 20 s, when it has gone.
+    """
+    slow = StandinSettings(service_ms=20_000)
+    node = Node(FakeView(), standin=slow, threads=2)
+    with running(node), contextlib.ExitStack() as open_sockets:
+        node.own(*ALL)
+        for count in range(1, 5):
+            open_sockets.enter_context(_asking(node, b"20000"))
+            wait_for(lambda count=count: node.daemon.caller.occupied() == count)
+        got = node.ask()
+        assert (got.name, got.ran) == ("QUEUE_FULL", "no")
+        assert node.daemon.caller.occupied() == 4
+
+
+def _asking(node, deadline_ms):
+    """Return a socket on which a lookup was sent."""
+    sock = socket.create_connection(("127.0.0.1", node.daemon.caller.port))
+    head = b"GET /s/k HTTP/1.1\r\nHost: h\r\nTamarackhaven-Deadline-Ms: "
+    sock.sendall(head + deadline_ms + b"\r\n\r\n")
+    return sock
+
+
 def test_a_request_past_its_deadline_is_cancelled_at_the_target(node):
     """The caller hears "unknown" at its deadline, and the target stops working on it.
 
