--- a/tamarackhaven/_owner.py
+++ b/tamarackhaven/_owner.py
@@ -44,6 +44,8 @@
         Its bookings, called under ``ledger_lock``.
     target : callable
         Returns the pair of ``Admission`` and ``Connections``.
+    canceller : Canceller
+        Tells the target what nobody waits for.
     clock : Clock
         Both clocks.
     note_key : callable
@@ -59,6 +61,7 @@
         ledger,
         ledger_lock,
         target,
+        canceller,
         clock,
         note_key,
     ):
@@ -69,6 +72,7 @@
         self._ledger = ledger
         self._ledger_lock = ledger_lock
         self._target = target
+        self._canceller = canceller
         self._clock = clock
         self._note_key = note_key
 
@@ -134,6 +138,8 @@
             end = _end_of(answer)
         except TamarackhavenError as error:
             end = _END_BY_KIND.get(error.kind, End.FAILED)
+            if error.kind in _CANCELLED_BY_US:
+                self._canceller.cancel(connections, request.request_id)
             raise
         finally:
             admission.leave(decision_id, end, self._clock.boot_s() - start_s)
@@ -173,6 +179,8 @@
         )
 
 
+# The target may still be at it.
+_CANCELLED_BY_US = frozenset({ErrorKind.ANSWER_TIMEOUT, ErrorKind.CALLER_GONE})
 _END_BY_KIND = {
     ErrorKind.TARGET_UNREACHABLE: End.UNREACHABLE,
     ErrorKind.ANSWER_TIMEOUT: End.GIVEN_UP,
--- a/tests/test_path_http.py
+++ b/tests/test_path_http.py
@@ -1,8 +1,10 @@
 """The request path over real sockets on loopback."""
 
+import contextlib
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 import pytest
@@ -12,7 +14,7 @@
 from tamarackhaven._http_server import MAX_BODY_BYTES, MAX_HEADER_BYTES
 from tamarackhaven._keys import hash_key, shard_of
 from tamarackhaven._model import ZoneState
-from tamarackhaven._settings import Listen
+from tamarackhaven._settings import GateSettings, Listen
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tests.fakes import FakeView, Node, ask, booking, daemon_settings, running, wait_for
 
@@ -148,6 +150,13 @@
     assert first.metrics.counter("tamarackhaven_refusals_total", kind="ZONE_OUT") == 2
 
 
+def test_a_refusal_is_logged_under_the_ids_that_its_caller_gets(pair):
+    got = pair[0].ask(path="/none/k", Tamarackhaven_Request_Id="r-log")
+    line = next(x for x in pair[0].lines if x.get("request_id") == "r-log")
+    assert line["sentence"] == "path: request refused as UNKNOWN_SERVICE"
+    assert line["decision_id"] == got.headers["tamarackhaven-decision"] != "r-log"
+
+
 def test_state_that_was_not_confirmed_is_not_acted_on():
     node = Node(FakeView(), stale_s=0.1)
     with running(node):
@@ -253,11 +262,7 @@
     node.standin.target.settings = attrs.evolve(
         node.standin.target.settings, service_ms=1500
     )
-    socks = []
-    for _ in range(8):
-        sock = socket.create_connection(("127.0.0.1", node.daemon.caller.port))
-        sock.sendall(b"GET /s/k HTTP/1.1\r\nHost: h\r\n\r\n")
-        socks.append(sock)
+    socks = [_asking(node, b"9000") for _ in range(8)]
     wait_for(lambda: node.daemon.in_flight("s", SHARD) == 8)
     for sock in socks:
         sock.close()
@@ -265,6 +270,66 @@
     assert _refused(node, "CALLER_GONE") == 8
 
 
+def test_a_burst_at_a_cold_target_stays_within_what_it_bears():
+    """Sixteen callers ask at once for a target that bears one request at a time.
+
+    Its daemon admits one, lets some wait and refuses the rest as cold; each caller
+    gets one answer, refusals name a time, and the target never has two at once.
+    """
+    standin = StandinSettings(service_ms=50, cold_slots=1, cold_s=600)
+    gate = GateSettings(cold_requests=1, cold_s=600, queue_requests=4, queue_ms=5000)
+    node = Node(FakeView(), standin=standin, gate=gate, threads=16)
+    with running(node), ThreadPoolExecutor(16) as pool:
+        node.own(*ALL)
+        ids = [f"r{number}" for number in range(16)]
+        got = list(pool.map(lambda r: node.ask(Tamarackhaven_Request_Id=r), ids))
+        assert [g.headers["tamarackhaven-request-id"] for g in got] == ids
+        refused = [g for g in got if g.status != 200]
+        assert len(refused) < len(got)
+        assert all(g.ran == "no" and g.plain["retry_after_s"] > 0 for g in refused)
+        counts = node.standin.target.counts()
+        assert (counts["overruns"], counts["refused"]) == (0, {})
+
+
+def test_callers_beyond_all_threads_are_refused_at_once():
+    """Two threads, two in line, a target that takes 20 s: the fifth hears at once.
+
+    Without an end to the line it would hear after 20 s, when it has gone.
+    """
+    slow = StandinSettings(service_ms=20_000)
+    node = Node(FakeView(), standin=slow, threads=2)
+    with running(node), contextlib.ExitStack() as open_sockets:
+        node.own(*ALL)
+        for count in range(1, 5):
+            open_sockets.enter_context(_asking(node, b"20000"))
+            wait_for(lambda count=count: node.daemon.caller.occupied() == count)
+        got = node.ask()
+        assert (got.name, got.ran) == ("QUEUE_FULL", "no")
+        assert node.daemon.caller.occupied() == 4
+
+
+def _asking(node, deadline_ms):
+    """Return a socket on which a lookup was sent."""
+    sock = socket.create_connection(("127.0.0.1", node.daemon.caller.port))
+    head = b"GET /s/k HTTP/1.1\r\nHost: h\r\nTamarackhaven-Deadline-Ms: "
+    sock.sendall(head + deadline_ms + b"\r\n\r\n")
+    return sock
+
+
+def test_a_request_past_its_deadline_is_cancelled_at_the_target(node):
+    """The caller hears "unknown" at its deadline, and the target stops working on it.
+
+    Without the cancellation the target would be busy for another 20 seconds.
+    """
+    standin = node.standin.target
+    standin.settings = attrs.evolve(standin.settings, service_ms=20_000)
+    standin.honours_deadlines = False
+    got = node.ask(Tamarackhaven_Deadline_Ms="200")
+    assert (got.name, got.ran) == ("ANSWER_TIMEOUT", "unknown")
+    wait_for(lambda: not standin.report()["running"], 10)
+    assert standin.served == 0
+
+
 def test_a_taken_port_is_named():
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", 0))
