Add the model that measures decisions under load

**Change:** A discrete-event model of targets, daemons, callers and zones, and bench_decisions.py with the users' deployments and eleven scenarios.

--- /dev/null
+++ b/benches/_model_daemons.py
@@ -0,0 +1,244 @@
+"""The daemons of the model: one with the gate and ledger, and the naive ones."""
+
+import collections
+
+import attrs
+from _model_target import CONNECTIONS
+
+from tamarackhaven._gate import Gate
+from tamarackhaven._gate_messages import Admit, End, Finish, Offer, Refuse
+from tamarackhaven._ledger import (
+    BookingAnswer,
+    BookingEnd,
+    BookingTry,
+    Ledger,
+    Replay,
+    Run,
+)
+from tamarackhaven._settings import BookingSettings, GateSettings
+from tamarackhaven.errors import ErrorKind
+
+KIND_BY_END = {
+    End.ANSWERED: None,
+    End.SHED: ErrorKind.TARGET_REFUSED,
+    End.UNREACHABLE: ErrorKind.TARGET_UNREACHABLE,
+    End.FAILED: ErrorKind.TARGET_SENT_NOTHING,
+}
+REPORT_EVERY_S = 0.5
+REPORT_LAG_S = 1.0
+BOOKING_WINDOW_S = 600.0
+FIXED_QUEUE = 64
+
+
+class NaiveDaemon:
+    """First in, first out, behind a fixed number of requests at once.
+
+    Parameters
+    ----------
+    limit : int
+        Requests at the target at once.
+    queue : float
+        Most that wait; infinite for no bound.
+    """
+
+    def __init__(self, sim, target, limit, queue):
+        self.target = target
+        self._sim = sim
+        self._limit = limit
+        self._queue_max = queue
+        self._queue = collections.deque()
+        self._running = 0
+
+    def take(self, request, shard, reply):
+        """Take one try; call ``reply(kind, retry_after_s)`` once."""
+        if self._running < self._limit:
+            self._start(request, reply)
+        elif len(self._queue) < self._queue_max:
+            self._queue.append((request, reply))
+        else:
+            reply(ErrorKind.QUEUE_FULL, 0.0)
+
+    def _start(self, request, reply):
+        self._running += 1
+        self.target.start(request, lambda end, s: self._finish(reply, end))
+
+    def _finish(self, reply, end):
+        self._running -= 1
+        reply(KIND_BY_END[end], 0.0)
+        if self._queue and self._running < self._limit:
+            self._start(*self._queue.popleft())
+
+
+@attrs.define
+class _Try:
+    request: object
+    reply: object
+    token: object
+    done: bool = False
+
+
+class GatedDaemon:
+    """The gate and the ledger as a real daemon drives them."""
+
+    def __init__(self, sim, target, warm):
+        self.target = target
+        self._sim = sim
+        self.gate = Gate(GateSettings(), target.slots, sim.now, sim.rng)
+        if warm:
+            self.gate.open(sim.now, cold=False)
+        self.ledger = Ledger(BookingSettings())
+        self.grant_by_shard = {}
+        self._try_by_id = {}
+        self._tries = 0
+        self._tick_at = float("inf")
+        sim.after(REPORT_EVERY_S, self._read_report)
+
+    def own(self, shard, grant, since_s):
+        """Begin to own a shard that nobody handed over."""
+        self.grant_by_shard[shard] = grant
+        self.ledger.adopt("s", shard, grant, since_s)
+
+    def inherit(self, shard, grant, part):
+        """Begin to own a shard with the former owner's part of the ledger."""
+        self.grant_by_shard[shard] = grant
+        previous_grant = grant - 1
+        if part is None:
+            self.ledger.adopt("s", shard, grant, self._sim.now)
+        else:
+            self.ledger.import_(part, grant, previous_grant, self._sim.now)
+
+    def release(self, shard):
+        """Cease to own a shard; return its part of the ledger."""
+        part = self.ledger.export("s", shard)
+        self.ledger.drop("s", shard)
+        self.grant_by_shard.pop(shard, None)
+        return part
+
+    def _read_report(self):
+        if self.target.up:
+            self._sim.after(REPORT_LAG_S, self._report, self.target.report())
+        self._sim.after(REPORT_EVERY_S, self._read_report)
+
+    def _report(self, report):
+        late = attrs.evolve(report, age_s=REPORT_LAG_S)
+        self.gate.report(late, self._sim.now)
+        self._plan_tick()
+
+    def take(self, request, shard, reply):
+        """Take one try; call ``reply(kind, retry_after_s)`` once."""
+        grant = self.grant_by_shard.get(shard)
+        if grant is None:
+            reply(ErrorKind.NOT_OWNER, 0.05)
+            return
+        token = None
+        if request.booking:
+            decision = self.ledger.begin(self._booking(request, shard, grant), self.now)
+            if not isinstance(decision, Run):
+                kind = None if isinstance(decision, Replay) else decision.kind
+                reply(kind, 0.1)
+                return
+            token = decision.token
+        self._tries += 1
+        item = _Try(request, reply, token)
+        self._try_by_id[str(self._tries)] = item
+        offer = Offer(str(self._tries), request.key, request.caller, request.deadline_s)
+        self._act(self.gate.offer(offer, self.now))
+        self._plan_tick()
+
+    @property
+    def now(self):
+        """Simulated time."""
+        return self._sim.now
+
+    def _booking(self, request, shard, grant):
+        return BookingTry(
+            "s",
+            shard,
+            grant,
+            request.name,
+            b"",
+            request.sent_s,
+            BOOKING_WINDOW_S,
+        )
+
+    def _act(self, decision):
+        item = self._try_by_id[decision.request_id]
+        if isinstance(decision, Admit):
+            self._start(decision.request_id, item)
+        elif isinstance(decision, Refuse):
+            del self._try_by_id[decision.request_id]
+            self._end_booking(item, BookingEnd.DID_NOT_RUN)
+            item.reply(decision.kind, decision.retry_after_s)
+
+    def _start(self, try_id, item):
+        self.target.start(
+            item.request, lambda end, s: self._finish(try_id, item, end, s)
+        )
+        left_s = item.request.deadline_s - self.now
+        self._sim.after(left_s, self._give_up, try_id, item)
+
+    def _give_up(self, try_id, item):
+        """Let go at the deadline; the target runs on and is not waited for."""
+        if item.done:
+            return
+        item.done = True
+        taken_s = self.now - item.request.sent_s
+        item.reply(ErrorKind.ANSWER_TIMEOUT, 0.0)
+        self._tell_gate(try_id, End.GIVEN_UP, taken_s)
+
+    def _finish(self, try_id, item, end, seconds):
+        if end is End.ANSWERED:
+            self._end_booking(item, BookingEnd.ANSWERED)
+        elif end in (End.SHED, End.UNREACHABLE):
+            self._end_booking(item, BookingEnd.DID_NOT_RUN)
+        else:
+            self._end_booking(item, BookingEnd.UNKNOWN)
+        if item.done:
+            return
+        item.done = True
+        item.reply(KIND_BY_END[end], self._retry_after_s(end))
+        self._tell_gate(try_id, end, seconds)
+
+    def _retry_after_s(self, end):
+        return 0.0 if end is End.ANSWERED else 0.1 + 0.1 * self._sim.rng.random()
+
+    def _end_booking(self, item, end):
+        if item.token is not None:
+            self.ledger.finish(item.token, end, BookingAnswer(200), self.now)
+
+    def _tell_gate(self, try_id, end, seconds):
+        del self._try_by_id[try_id]
+        for decision in self.gate.finish(Finish(try_id, end, seconds), self.now):
+            self._act(decision)
+        self._plan_tick()
+
+    def stop(self, kind):
+        """Refuse all that waits and comes."""
+        for decision in self.gate.stop(kind):
+            self._act(decision)
+
+    def open(self):
+        """Take work again, cold."""
+        self.gate.open(self.now, cold=True)
+
+    def _plan_tick(self):
+        due = self.gate.next_tick(self.now)
+        if due < self._tick_at:
+            self._tick_at = due
+            self._sim.after(due - self.now, self._tick)
+
+    def _tick(self):
+        self._tick_at = float("inf")
+        for decision in self.gate.tick(self.now):
+            self._act(decision)
+        self._plan_tick()
+
+
+def unbounded_daemon(sim, target):
+    """Return a daemon with no gate: every connection in use, an endless queue."""
+    return NaiveDaemon(sim, target, CONNECTIONS, float("inf"))
+
+
+def fixed_daemon(sim, target):
+    """Return a daemon with a fixed limit and a bounded queue."""
+    return NaiveDaemon(sim, target, target.slots, FIXED_QUEUE)
--- /dev/null
+++ b/benches/bench_decisions.py
@@ -0,0 +1,161 @@
+"""Decisions under load on a model: the gate beside naive versions, as tables.
+
+Deterministic: the same seeds give the same tables on every machine.
+"""
+
+import argparse
+
+import _bench_path  # noqa: F401
+import attrs
+from _model_fleet import ServiceShape
+from _model_load import Profile
+from _model_run import VARIANTS, Figures, Scenario, run
+
+SEEDS = (1, 2, 3)
+
+
+@attrs.frozen
+class User:
+    """One user's deployment as the brief sizes it: targets of each service."""
+
+    name: str
+    targets: tuple
+    slots: int
+    zones: int
+    client_s: float
+
+    def shapes(self):
+        """Return the shape of each service."""
+        return [
+            ServiceShape(count, self.slots, self.zones, self.client_s)
+            for count in self.targets
+        ]
+
+
+USERS = (
+    User("Polar Freight", (4, 3, 4), 12, 3, 0.003),
+    User("Kirkeblomst", (5, 4, 4), 6, 4, 0.001),
+)
+
+
+def _slow(fleet):
+    fleet.targets[0].slowdown = 5.0
+
+
+def _quick(fleet):
+    fleet.targets[0].slowdown = 1.0
+
+
+def _restart(fleet):
+    fleet.targets[0].stop(1.0)
+
+
+def _turn_cold(fleet):
+    fleet.targets[0].turn_cold()
+
+
+def _zone_out(fleet):
+    fleet.zone_out(0)
+
+
+def _zone_in(fleet):
+    fleet.zone_in(0)
+
+
+SCENARIOS = (
+    Scenario("steady 0.7x", Profile(0.7)),
+    Scenario("bursts of 3x", Profile(0.5, burst_load=3.0)),
+    Scenario("one hot key", Profile(0.6, hot_part=0.4)),
+    Scenario("one slow target", Profile(0.6), ((1.0, _slow), (2.0, _quick))),
+    Scenario("long and short", Profile(0.8, long_part=0.3)),
+    Scenario("saturation 1x", Profile(1.0)),
+    Scenario("saturation 1.5x", Profile(1.5)),
+    Scenario("saturation 3x", Profile(3.0, seconds=4.0)),
+    Scenario("cold return", Profile(0.5, seconds=14.0), ((2.0, _restart),)),
+    Scenario("cold unsaid", Profile(0.5, seconds=12.0), ((2.0, _turn_cold),)),
+    Scenario(
+        "zone out and back",
+        Profile(0.5, seconds=14.0),
+        ((2.0, _zone_out), (5.0, _zone_in)),
+    ),
+)
+
+HEADINGS = (
+    "scenario",
+    "variant",
+    "in time",
+    "other keys",
+    "p50",
+    "p99",
+    "p99.9",
+    "tries",
+    "over cold",
+    "falls",
+    "doubled",
+    "lost",
+    "wrong word",
+    "imbalance",
+    "refusals",
+)
+
+
+def _percent(part, whole):
+    return f"{100 * part / whole:.1f}%"
+
+
+def _reasons(figures):
+    common = figures.refusals_by_kind.most_common(4)
+    return ", ".join(f"{kind.name} {count}" for kind, count in common) or "-"
+
+
+def _row(scenario, variant, figures):
+    return (
+        scenario.name,
+        variant.name,
+        _percent(figures.in_time, figures.offered),
+        _percent(figures.other_keys_in_time, figures.other_keys),
+        f"{figures.percentile_ms(0.5):.0f}",
+        f"{figures.percentile_ms(0.99):.0f}",
+        f"{figures.percentile_ms(0.999):.0f}",
+        f"{figures.tries / figures.offered:.2f}",
+        str(figures.over_capacity_cold),
+        str(figures.falls),
+        str(figures.doubled),
+        str(figures.lost),
+        str(figures.wrong),
+        f"{figures.imbalance:.2f}",
+        _reasons(figures),
+    )
+
+
+def _print_row(cells):
+    print("| " + " | ".join(cells) + " |", flush=True)
+
+
+def _print_table(user, scenarios, seeds):
+    print(f"\n### {user.name}: {user.targets} targets, {user.slots} slots\n")
+    _print_row(HEADINGS)
+    _print_row(["---"] * len(HEADINGS))
+    for scenario in scenarios:
+        for variant in VARIANTS:
+            figures = Figures()
+            for seed in seeds:
+                for shape in user.shapes():
+                    run(scenario, variant, shape, seed, figures)
+            _print_row(_row(scenario, variant, figures))
+
+
+def main():
+    """Print one table for each user."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, nargs="+", default=SEEDS)
+    parser.add_argument("--scenario", default="", help="part of a scenario's name")
+    options = parser.parse_args()
+    scenarios = [s for s in SCENARIOS if options.scenario in s.name]
+    print(f"Seeds {list(options.seeds)}; times in ms over lookups answered in time.")
+    for user in USERS:
+        _print_table(user, scenarios, options.seeds)
+
+
+if __name__ == "__main__":
+    main()
--- a/tamarackhaven/_gate.py
+++ b/tamarackhaven/_gate.py
@@ -189,9 +189,10 @@
             self._learn_answer(finish.latency_s)
         elif finish.end is End.SHED:
             self._limit.shed(self.taken)
-            self._learn_failure()
+            self._learn_failure(suspected=True)
         elif finish.end is End.UNREACHABLE:
-            self._learn_failure()
+            # Nothing listens: whatever listens next has just started.
+            self._learn_failure(suspected=False)
         else:
             self._learn_abandoned(finish.latency_s)
 
@@ -204,10 +205,10 @@
         else:
             self._cold.succeeded(self._now)
 
-    def _learn_failure(self):
+    def _learn_failure(self, suspected):
         burst = self._signs.failed()
-        if burst and not self._cold.cold:
-            self._cold.begin(self._now, suspected=True)
+        if burst and not (suspected and self._cold.cold):
+            self._cold.begin(self._now, suspected)
         else:
             self._cold.shed(self._now)
 
