Tell refused callers to come back within a second, in a line of those who can

**Cause:** Under bursts, a slow target and 1.5x the gate answered fewer in time than a fixed limit: callers whose deadline came first kept places in the line of come-back times, so others were sent past their deadlines while slots stayed free; and a wait of up to 5 s outlived the burst it was measured in.

**Change:** Such callers take no place; Retry-After is 1 s at most, spread by a quarter either way.

--- a/tamarackhaven/_gate.py
+++ b/tamarackhaven/_gate.py
@@ -158,15 +158,15 @@
 
     def _refuse(self, offer, kind):
         self.refused_by_kind[kind] += 1
-        return Refuse(offer.request_id, kind, self._retry_after_s(kind))
+        return Refuse(offer.request_id, kind, self._retry_after_s(offer, kind))
 
-    def _retry_after_s(self, kind):
+    def _retry_after_s(self, offer, kind):
         if kind is ErrorKind.DEADLINE_PAST:
             return 0.0
         backlog_s = self._rate.wait_s(self.waiting, self.limit, self._now)
         interval_s = self._rate.interval_s(self.limit)
         return self._come_back.next_s(
-            backlog_s, interval_s, self._now, self._rng.random()
+            backlog_s, interval_s, self._now, offer.deadline_s, self._rng.random()
         )
 
     def finish(self, finish, now):
--- a/tamarackhaven/_retry_after.py
+++ b/tamarackhaven/_retry_after.py
@@ -4,8 +4,9 @@
 _NEW_WEIGHT = 0.1
 # A caller that comes back sooner finds the same queue.
 RETRY_MIN_S = 0.05
-# Longer than this no measure of now holds; the caller rather asks again.
-RETRY_MAX_S = 5.0
+# Longer than this no measure of now holds: a straggler is quick again, a burst is over.
+# A refused try costs the daemon little, one a second from each caller.
+RETRY_MAX_S = 1.0
 # Part of the time by which a come-back is spread: callers refused in the same
 # instant would otherwise be back in the same instant.
 SPREAD = 0.5
@@ -62,9 +63,13 @@
     def __init__(self):
         self._line_ends_at = 0.0
 
-    def next_s(self, backlog_s, interval_s, now, random_part):
+    def next_s(self, backlog_s, interval_s, now, deadline_s, random_part):
         """Return a Retry-After in seconds.
 
+        A caller whose deadline comes first won't come back, so it takes no place:
+        otherwise the line grows by callers that are gone, and those who could still
+        be answered are sent away past their deadlines while slots stay free.
+
         Parameters
         ----------
         backlog_s : float
@@ -73,12 +78,14 @@
             Time between two starts.
         now : float
             Seconds of the gate's clock.
+        deadline_s : float
+            The caller's deadline, on the same clock.
         random_part : float
             A random number from 0 to 1.
         """
-        longest = now + RETRY_MAX_S
         line_ends_at = max(self._line_ends_at, now + backlog_s) + interval_s
-        self._line_ends_at = min(line_ends_at, longest)
-        wait_s = self._line_ends_at - now
+        if line_ends_at < deadline_s:
+            self._line_ends_at = line_ends_at
+        wait_s = min(line_ends_at - now, RETRY_MAX_S)
         spread = 1.0 - SPREAD / 2 + SPREAD * random_part
         return max(RETRY_MIN_S * (0.5 + random_part), wait_s * spread)
