End the doubt about a slow target when it is quick again

**Cause:** A target slow for a second kept its lowered ceiling for seconds after.

**Change:** A step down in latency ends a ceiling that only a step up had set.

--- a/tamarackhaven/_cold_start.py
+++ b/tamarackhaven/_cold_start.py
@@ -41,6 +41,7 @@
         self._step_s = 0.0
         self._stepped_at = 0.0
         self._done = 0
+        self._slow_only = False
 
     @property
     def cold(self):
@@ -66,8 +67,15 @@
         """
         level = max(self._settings.cold_requests, int(SLOW_PART * self._slots))
         self._begin_at(level, now, suspected=True)
+        self._slow_only = True
+
+    def end_slow(self):
+        """End what ``begin_slow`` began: the target is as quick as before."""
+        if self._slow_only:
+            self.end()
 
     def _begin_at(self, level, now, suspected):
+        self._slow_only = False
         level = min(level, self._slots)
         ramp_s = self._settings.cold_s / (SUSPECT_SPEED if suspected else 1.0)
         self._level = level
@@ -90,6 +98,7 @@
     def shed(self, now):
         """Halve the ceiling: the target bears less than it was given."""
         if self.cold:
+            self._slow_only = False
             self._level = max(self._settings.cold_requests, self._level // 2)
             self._restart_step(now)
 
--- a/tamarackhaven/_gate.py
+++ b/tamarackhaven/_gate.py
@@ -13,7 +13,7 @@
 from tamarackhaven._cold_start import ColdStart, RestartSigns
 from tamarackhaven._fair_queue import FairQueue
 from tamarackhaven._gate_messages import Admit, End, Refuse, Wait
-from tamarackhaven._limit import REPORT_LIFE_S, LearnedLimit
+from tamarackhaven._limit import REPORT_LIFE_S, LearnedLimit, Shift
 from tamarackhaven._retry_after import ComeBackTimes, EmptyingRate
 from tamarackhaven.errors import ErrorKind
 
@@ -199,9 +199,11 @@
     def _learn_answer(self, latency_s):
         self._signs.answered()
         self._rate.ended(latency_s, self._now)
-        jumped = self._limit.answered(latency_s, self.taken, self._now)
-        if jumped and not self._cold.cold:
+        shift = self._limit.answered(latency_s, self.taken, self._now)
+        if shift is Shift.SLOWER and not self._cold.cold:
             self._cold.begin_slow(self._now)
+        elif shift is Shift.FASTER:
+            self._cold.end_slow()
         else:
             self._cold.succeeded(self._now)
 
--- a/tamarackhaven/_limit.py
+++ b/tamarackhaven/_limit.py
@@ -5,6 +5,7 @@
 concurrency-limits and TCP Vegas (Brakmo and Peterson, 1995).
 """
 
+import enum
 import math
 
 # Answers in one window. A smaller one would judge by single slow requests; a larger
@@ -18,7 +19,7 @@
 # A target whose requests share a processor is slower when its slots are full; that
 # alone must not shrink the limit, or a healthy target never uses its slots.
 TOLERANCE = 2.0
-# Latency this many times the base is more than contention: see ``GateEvidence``.
+# Latency this many times the base is more than contention.
 JUMP = 4.0
 # Latency alone never takes more than half of the slots: long work looks like a slow
 # target from here, and halving twice would refuse work that the target can bear.
@@ -32,6 +33,13 @@
 REPORT_LIFE_S = 5.0
 
 
+class Shift(enum.Enum):
+    """A step in the latency from one window to the next."""
+
+    SLOWER = "slower"
+    FASTER = "faster"
+
+
 class LearnedLimit:
     """How many requests a warm target may run at once.
 
@@ -81,7 +89,7 @@
             self._reported_at = made_at
 
     def answered(self, latency_s, running, now):
-        """Take in one answer; return True if the latency jumped.
+        """Take in one answer; return a Shift if the latency took a step, or None.
 
         ``running`` counts the requests at the target, this one included.
         """
@@ -89,7 +97,7 @@
         self._was_full = self._was_full or running >= self.value(now)
         self._sheds_left = max(0, self._sheds_left - 1)
         if len(self._samples) < WINDOW_ANSWERS:
-            return False
+            return None
         return self._close_window(running)
 
     def _close_window(self, running):
@@ -102,13 +110,13 @@
             # Taken as the new base at once: work that turned long for good jumps once
             # and isn't held cold for ever.
             self.base_s = low_s
-            return True
+            return Shift.SLOWER
         if low_s > TOLERANCE * base_s:
             self._shrink(TOLERANCE * base_s / low_s)
         elif full:
             self._proven = max(self._proven, running)
             self._limit = min(self.slots, self._limit + 1.0)
-        return False
+        return Shift.FASTER if low_s * TOLERANCE < base_s else None
 
     def _shrink(self, factor):
         floor = max(1.0, LATENCY_FLOOR * self.slots)
