Keep the lead through a stall of the leader's own thread

**Cause:** a sync that took longer than an election timeout made the leader count its own silence as the others' and give up the lead. **Change:** a leader that stood still gets one election timeout from its waking on; the driver reads its queue before the clock.

--- a/tamarackhaven/_consensus.py
+++ b/tamarackhaven/_consensus.py
@@ -284,11 +284,14 @@
         self._take_inputs()
         self._now = self._clock()
         outputs = []
+        while self._inputs:
+            outputs.extend(self._handle(self._inputs.popleft()))
         if self._now >= self._tick_due:
+            # Load: a sync that takes longer than an election timeout. Harm: a follower
+            # that looks at the clock before the heartbeats that wait in its queue
+            # starts an election for nothing; so the tick comes after them.
             self._tick_due = self._now + self._tick_s
             outputs.append(self._raft.tick(self._now))
-        while self._inputs:
-            outputs.extend(self._handle(self._inputs.popleft()))
         if self._waiting.has_new_reads:
             # All reads of a batch share one round of heartbeats.
             token = self._waiting.start_reads()
--- a/tamarackhaven/_raft_leader.py
+++ b/tamarackhaven/_raft_leader.py
@@ -37,6 +37,8 @@
         self._now = now
         self._round = 0
         self._heartbeat_due = now + core.heartbeat_s
+        self._awake_since = now
+        self._ticked_at = now
         self._progress = {}
         self._reads = PendingReads()
         self._append(EntryKind.EMPTY, b"")
@@ -44,6 +46,7 @@
     def tick(self, now):
         """Send heartbeats that are due; tell whether a quorum was heard of late."""
         self._now = now
+        self._note_stall()
         # Failure: a leader hears no quorum, for a one-way cut or a partition.
         # Symptom: it would accept changes that never commit while another leads.
         # Enough: others elect only after the same time, so it has stopped by then.
@@ -53,9 +56,19 @@
             self._heartbeat()
         return True
 
+    def _note_stall(self):
+        # Load: a sync that takes longer than an election timeout. Harm: a leader that
+        # stood still sent nothing that could be answered, and would give up the lead
+        # for its own silence. Limit: one election timeout from its waking on; if
+        # another leads by then, the first answer says so.
+        if self._now - self._ticked_at > self._core.election_s / 2:
+            self._awake_since = self._now
+        self._ticked_at = self._now
+
     def _hears_quorum(self):
         heard = self._quorum_value(self._now, lambda progress: progress.heard_at)
-        return self._now - heard <= self._core.election_s
+        since = max(heard, self._awake_since)
+        return self._now - since <= self._core.election_s
 
     def _quorum_value(self, own, of_progress):
         """Return the largest value that a quorum of voters reaches."""
