Test that decision modules read no clock and do no input or output

**Cause:** decisions must run in a test without sockets, and nothing kept a module from reading a clock or drawing a random number itself. **Change:** tests/test_purity.py lists the pure modules and looks at their imports, those of functions included; a pure module may import only pure ones, so that a clock can't come in by a detour. **Measured:** 52 passed in 1.5 s; seen red with `import time` and with an import of `_clock` in `_gate`.

--- /dev/null
+++ b/tests/test_purity.py
@@ -0,0 +1,50 @@
+"""Decision modules take time and randomness as arguments and do no input or output.
+
+A decision that reads a clock can't be tested at the moment that matters, and one that
+draws its own random numbers can't be repeated.
+"""
+
+import ast
+import pathlib
+
+import pytest
+
+FOLDER = pathlib.Path(__file__).parents[1] / "tamarackhaven"
+FORBIDDEN = frozenset(
+    "socket select time datetime threading concurrent queue asyncio random logging os "
+    "pathlib subprocess http waitress grpclib eliot secrets uuid".split()
+)
+PURE = frozenset(
+    "_answer _balance _changes _choice _cold_start _decisions _events _failure_points "
+    "_fair_queue _fence_round _gate _gate_messages _hedge _history _hot_keys _identify "
+    "_keys _lease_holder _lease_promises _lease_times _lease_wire _ledger _limit "
+    "_locate _members _model _outliers _pins _placement _plan _raft _raft_core "
+    "_raft_election _raft_follower _raft_leader _raft_log _raft_membership "
+    "_raft_messages _raft_outbox _raft_progress _raft_reads _request _resources _retry "
+    "_retry_after _seams _state _target_loads _verify errors".split()
+)
+# They hold data or translate it, and decide nothing under load.
+FREE_OF_INPUT_TOO = frozenset("_codec _settings".split())
+
+
+def imports(name):
+    """Return the modules that a module imports, anywhere in it."""
+    found = set()
+    for node in ast.walk(ast.parse((FOLDER / f"{name}.py").read_text())):
+        if isinstance(node, ast.Import):
+            found.update(alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module == "tamarackhaven":
+            found.update(f"tamarackhaven.{alias.name}" for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            found.add(node.module)
+    return found
+
+
+@pytest.mark.parametrize("name", sorted(PURE | FREE_OF_INPUT_TOO))
+def test_a_decision_module_is_pure(name):
+    allowed = PURE | FREE_OF_INPUT_TOO
+    for module in imports(name):
+        package, _, rest = module.partition(".")
+        assert package not in FORBIDDEN, module
+        if package == "tamarackhaven":
+            assert rest in allowed, f"{name} reaches {rest}, which is not pure"
