Write the operators' page, with a test that it names all there is

**Cause:** nobody could run the program without reading its code, and a page by hand lags behind the code. **Change:** docs/OPERATING.md; tests/test_docs.py compares its table of errors with errors.py and looks for every setting with unit, range and default, every command with its options, and every metric.

--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,165 @@
+"""docs/OPERATING.md must name every error, setting, command and metric there is.
+
+The table of errors stands between two marks and is written anew with UPDATE_GOLDEN=1.
+"""
+
+import ast
+import inspect
+import os
+import pathlib
+import re
+import typing
+
+import attrs
+import pytest
+
+from tamarackhaven import _settings
+from tamarackhaven.__main__ import COMMANDS
+from tamarackhaven._metrics import Metrics
+from tamarackhaven.errors import ANSWER_BY_KIND, ErrorKind
+
+ROOT = pathlib.Path(__file__).parents[1]
+PAGE = ROOT / "docs" / "OPERATING.md"
+START, END = "<!-- errors -->\n", "<!-- end of errors -->"
+UNIT_BY_ENDING = {
+    "ms": "ms",
+    "s": "s",
+    "bytes": "bytes",
+    "entries": "entries",
+    "requests": "requests",
+    "connections": "connections",
+    "share": "part of 1",
+    "drift": "part of 1",
+    "imbalance": "part of 1",
+}
+NAME_BY_TYPE = {str: "text", int: "whole number", float: "number", bool: "true, false"}
+METRIC = re.compile(r"tamarackhaven_[a-z_]+")
+
+
+def error_table():
+    """Return the table of the page, one row an error kind."""
+    lines = [
+        "| Code | Name | HTTP | Exit | Ran | Repeat | Sentence |",
+        "|---|---|---|---|---|---|---|",
+    ]
+    for kind in ErrorKind:
+        row = ANSWER_BY_KIND[kind]
+        cells = (kind.value, kind.name, row.http_status, row.exit_code)
+        cells += (row.ran.value, row.repeat.value, row.sentence)
+        lines.append("| " + " | ".join(str(cell) for cell in cells) + " |")
+    return "\n".join(lines) + "\n"
+
+
+def _validators(validator):
+    parts = getattr(validator, "_validators", None)
+    if parts is None:
+        return [validator]
+    return [each for part in parts for each in _validators(part)]
+
+
+def _bound(field, sign):
+    for each in _validators(field.validator):
+        if getattr(each, "compare_op", "") == sign:
+            return each.bound
+    return None
+
+
+def _default(field):
+    if field.default is attrs.NOTHING:
+        return "none"
+    if isinstance(field.default, attrs.Factory):
+        return "its own"
+    if field.type is bool:
+        return str(field.default).lower()
+    return str(field.default) if field.default != "" else "empty"
+
+
+def setting_cells(field):
+    """Return the cells of one setting but for its meaning."""
+    low, high = _bound(field, ">="), _bound(field, "<=")
+    if low is not None:
+        values = f"{low} to {high}"
+    elif typing.get_origin(field.type) is list:
+        values = "list of tables"
+    else:
+        values = NAME_BY_TYPE.get(field.type, "table")
+    unit = UNIT_BY_ENDING.get(field.name.rpartition("_")[2], "")
+    return f"| `{field.name}` | {unit} | {values} | {_default(field)} |"
+
+
+def settings_classes():
+    """Return every settings class."""
+    found = inspect.getmembers(_settings, inspect.isclass)
+    return [each for _, each in found if each.__module__ == _settings.__name__]
+
+
+def metric_names():
+    """Return all metric names in the code, with the parts made up at run time."""
+    names = set(METRIC.findall(Metrics().page()))
+    prefixes = set()
+    for path in (ROOT / "tamarackhaven").glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.JoinedStr):
+                first = node.values[0]
+                text = first.value if isinstance(first, ast.Constant) else ""
+                prefixes.update(METRIC.findall(str(text)))
+            elif isinstance(node, ast.Constant) and isinstance(node.value, str):
+                names.update([node.value] if METRIC.fullmatch(node.value) else [])
+    for prefix in prefixes:
+        names.discard(prefix)
+        names.update(prefix + name for name in _gauge_names(prefix))
+    return names
+
+
+def _gauge_names(prefix):
+    module, function = {
+        "tamarackhaven_gate_": ("_admit", "gauges"),
+        "tamarackhaven_control_": ("_control", "_gauges"),
+    }[prefix]
+    tree = ast.parse((ROOT / "tamarackhaven" / f"{module}.py").read_text())
+    for node in ast.walk(tree):
+        if isinstance(node, ast.FunctionDef) and node.name == function:
+            table = next(each for each in ast.walk(node) if isinstance(each, ast.Dict))
+            return [key.value for key in table.keys]
+    raise AssertionError(f"{module}.{function} is gone")
+
+
+@pytest.fixture(scope="module")
+def page():
+    return PAGE.read_text()
+
+
+def test_the_table_of_errors_is_that_of_the_code(page):
+    head, _, rest = page.partition(START)
+    table, _, tail = rest.partition(END)
+    if os.environ.get("UPDATE_GOLDEN"):
+        PAGE.write_text(head + START + error_table() + END + tail)
+        return
+    assert table == error_table()
+
+
+def test_every_setting_stands_with_its_range_and_default(page):
+    missing = [
+        f"{each.__name__}: {setting_cells(field)}"
+        for each in settings_classes()
+        for field in attrs.fields(attrs.resolve_types(each))
+        if setting_cells(field) not in page
+    ]
+    assert not missing, missing
+
+
+def test_every_command_and_option_stands_in_a_section_of_its_own(page):
+    assert "`--version`" in page
+    for command in COMMANDS:
+        section = page.partition(f"\n### `{command.__name__}")[2].partition("\n### ")[0]
+        assert section, command.__name__
+        for name, parameter in inspect.signature(command).parameters.items():
+            option = parameter.kind is inspect.Parameter.KEYWORD_ONLY
+            shown = "--" + name.replace("_", "-") if option else name.upper()
+            assert shown in section, (command.__name__, shown)
+
+
+def test_every_metric_is_named(page):
+    named = set(METRIC.findall(page))
+    assert not metric_names() - named, metric_names() - named
+    assert not {name for name in named - metric_names() if name[-1] != "_"}
