Open the fence file with the log, and let a joiner start without members

Cause: a lost fence file would read as no fences; a member that joins counted the members of its settings file as its own log's. Change: the file must exist once the log does; a joiner starts with no membership.

--- a/tamarackhaven/_control.py
+++ b/tamarackhaven/_control.py
@@ -54,7 +54,7 @@
         membership = _first_membership(settings)
         folder = Path(settings.data_folder)
         self._storage = Storage.open(folder)
-        self._fences = FenceFile.open(folder)
+        self._fences = FenceFile.open(folder, must_exist=not self._storage.is_new)
         self._fencing = concurrent.futures.ThreadPoolExecutor(FENCE_THREADS)
         self._loop = LoopThread("control")
         self.machine = Machine(membership)
@@ -70,7 +70,7 @@
             settings.name,
             settings.raft,
             self._storage,
-            membership,
+            Membership(()) if settings.join else membership,
             self.peers.send,
             self.machine,
             _clock.boot_s,
