--- a/standin/target.py
+++ b/standin/target.py
@@ -160,7 +160,7 @@
             return Reply(503, {"refused": "given-up"}, (DID_NOT_RUN,))
         with self._lock:
             self.served += 1
-        if method == "GET":
+        if method in ("GET", "HEAD"):
             return Reply(200, {"target": self.settings.name, "path": path})
         return self._book(path, headers)
 
--- a/tamarackhaven/_http_server.py
+++ b/tamarackhaven/_http_server.py
@@ -217,7 +217,9 @@
 
 def respond(answer, start_response):
     """Give an ``HttpAnswer`` to WSGI."""
-    headers = [*answer.headers, ("Content-Length", str(len(answer.body)))]
+    headers = list(answer.headers)
+    if not answer.header("Content-Length"):
+        headers.append(("Content-Length", str(len(answer.body))))
     start_response(status_line(answer.status), headers)
     return [answer.body]
 
--- a/tamarackhaven/_send.py
+++ b/tamarackhaven/_send.py
@@ -25,10 +25,13 @@
 IDLE_S = 20.0
 _POLL_S = 0.05
 _SHORTEST_S = 0.001
+# waitress refuses to pass on the standard ones; the others it writes itself.
 _HOP_BY_HOP = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "content-length", "date"}
-    | {"server", "via", "trailer", "upgrade"}
+    {"connection", "keep-alive", "proxy-authenticate", "proxy-authorization"}
+    | {"te", "trailer", "trailers", "transfer-encoding", "upgrade"}
+    | {"date", "server", "via"}
 )
+_LENGTH = "content-length"
 
 
 @attrs.frozen
@@ -215,12 +218,17 @@
         reusable = not response.will_close
     finally:
         connections.release(sock, reusable)
-    headers = tuple(
+    return HttpAnswer(response.status, _headers(response, sending), body)
+
+
+def _headers(response, sending):
+    """Return the headers to pass on; only HEAD needs the length that was stated."""
+    dropped = _HOP_BY_HOP if sending.method == "HEAD" else _HOP_BY_HOP | {_LENGTH}
+    return tuple(
         (name, value)
         for name, value in response.getheaders()
-        if name.lower() not in _HOP_BY_HOP
+        if name.lower() not in dropped
     )
-    return HttpAnswer(response.status, headers, body)
 
 
 def _write(sock, address, sending):
--- a/tests/test_path_http.py
+++ b/tests/test_path_http.py
@@ -132,6 +132,17 @@
     assert " 201 " in raw_exchange(port, (head + body).encode())
 
 
+def test_a_head_request_tells_the_length_of_the_whole_answer(pair):
+    length = len(pair[0].ask().body)
+    for node in pair:
+        got = node.ask("HEAD")
+        assert (got.status, got.headers["content-length"], got.body) == (
+            200,
+            str(length),
+            b"",
+        )
+
+
 def test_what_the_owner_may_not_serve_is_refused(pair):
     first, second = pair
     refusals = [
--- a/tests/test_send.py
+++ b/tests/test_send.py
@@ -121,9 +121,12 @@
 
 
 def test_a_good_connection_is_used_again_and_bounded():
-    with scripted(ok("r1"), ok("r2")) as (connections, received):
-        for request_id in ("r1", "r2"):
-            send(connections, sending(request_id), never)
+    more = "TE: trailers\r\nProxy-Authenticate: x\r\nSet-Cookie: a\r\nSet-Cookie: b\r\n"
+    with scripted(ok("r1", more=more), ok("r2")) as (connections, received):
+        answer = send(connections, sending("r1"), never)
+        names = [name for name, _ in answer.headers]
+        assert names == ["Tamarackhaven-Request-Id", "Set-Cookie", "Set-Cookie"]
+        send(connections, sending("r2"), never)
         assert [len(requests) for requests in received] == [2]
         taken = [connections.acquire(boot_s() + 5) for _ in range(4)]
         error = send_refused(connections, sending())
