--- a/tamarackhaven/_gate.py
+++ b/tamarackhaven/_gate.py
@@ -13,7 +13,7 @@
 from tamarackhaven._cold_start import ColdStart, RestartSigns
 from tamarackhaven._fair_queue import FairQueue
 from tamarackhaven._gate_messages import Admit, End, Refuse, Wait
-from tamarackhaven._limit import REPORT_LIFE_S, LearnedLimit
+from tamarackhaven._limit import REPORT_LIFE_S, LearnedLimit, Shift
 from tamarackhaven._retry_after import ComeBackTimes, EmptyingRate
 from tamarackhaven.errors import ErrorKind
 
@@ -158,15 +158,15 @@
 
     def _refuse(self, offer, kind):
         self.refused_by_kind[kind] += 1
-        return Refuse(offer.request_id, kind, self._retry_after_s(kind))
+        return Refuse(offer.request_id, kind, self._retry_after_s(offer, kind))
 
-    def _retry_after_s(self, kind):
+    def _retry_after_s(self, offer, kind):
         if kind is ErrorKind.DEADLINE_PAST:
             return 0.0
         backlog_s = self._rate.wait_s(self.waiting, self.limit, self._now)
         interval_s = self._rate.interval_s(self.limit)
         return self._come_back.next_s(
-            backlog_s, interval_s, self._now, self._rng.random()
+            backlog_s, interval_s, self._now, offer.deadline_s, self._rng.random()
         )
 
     def finish(self, finish, now):
@@ -189,25 +189,28 @@
             self._learn_answer(finish.latency_s)
         elif finish.end is End.SHED:
             self._limit.shed(self.taken)
-            self._learn_failure()
+            self._learn_failure(suspected=True)
         elif finish.end is End.UNREACHABLE:
-            self._learn_failure()
+            # Nothing listens: whatever listens next has just started.
+            self._learn_failure(suspected=False)
         else:
             self._learn_abandoned(finish.latency_s)
 
     def _learn_answer(self, latency_s):
         self._signs.answered()
         self._rate.ended(latency_s, self._now)
-        jumped = self._limit.answered(latency_s, self.taken, self._now)
-        if jumped and not self._cold.cold:
-            self._cold.begin(self._now, suspected=True)
+        shift = self._limit.answered(latency_s, self.taken, self._now)
+        if shift is Shift.SLOWER and not self._cold.cold:
+            self._cold.begin_slow(self._now)
+        elif shift is Shift.FASTER:
+            self._cold.end_slow()
         else:
             self._cold.succeeded(self._now)
 
-    def _learn_failure(self):
+    def _learn_failure(self, suspected):
         burst = self._signs.failed()
-        if burst and not self._cold.cold:
-            self._cold.begin(self._now, suspected=True)
+        if burst and not (suspected and self._cold.cold):
+            self._cold.begin(self._now, suspected)
         else:
             self._cold.shed(self._now)
 
