--- a/tamarackhaven/_handover.py
+++ b/tamarackhaven/_handover.py
@@ -79,11 +79,12 @@
             self._wake.wait(POLL_S if self._stopped_by_shard else None)
             self._wake.clear()
             try:
-                self._step()
+                self.step()
             except TamarackhavenError as error:
                 self._log.say("release not confirmed", code=error.kind.value)
 
-    def _step(self):
+    def step(self):
+        """Take one step for every shard on the move."""
         owned = self._view.owned_by(self._settings.service, self._settings.target)
         moving_by_shard = {g.shard: g for g in owned if g.moving_to}
         self._resume_others(moving_by_shard)
--- a/tamarackhaven/_leader.py
+++ b/tamarackhaven/_leader.py
@@ -88,7 +88,7 @@
             self._wake.wait(TICK_S)
             self._wake.clear()
             try:
-                self._tick(self._clock.boot_s())
+                self.step(self._clock.boot_s())
             except TamarackhavenError as error:
                 # Leadership was lost in the middle: the next leader goes on.
                 self._log.say("step given up", code=error.kind.value)
@@ -96,7 +96,8 @@
                 self._log.say("step failed", error=repr(error))
                 time.sleep(TICK_S)
 
-    def _tick(self, now):
+    def step(self, now):
+        """Take one step at ``now``, in seconds; nothing where this VM does not lead."""
         status = self._consensus.status()
         if status.role is not Role.LEADER:
             self._term = 0
