Record a whole session of the state, and drop the unused stream of changes

Cause: refusals named their code twice; a stream call stood beside the long poll that all watchers use, with no caller. Change: the detail no longer repeats the code; the Watch call is gone; a golden session.

--- a/tamarackhaven/_control_services.py
+++ b/tamarackhaven/_control_services.py
@@ -18,8 +18,6 @@
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 WAIT_MS_MAX = 30_000
-# A watcher hears at least this often that nothing changed, so silence means a loss.
-BOOKMARK_S = 5.0
 EXPLAIN_LIMIT_MAX = 500
 
 
@@ -203,16 +201,6 @@
         except (TamarackhavenError, TimeoutError) as error:
             raise GRPCError(Status.UNAVAILABLE, str(error)) from error
 
-    async def Watch(self, stream):  # noqa: N802
-        """Stream events; the stream keeps a version only, however slow its reader."""
-        request = await stream.recv_message()
-        version = request.from_version
-        while True:
-            reply = self._reply(version)
-            await stream.send_message(reply)
-            version = reply.version
-            await self._versions.newer_than(version, BOOKMARK_S)
-
     def _reply(self, from_version):
         feed = self._machine.feed(from_version)
         return pb.FetchReply(
@@ -285,7 +273,7 @@
 
 
 def _outcome(kind, detail):
-    return Outcome(kind.value, str(TamarackhavenError(kind, detail)), 0)
+    return Outcome(kind.value, detail)
 
 
 def _first_line(error):
--- a/tamarackhaven/_state.py
+++ b/tamarackhaven/_state.py
@@ -478,7 +478,7 @@
 
 def _refused(error):
     version = getattr(error, "version", 0)
-    return Outcome(error.kind.value, str(error), version)
+    return Outcome(error.kind.value, error.detail, version)
 
 
 def _conflict(old):
--- a/tamarackhaven/_wire_grpc.py
+++ b/tamarackhaven/_wire_grpc.py
@@ -66,10 +66,6 @@
     async def Fetch(self, stream: 'grpclib.server.Stream[_wire_pb2.FetchRequest, _wire_pb2.FetchReply]') -> None:
         pass
 
-    @abc.abstractmethod
-    async def Watch(self, stream: 'grpclib.server.Stream[_wire_pb2.FetchRequest, _wire_pb2.FetchReply]') -> None:
-        pass
-
     @abc.abstractmethod
     async def Explain(self, stream: 'grpclib.server.Stream[_wire_pb2.ExplainRequest, _wire_pb2.ExplainReply]') -> None:
         pass
@@ -100,12 +96,6 @@
                 _wire_pb2.FetchRequest,
                 _wire_pb2.FetchReply,
             ),
-            '/tamarackhaven.Control/Watch': grpclib.const.Handler(
-                self.Watch,
-                grpclib.const.Cardinality.UNARY_STREAM,
-                _wire_pb2.FetchRequest,
-                _wire_pb2.FetchReply,
-            ),
             '/tamarackhaven.Control/Explain': grpclib.const.Handler(
                 self.Explain,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -148,12 +138,6 @@
             _wire_pb2.FetchRequest,
             _wire_pb2.FetchReply,
         )
-        self.Watch = grpclib.client.UnaryStreamMethod(
-            channel,
-            '/tamarackhaven.Control/Watch',
-            _wire_pb2.FetchRequest,
-            _wire_pb2.FetchReply,
-        )
         self.Explain = grpclib.client.UnaryUnaryMethod(
             channel,
             '/tamarackhaven.Control/Explain',
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -23,11 +23,13 @@
     AvailabilityZone,
     OwnershipPolicy,
     Service,
+    ShardGrant,
     TargetState,
     ZoneState,
 )
 from tamarackhaven._state import ClusterState, StateSnapshot
 from tamarackhaven.errors import ErrorKind
+from tests import golden
 
 
 class Log:
@@ -297,3 +299,28 @@
     for name, (version, region) in naive.items():
         zone = log.state.resource("AvailabilityZone", name)
         assert (zone.version, zone.region) == (version, region)
+
+
+def test_golden_session(log):
+    """Two targets join, share the shards, one leaves and one is lost."""
+    steps = [
+        JoinTarget("rota", "t1", "a", "i1", "1", Address("127.0.0.1", 1)),
+        JoinTarget("rota", "t2", "b", "i2", "1", Address("127.0.0.1", 2)),
+        MoveShards("rota", [ShardMove(n, 0, f"t{n % 2 + 1}") for n in range(4)], "new"),
+        MoveShards("rota", [ShardMove(0, 7, "t2"), ShardMove(1, 3, "t1")], "balance"),
+        ReleaseShards("rota", "t1", 5, [ShardGrant("rota", 0, "t1", 5, 7)]),
+        PutResource("op-1", AvailabilityZone("b", state=ZoneState.OUT), 1),
+        PutResource("op-1", AvailabilityZone("b", state=ZoneState.OUT), 1),
+        PutResource("op-2", AvailabilityZone("b", state=ZoneState.OUT), 2),
+        RetireTarget("rota", "t2", 6, "its lease ran out"),
+        LeaveTarget("rota", "t1", 6),
+        DeleteResource("op-3", "Service", "rota", 4),
+    ]
+    lines = []
+    for change in steps:
+        outcome = log.do(change)
+        lines.append(f"{log.index} {change}")
+        lines.append(f"   = {outcome.code or 'applied'} {outcome.detail}".rstrip())
+        lines += [f"   > {event}" for event in log.events]
+    lines += [f"{d.decision_id} {d.result}" for d in log.state.decisions.all()]
+    golden.check("state_session", "\n".join(lines) + "\n")
