Count cut connections as a sign of a restart, and warm by more work

**Cause:** In the model's cold return the gate overran the cold target: all places of a target that fell over were kept as abandoned, so no connection was refused and no burst seen; and with slow work the ceiling rose by time alone.

**Change:** Three cut connections without an answer between make the target cold; a target that sends too much or the wrong answer isn't counted so; each step of the ramp needs 20 answers for each place.

--- a/tamarackhaven/_cold_start.py
+++ b/tamarackhaven/_cold_start.py
@@ -6,6 +6,11 @@
 # faster: a momentary straggler looks the same, and held for the whole time from cold
 # it would turn away work long after its neighbours are quiet again.
 SUSPECT_SPEED = 4.0
+# Answers for each place under the ceiling before the next step. With one, slow work on
+# a cold target let the ceiling rise by time alone: ten starts over what the model's
+# target bore. With 8 a target of six slots that warms by 50 answers a slot fell over.
+# How much work warms a target the gate cannot know; more is safer and slower.
+ROUNDS_PER_STEP = 20
 # Part of the slots left to a target whose latency jumped. Trials of the model with
 # one target five times slower for a second: cut to one request, 82 in 100 callers were
 # answered in time, cut to half of the slots 98.
@@ -87,11 +92,12 @@
         self._level = self._slots
 
     def succeeded(self, now):
-        """Take in one answer; one for each place under the ceiling makes a step."""
+        """Take in one answer; enough of them, and enough time, make a step."""
         if not self.cold:
             return
         self._done += 1
-        if self._done >= self._level and now - self._stepped_at >= self._step_s:
+        worked = self._done >= ROUNDS_PER_STEP * self._level
+        if worked and now - self._stepped_at >= self._step_s:
             self._level += 1
             self._restart_step(now)
 
--- a/tamarackhaven/_failure_points.py
+++ b/tamarackhaven/_failure_points.py
@@ -67,7 +67,9 @@
     ran : Ran
         Whether the request ran, as far as this program can know.
     end : End or None
-        What the gate is told; None if the request never was at the target.
+        What the gate is told; None if the request never was at the target. FAILED
+        only if the connection was cut: that is a sign of a restart, while a target
+        that sends too much is alive.
     reuse : bool
         Whether the target's connection may serve another request.
     """
@@ -116,8 +118,8 @@
     _P.DURING_ANSWER: _doubt(_K.ANSWER_SHORT),
     _P.ANSWER_STALLED: _doubt(_K.ANSWER_TIMEOUT, End.GIVEN_UP),
     _P.ANSWER_LATE: _doubt(_K.ANSWER_TIMEOUT, End.GIVEN_UP),
-    _P.ANSWER_OVERSIZED: _doubt(_K.ANSWER_TOO_LARGE),
-    _P.ANSWER_OF_ANOTHER: _doubt(_K.ANSWER_MISMATCH),
+    _P.ANSWER_OVERSIZED: _doubt(_K.ANSWER_TOO_LARGE, End.GIVEN_UP),
+    _P.ANSWER_OF_ANOTHER: _doubt(_K.ANSWER_MISMATCH, End.GIVEN_UP),
     _P.LEASE_END_AFTER_SEND: _doubt(_K.CANCELLED, End.GIVEN_UP),
     _P.OWNER_CHANGE_AFTER_SEND: _doubt(_K.CANCELLED, End.GIVEN_UP),
     _P.DRAIN_TIMEOUT_AFTER_SEND: _doubt(_K.CANCELLED, End.GIVEN_UP),
--- a/tamarackhaven/_gate.py
+++ b/tamarackhaven/_gate.py
@@ -195,6 +195,11 @@
             self._learn_failure(suspected=False)
         else:
             self._learn_abandoned(finish.latency_s)
+        # Failure: a target falls over and is back cold before any report says so.
+        # Symptom: all its places free themselves at once and it is overrun. Cut
+        # connections without an answer in between are its first sign.
+        if finish.end is End.FAILED:
+            self._learn_failure(suspected=False)
 
     def _learn_answer(self, latency_s):
         self._signs.answered()
