Send consensus messages into one open call

A trace of one commit ruled out delayed acknowledgements, Nagle and waits for a tick: all of it is processor time of calls.

--- a/tamarackhaven/_control_services.py
+++ b/tamarackhaven/_control_services.py
@@ -42,9 +42,10 @@
         self._executor = executor
 
     async def Step(self, stream):  # noqa: N802
-        """Take consensus messages."""
-        request = await stream.recv_message()
-        self._consensus.deliver([from_wire(message) for message in request.messages])
+        """Take consensus messages until the sender ends the call."""
+        async for request in stream:
+            messages = [from_wire(message) for message in request.messages]
+            self._consensus.deliver(messages)
         await stream.send_message(pb.StepReply())
 
     async def Fence(self, stream):  # noqa: N802
--- a/tamarackhaven/_peers.py
+++ b/tamarackhaven/_peers.py
@@ -64,19 +64,32 @@
         return queue
 
     async def _send_queue(self, name, queue):
+        """Keep one call open and send into it, again after each failure.
+
+        A call for each batch cost a round trip before the next batch could leave, and
+        most of the processor time of a heartbeat.
+        """
         while True:
-            batch = [await queue.get()]
-            while not queue.empty():
-                batch.append(queue.get_nowait())
-            request = pb.StepRequest(messages=[to_wire(message) for message in batch])
             try:
-                stub = PeerStub(self._channel(name))
-                await stub.Step(request, timeout=STEP_TIMEOUT_S)
-            except CALL_FAILURES:
+                async with PeerStub(self._channel(name)).Step.open() as stream:
+                    while True:
+                        await self._send_batch(stream, queue)
+            except Exception:
+                # Whatever it was, the next call may do: a task that ended would leave
+                # that VM without messages for good, and nobody would hear of it.
                 # Refused at once when the VM is down: without a pause this would
                 # spin on one core until it comes back.
                 await asyncio.sleep(0.02)
 
+    async def _send_batch(self, stream, queue):
+        batch = [await queue.get()]
+        while not queue.empty():
+            batch.append(queue.get_nowait())
+        request = pb.StepRequest(messages=[to_wire(message) for message in batch])
+        # A VM that takes no bytes any more, but keeps the connection: without a bound
+        # this would wait for it for ever, and not try a new call.
+        await asyncio.wait_for(stream.send_message(request), STEP_TIMEOUT_S)
+
     def fence(self, name, service, target, epoch):
         """Ask a control VM to fence an epoch.
 
--- a/tamarackhaven/_wire_grpc.py
+++ b/tamarackhaven/_wire_grpc.py
@@ -26,7 +26,7 @@
         return {
             '/tamarackhaven.Peer/Step': grpclib.const.Handler(
                 self.Step,
-                grpclib.const.Cardinality.UNARY_UNARY,
+                grpclib.const.Cardinality.STREAM_UNARY,
                 _wire_pb2.StepRequest,
                 _wire_pb2.StepReply,
             ),
@@ -42,7 +42,7 @@
 class PeerStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Step = grpclib.client.UnaryUnaryMethod(
+        self.Step = grpclib.client.StreamUnaryMethod(
             channel,
             '/tamarackhaven.Peer/Step',
             _wire_pb2.StepRequest,
