Prove losses and freezes of targets with real processes

**Cause:** Nothing ran the whole program through a kill or a freeze under load, so the promise of one owner and of no lost or doubled booking was shown by parts only. **Change:** behave scenarios start three control VMs and four targets with daemons, break one thing under lookups and bookings, and count. The stand-in targets note shard, grant and start of each execution, so that a scenario can show that no shard ran at two targets in overlapping grants.

--- /dev/null
+++ b/features/steps/cluster_steps.py
@@ -0,0 +1,217 @@
+"""Steps that start, break and heal the processes of a cluster, and audit bookings."""
+
+import itertools
+import json
+import signal
+import time
+from collections import Counter
+
+from behave import given, then, when
+
+from standin.cluster import wait_until
+from standin.load import Load, ask, outage_s
+from tamarackhaven import plumbing
+from tamarackhaven._keys import hash_key, shard_of
+from tamarackhaven._model import AvailabilityZone, ShardGrant, ZoneState
+
+KEYS = [f"voyage-{number}" for number in range(120)]
+SHARDS = 64
+HEAL_S = 60
+CALLERS = 16
+CALL_S = 5
+
+
+@given("a healthy cluster")
+def healthy_cluster(context):
+    heal(context)
+
+
+def heal(context):
+    """Start what has ended, wake what is frozen, take all zones in."""
+    cluster = context.cluster
+    for name, process in cluster.process_by_name.items():
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+            continue
+        start_again(cluster, name)
+    set_zones(context, ZoneState.IN, "a", "b", "c")
+    wait_until(lambda: balanced(context), HEAL_S, "every target owns shards")
+
+
+def start_again(cluster, name):
+    if name in cluster.control_names:
+        cluster.start_control(name)
+    elif name.startswith("d-"):
+        cluster.start_daemon(name.removeprefix("d-"))
+    else:
+        cluster.start_target(name.removeprefix("t-"))
+
+
+def grants(context):
+    _, found = plumbing.records(context.client, CALL_S)
+    return [record for record in found if isinstance(record, ShardGrant)]
+
+
+def balanced(context):
+    rows = grants(context)
+    owners = {row.owner for row in rows}
+    settled = all(row.owner and not row.moving_to for row in rows)
+    return settled and owners == set(context.cluster.spec_by_name)
+
+
+def set_zones(context, state, *names):
+    """Change the state of availability zones; return when the last one is in force."""
+    for name in names:
+        zone = AvailabilityZone(name, state=state)
+        change_id = plumbing.new_change_id()
+        plumbing.apply_resource(context.client, zone, change_id, HEAL_S)
+
+
+@given("callers look up and book")
+def callers_start(context):
+    ports = [ports.caller for ports in context.cluster.ports_by_name.values()]
+    start_load(context, ports)
+
+
+@given('callers look up and book at "{names}"')
+def callers_start_at(context, names):
+    cluster = context.cluster
+    start_load(context, [cluster.ports_by_name[n].caller for n in names.split()])
+
+
+def start_load(context, ports):
+    context.ports = ports
+    context.load = Load(lambda: ports, "booking", KEYS, 0.6, CALLERS, pause_s=0.03)
+    context.load.start()
+    wait_until(lambda: len(context.load.latencies_s) > 50, 30, "50 answers")
+
+
+@when("{seconds:g} s pass")
+def time_passes(context, seconds):
+    time.sleep(seconds)
+
+
+@when('"{names}" are killed')
+def killed(context, names):
+    names = names.split()
+    context.killed_keys = keys_of(context, names)
+    context.killed_s = time.monotonic()
+    context.cluster.kill(*names)
+
+
+def keys_of(context, names):
+    """Return keys that the targets among the process names own."""
+    owners = {name.partition("-")[2] for name in names}
+    owned = {row.shard for row in grants(context) if row.owner in owners}
+    return [key for key in KEYS if shard_of(hash_key("booking", key), SHARDS) in owned]
+
+
+@when('"{name}" is frozen')
+def frozen(context, name):
+    context.cluster.send_signal(name, signal.SIGSTOP)
+    context.frozen_s = time.monotonic()
+
+
+@when('"{name}" is woken')
+def woken(context, name):
+    context.cluster.send_signal(name, signal.SIGCONT)
+
+
+@when('"{name}" starts again')
+def starts_again(context, name):
+    start_again(context.cluster, name)
+
+
+@then('a key of the killed is served at "{name}" within {seconds:g} s')
+def served_elsewhere(context, name, seconds):
+    port = context.cluster.ports_by_name[name].caller
+    found = [
+        outage_s(port, "booking", key, context.killed_s, seconds)
+        for key in context.killed_keys[:3]
+    ]
+    context.measured.append(f"without an owner {max(found):.2f} s")
+    assert max(found) < seconds, found
+
+
+@then('"{name}" owns nothing within {seconds:g} s')
+def owns_nothing(context, name, seconds):
+    start = time.monotonic()
+
+    def is_bare():
+        return all(row.owner not in ("", name) for row in grants(context))
+
+    wait_until(is_bare, seconds, f"all shards of {name} elsewhere")
+    context.measured.append(f"moved within {time.monotonic() - start:.1f} s")
+
+
+@then("every target owns shards again")
+def all_own(context):
+    wait_until(lambda: balanced(context), HEAL_S, "every target owns shards")
+
+
+@then("no booking is lost or doubled")
+def audited(context):
+    context.load.stop()
+    audit = context.load.audit(context.cluster.journal())
+    context.measured.append(
+        f"{audit.booked} booked, {audit.lost} lost, {audit.doubled} doubled, "
+        f"{audit.unresolved} open ({audit.unresolved_but_run} of them run)"
+    )
+    context.measured.append(str(dict(context.load.answers)))
+    assert audit.booked > 0, audit
+    assert audit.lost == 0, audit
+    assert audit.doubled == 0, audit
+
+
+@then("no shard ran at two targets in overlapping grants")
+def grants_in_order(context):
+    rows = context.cluster.executions()
+    target_by_grant = {}
+    by_shard = {}
+    for row in rows:
+        grant = row["shard"], row["grant"]
+        assert target_by_grant.setdefault(grant, row["target"]) == row["target"], row
+        by_shard.setdefault(row["shard"], []).append(row)
+    for executed in by_shard.values():
+        executed.sort(key=lambda row: row["started_ms"])
+        for earlier, later in itertools.pairwise(executed):
+            assert earlier["grant"] <= later["grant"], (earlier, later)
+    context.measured.append(f"{len(rows)} executions in {len(target_by_grant)} grants")
+
+
+@then('no answer was "{names}"')
+def no_such_answer(context, names):
+    seen = set(names.split(", ")) & set(context.load.answers)
+    assert not seen, context.load.answers
+
+
+@then('lookups of all keys are answered at "{name}"')
+def all_answered(context, name):
+    port = context.cluster.ports_by_name[name].caller
+
+    def answered():
+        return all(ask(port, "booking", key).status == 200 for key in KEYS)
+
+    wait_until(answered, HEAL_S, "an answer for each key")
+
+
+def counts(cluster, name):
+    """Return what a target counted; it has to be running."""
+    import http.client
+
+    port = cluster.ports_by_name[name].target
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    try:
+        connection.request("GET", "/counts")
+        return json.loads(connection.getresponse().read())
+    finally:
+        connection.close()
+
+
+@then('the targets refused "{reason}" {low:d} times or more')
+def refused(context, reason, low):
+    total = Counter()
+    for name in context.cluster.spec_by_name:
+        total.update(counts(context.cluster, name)["refused"])
+    context.measured.append(f"refused by targets: {dict(total)}")
+    assert total[reason] >= low, total
--- a/standin/cluster.py
+++ b/standin/cluster.py
@@ -118,8 +118,8 @@
             self._control_rows += f"\n[[control]]\n{row}"
         for name in self.control_names:
             self.write_control(name)
-        for spec in self.spec_by_name.values():
-            self._write_daemon(spec)
+        for name in self.spec_by_name:
+            self._write_daemon(name)
         operator = self._data_folder("operator") + self._control_rows
         self._path("operator").write_text(operator)
 
@@ -130,16 +130,30 @@
         text += self.extra.get("control", "") + '\n[logs]\nfile = "log"\n'
         self._path(name).write_text(text)
 
-    def _write_daemon(self, spec):
+    def add_target(self, name, spec):
+        """Prepare another target; its own name in ``spec`` may be one in use."""
+        self.spec_by_name[name] = spec
+        self._write_daemon(name)
+
+    def add_control(self, name):
+        """Prepare a control VM that joins the running group; return its ports."""
+        port, lease_port = self.control_ports[name] = free_port(), free_port()
+        row = f'name = "{name}"\nhost = "{HOST}"\nport = {port}\n'
+        members = f"\n[[members]]\n{row}lease_port = {lease_port}\n"
+        self.write_control(name, "join = true\n", members)
+        return port, lease_port
+
+    def _write_daemon(self, name):
+        spec = self.spec_by_name[name]
         ports = Ports(*(free_port() for _ in range(5)))
-        self.ports_by_name[spec.name] = ports
+        self.ports_by_name[name] = ports
         text = f'service = "{spec.service}"\ntarget = "{spec.name}"\n'
-        text += f'zone = "{spec.zone}"\n{self._data_folder("d-" + spec.name)}'
-        for name in ("caller", "peer", "announce", "metrics"):
-            text += _listen(name, getattr(ports, name))
+        text += f'zone = "{spec.zone}"\n{self._data_folder("d-" + name)}'
+        for part in ("caller", "peer", "announce", "metrics"):
+            text += _listen(part, getattr(ports, part))
         text += _listen("target_address", ports.target) + self._control_rows
         text += self.extra.get("daemon", "") + '\n[logs]\nfile = "log"\n'
-        self._path(f"d-{spec.name}").write_text(text)
+        self._path(f"d-{name}").write_text(text)
 
     def _path(self, name):
         folder = self.folder / name
@@ -173,7 +187,7 @@
         """Start one stand-in target; its journal is ``journal-NAME``."""
         spec, ports = self.spec_by_name[name], self.ports_by_name[name]
         command = [sys.executable, "-m", "standin.target", "--port", str(ports.target)]
-        command += ["--name", name, "--service", spec.service]
+        command += ["--name", spec.name, "--service", spec.service]
         command += ["--announce", f"{HOST}:{ports.announce}"]
         command += ["--slots", str(spec.slots), "--cold-slots", str(spec.cold_slots)]
         command += ["--cold-s", str(spec.cold_s)]
@@ -254,10 +268,16 @@
 
     def journal(self):
         """Return the idempotency keys of all executions, one for each execution."""
-        keys = []
+        return [row["key"] for row in self.executions()]
+
+    def executions(self):
+        """Return what the targets noted of each execution, as dicts."""
+        rows = []
         for path in self.folder.glob("journal-*"):
-            keys += [json.loads(line)["key"] for line in path.read_text().splitlines()]
-        return keys
+            # Without the last line if the target was killed in the middle of it.
+            whole = path.read_text().rpartition("\n")[0]
+            rows += [json.loads(line) for line in whole.splitlines()]
+        return rows
 
     def resident_mb(self, name):
         """Return the resident memory of a process in MB (1e6 bytes)."""
--- a/standin/load.py
+++ b/standin/load.py
@@ -109,7 +109,10 @@
             thread.start()
 
     def stop(self):
-        """Stop them once their present requests have ended."""
+        """Stop them once their present requests have ended.
+
+        A booking that may have run already is not repeated from now on.
+        """
         self._stopping.set()
         for thread in self._threads:
             thread.join()
@@ -157,7 +160,11 @@
                 # No try can have run, so this is a new booking as far as any owner
                 # is concerned, and may say so.
                 booking.first_sent_s = time.time()
-            time.sleep(min(max(response.retry_after_s, PAUSE_S), LONGEST_PAUSE_S))
+            pause_s = min(max(response.retry_after_s, PAUSE_S), LONGEST_PAUSE_S)
+            if not booking.doubtful:
+                time.sleep(pause_s)
+            elif self._stopping.wait(pause_s):
+                return
 
     def audit(self, executed):
         """Compare what callers were told with what the targets did.
