--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -1,24 +1,25 @@
 """Steps that start, break and heal the processes of a cluster, and audit bookings."""
 
 import itertools
-import json
 import signal
 import time
 from collections import Counter
 
 from behave import given, then, when
 
+from features.support import (
+    CALLERS,
+    HEAL_S,
+    KEYS,
+    balanced,
+    counts,
+    grants,
+    heal,
+    keys_of,
+    start_again,
+)
 from standin.cluster import wait_until
 from standin.load import Load, ask, outage_s
-from tamarackhaven import plumbing
-from tamarackhaven._keys import hash_key, shard_of
-from tamarackhaven._model import AvailabilityZone, ShardGrant, ZoneState
-
-KEYS = [f"voyage-{number}" for number in range(120)]
-SHARDS = 64
-HEAL_S = 60
-CALLERS = 16
-CALL_S = 5
 
 
 @given("a healthy cluster")
@@ -26,47 +27,6 @@
     heal(context)
 
 
-def heal(context):
-    """Start what has ended, wake what is frozen, take all zones in."""
-    cluster = context.cluster
-    for name, process in cluster.process_by_name.items():
-        if process.poll() is None:
-            process.send_signal(signal.SIGCONT)
-            continue
-        start_again(cluster, name)
-    set_zones(context, ZoneState.IN, "a", "b", "c")
-    wait_until(lambda: balanced(context), HEAL_S, "every target owns shards")
-
-
-def start_again(cluster, name):
-    if name in cluster.control_names:
-        cluster.start_control(name)
-    elif name.startswith("d-"):
-        cluster.start_daemon(name.removeprefix("d-"))
-    else:
-        cluster.start_target(name.removeprefix("t-"))
-
-
-def grants(context):
-    _, found = plumbing.records(context.client, CALL_S)
-    return [record for record in found if isinstance(record, ShardGrant)]
-
-
-def balanced(context):
-    rows = grants(context)
-    owners = {row.owner for row in rows}
-    settled = all(row.owner and not row.moving_to for row in rows)
-    return settled and owners == set(context.cluster.spec_by_name)
-
-
-def set_zones(context, state, *names):
-    """Change the state of availability zones; return when the last one is in force."""
-    for name in names:
-        zone = AvailabilityZone(name, state=state)
-        change_id = plumbing.new_change_id()
-        plumbing.apply_resource(context.client, zone, change_id, HEAL_S)
-
-
 @given("callers look up and book")
 def callers_start(context):
     ports = [ports.caller for ports in context.cluster.ports_by_name.values()]
@@ -99,13 +59,6 @@
     context.cluster.kill(*names)
 
 
-def keys_of(context, names):
-    """Return keys that the targets among the process names own."""
-    owners = {name.partition("-")[2] for name in names}
-    owned = {row.shard for row in grants(context) if row.owner in owners}
-    return [key for key in KEYS if shard_of(hash_key("booking", key), SHARDS) in owned]
-
-
 @when('"{name}" is frozen')
 def frozen(context, name):
     context.cluster.send_signal(name, signal.SIGSTOP)
@@ -195,19 +148,6 @@
     wait_until(answered, HEAL_S, "an answer for each key")
 
 
-def counts(cluster, name):
-    """Return what a target counted; it has to be running."""
-    import http.client
-
-    port = cluster.ports_by_name[name].target
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
-    try:
-        connection.request("GET", "/counts")
-        return json.loads(connection.getresponse().read())
-    finally:
-        connection.close()
-
-
 @then('the targets refused "{reason}" {low:d} times or more')
 def refused(context, reason, low):
     total = Counter()
--- a/tamarackhaven/__main__.py
+++ b/tamarackhaven/__main__.py
@@ -16,6 +16,9 @@
     porcelain.watch,
     porcelain.explain,
     porcelain.status,
+    porcelain.member_add,
+    porcelain.member_promote,
+    porcelain.member_remove,
     porcelain.check,
 ]
 
--- a/tamarackhaven/plumbing.py
+++ b/tamarackhaven/plumbing.py
@@ -26,6 +26,7 @@
     "Applied",
     "ControlClient",
     "apply_resource",
+    "change_membership",
     "delete_resource",
     "kind_named",
     "new_change_id",
@@ -167,6 +168,18 @@
     return Applied(kind.__name__, name, "deleted", outcome.version, change_id)
 
 
+def change_membership(client, step, result, timeout_s):
+    """Carry out one ``Step`` in the control group and return ``Applied``.
+
+    Raises
+    ------
+    TamarackhavenError
+        MEMBERSHIP_BUSY for a learner that has not caught up; else the refusal's kind.
+    """
+    outcome = checked(client.change_membership(step, timeout_s))
+    return Applied("Member", step.member.name, result, outcome.version, "")
+
+
 def checked(outcome):
     """Return an ``Outcome`` that was applied; raise the error of another one."""
     if outcome.code:
--- a/tamarackhaven/porcelain.py
+++ b/tamarackhaven/porcelain.py
@@ -7,6 +7,7 @@
 from typing import Literal
 
 from tamarackhaven import _codec, plumbing
+from tamarackhaven._members import Member, Step
 from tamarackhaven._model import ShardGrant, TargetMember
 from tamarackhaven._settings import ControlSettings, DaemonSettings, OperatorSettings
 from tamarackhaven._settings_file import load_settings
@@ -213,6 +214,58 @@
         raise TamarackhavenError(ErrorKind.CONTROL_UNREACHABLE)
 
 
+def member_add(
+    name: str,
+    host: str,
+    port: int,
+    lease_port: int,
+    *,
+    settings: str,
+    output: Output = "text",
+):
+    """Add a control VM to the group, as a learner without a vote.
+
+    :param name: A name that no member has had; one that lost its folder takes another.
+    :param host: Its IP address.
+    :param port: Its TCP port for calls.
+    :param lease_port: Its UDP port for lease renewals.
+    :param settings: Path of the operator's TOML file.
+    :param output: text or json.
+    """
+    member = Member(name, host, port, lease_port, voter=False)
+    _change_membership(Step("add", member), "added", settings, output)
+
+
+def member_promote(name: str, *, settings: str, output: Output = "text"):
+    """Give a learner that has caught up its vote.
+
+    :param name: Its name.
+    :param settings: Path of the operator's TOML file.
+    :param output: text or json.
+    """
+    step = Step("promote", Member(name, "", 0, 0))
+    _change_membership(step, "promoted", settings, output)
+
+
+def member_remove(name: str, *, settings: str, output: Output = "text"):
+    """Remove a control VM from the group.
+
+    :param name: Its name.
+    :param settings: Path of the operator's TOML file.
+    :param output: text or json.
+    """
+    step = Step("remove", Member(name, "", 0, 0))
+    _change_membership(step, "removed", settings, output)
+
+
+def _change_membership(step, result, settings, output):
+    with _Client(settings) as client:
+        applied = plumbing.change_membership(
+            client.calls, step, result, client.timeout_s
+        )
+    _print(applied, output, _applied_text(applied))
+
+
 def check(file: str, *, role: Role):
     """Check a settings file and start nothing.
 
