--- a/features/environment.py
+++ b/features/environment.py
@@ -68,6 +68,15 @@
     context.measured = []
     context.started_s = time.monotonic()
     context.processes = []
+    context.second = ""
+
+
+def remove_target(cluster, name):
+    cluster.kill(f"t-{name}", f"d-{name}")
+    for process in (f"t-{name}", f"d-{name}"):
+        del cluster.process_by_name[process]
+    del cluster.spec_by_name[name]
+    del cluster.ports_by_name[name]
 
 
 def after_scenario(context, scenario):
@@ -77,6 +86,8 @@
         if process.poll() is None:
             process.kill()
             process.wait(10)
+    if context.second:
+        remove_target(context.cluster, context.second)
     duration_s = time.monotonic() - context.started_s
     rows = [*context.measured, f"{duration_s:.1f} s in all"]
     # Past behave's capture: the figures belong to the run, passed or not.
--- a/features/support.py
+++ b/features/support.py
@@ -8,7 +8,7 @@
 from standin.cluster import HOST, wait_until
 from tamarackhaven import plumbing
 from tamarackhaven._keys import hash_key, shard_of
-from tamarackhaven._model import AvailabilityZone, ShardGrant, ZoneState
+from tamarackhaven._model import AvailabilityZone, ShardGrant, TargetMember, ZoneState
 from tamarackhaven._settings import ControlMember
 from tamarackhaven.errors import TamarackhavenError
 
@@ -57,6 +57,11 @@
     return [record for record in found if isinstance(record, ShardGrant)]
 
 
+def target_member(context, name):
+    _, found = plumbing.records(context.client, CALL_S)
+    return next(r for r in found if isinstance(r, TargetMember) and r.target == name)
+
+
 def balanced(context):
     rows = grants(context)
     owners = {row.owner for row in rows}
--- a/standin/load.py
+++ b/standin/load.py
@@ -15,6 +15,8 @@
 DEADLINE_MS = 2000
 BOOKING_TRIES = 40
 LOOKUP_TRIES = 1
+NOT_CONNECTED = "not connected"
+NO_ANSWER = "no answer"
 ERROR_CODES = {kind.value for kind in ErrorKind}
 PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
@@ -22,7 +24,10 @@
 
 @attrs.frozen
 class Response:
-    """One answer; ``status`` is 0 if the connection broke."""
+    """One answer; ``status`` is 0 if there was none.
+
+    Then ``error`` is "not connected" or "no answer".
+    """
 
     status: int
     error: str = ""
@@ -47,6 +52,11 @@
     own = connection is None
     if own:
         connection = http.client.HTTPConnection("127.0.0.1", port, timeout=TIMEOUT_S)
+    try:
+        if connection.sock is None:
+            connection.connect()
+    except OSError:
+        return Response(0, NOT_CONNECTED, "no")
     try:
         sent = {"Tamarackhaven-Deadline-Ms": str(DEADLINE_MS), **dict(headers)}
         connection.request(method, f"/{service}/{key}", headers=sent)
@@ -60,7 +70,7 @@
         )
     except (OSError, http.client.HTTPException):
         connection.close()
-        return Response(0)
+        return Response(0, NO_ANSWER)
     finally:
         if own:
             connection.close()
@@ -204,7 +214,7 @@
 def _name(response):
     if response.error in ERROR_CODES:
         return ErrorKind(response.error).name
-    return str(response.status) if response.status else "no answer"
+    return str(response.status) if response.status else response.error
 
 
 def outage_s(port, service, key, start_s, timeout_s=10.0):
--- a/tests/test_porcelain.py
+++ b/tests/test_porcelain.py
@@ -54,7 +54,7 @@
         "Member c4: added, version 12",
         "Member c4: promoted, version 12",
         '{"change_id": "", "kind": "Member", "name": "c3", "result": "removed", '
-        '"version": 12}',
+        '"type": "Applied", "version": 12}',
     ]
 
 
