Cancel what runs on the event loop before it stops

Cause: a control VM's orderly stop printed that pending tasks were destroyed. Change: the loop cancels and awaits its tasks before it stops.

--- a/tamarackhaven/_loop.py
+++ b/tamarackhaven/_loop.py
@@ -41,6 +41,15 @@
             raise TimeoutError from None
 
     def stop(self):
-        """Stop the loop and wait for its thread."""
-        self.loop.call_soon_threadsafe(self.loop.stop)
+        """Cancel what runs, stop the loop and wait for its thread."""
+        self.submit(_cancel_others()).add_done_callback(
+            lambda _: self.loop.call_soon_threadsafe(self.loop.stop)
+        )
         self._thread.join()
+
+
+async def _cancel_others():
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
