Test that only work and time together raise the cold ceiling

**Cause:** The ramp could rise by time alone with all tests green.

**Change:** One test of an idle target, of short work in an instant, and of both.

**Measured:** Seen red without the condition on work and without the one on time.

--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -313,3 +313,17 @@
     assert session.offer("new").kind is ErrorKind.LEASE_LOST
     session.gate.open(1.0, cold=True)
     assert session.gate.limit == SETTINGS.cold_requests
+
+
+@pytest.mark.parametrize(
+    ("answers", "apart_s", "raised"),
+    [(5, 10.0, False), (50, 0.0, False), (50, 0.1, True)],
+)
+def test_only_work_and_time_together_raise_the_cold_ceiling(answers, apart_s, raised):
+    """An idle hour warms no target, and neither do short requests in one instant."""
+    session = Session(warm=False)
+    for number in range(answers):
+        session.now = number * apart_s
+        session.offer(f"r{number}")
+        session.finish(f"r{number}", latency_s=0.001)
+    assert (session.gate.limit > SETTINGS.cold_requests) == raised
