--- a/tamarackhaven/_daemon_process.py
+++ b/tamarackhaven/_daemon_process.py
@@ -9,6 +9,7 @@
 from tamarackhaven._changes import JoinTarget, LeaveTarget, RetireTarget
 from tamarackhaven._control_client import ControlClient
 from tamarackhaven._daemon import Daemon
+from tamarackhaven._fetch_pace import RETRY_S as FETCH_RETRY_S, FetchPace
 from tamarackhaven._handover import ArrivedParts, Handover
 from tamarackhaven._lease_client import LeaseClient
 from tamarackhaven._load_reports import LoadReports
@@ -21,9 +22,9 @@
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 CALL_TIMEOUT_S = 3.0
-# Hints and acknowledgements say when to fetch; this only covers their loss.
-FETCH_EVERY_S = 1.0
 RETRY_S = 0.1
+# What a turn without a fetch does costs some ten microseconds.
+TURN_S = 0.25
 POLL_S = 0.02
 
 
@@ -70,6 +71,7 @@
         self._client = ControlClient(settings.control)
         self._view = View()
         self._parts = ArrivedParts()
+        self._pace = FetchPace()
         self._fetch_wanted = threading.Event()
         self._join_wanted = threading.Event()
         self._leaving = threading.Event()
@@ -131,10 +133,13 @@
 
     def _keep_map(self):
         while not self._stopping.is_set():
-            self._fetch_wanted.wait(self._fetch_pause_s())
+            is_wanted = self._fetch_wanted.wait(self._turn_s())
             self._fetch_wanted.clear()
             try:
-                self._fetch()
+                if is_wanted or self._fetch_is_due():
+                    self._fetch()
+                if self._zone_out_since is not None:
+                    self._zone_changed(ZoneState.OUT)
             except TamarackhavenError as error:
                 self._log.say("map not fetched", code=error.kind.value)
             except Exception as error:
@@ -142,23 +147,34 @@
                 self._stopping.wait(RETRY_S)
             self.daemon.on_confirmed(self._lease.confirmed_at())
 
-    def _fetch_pause_s(self):
-        return FETCH_EVERY_S if self._zone_out_since is None else RETRY_S
+    def _turn_s(self):
+        is_waiting = self._is_behind() or self._zone_out_since is not None
+        return FETCH_RETRY_S if is_waiting else TURN_S
+
+    def _is_behind(self):
+        return self._view.version < self._lease.newest_version()
+
+    def _fetch_is_due(self):
+        return self._pace.is_due(
+            _clock.boot_s(),
+            self._is_behind(),
+            not self._lease.needs_epoch(),
+            self._lease.confirmed_at(),
+        )
 
     def _fetch(self):
         asked_at = _clock.boot_s()
+        self._pace.asked(asked_at)
         feed = self._client.fetch(self._view.version, CALL_TIMEOUT_S)
         if feed.version < self._view.version:
             # A control VM that lags: what it says is older than what is in force.
             return
-        if not self._lease.epoch():
+        if self._lease.needs_epoch():
             # Without a lease nobody confirms the map but the fetch itself; such a
             # daemon owns nothing and only forwards.
             self.daemon.on_confirmed(asked_at)
         if self._view.apply(feed):
             self._applied()
-        elif self._zone_out_since is not None:
-            self._zone_changed(ZoneState.OUT)
 
     def _applied(self):
         view, settings = self._view, self._settings
--- a/tamarackhaven/_lease_client.py
+++ b/tamarackhaven/_lease_client.py
@@ -107,6 +107,10 @@
         with self._lock:
             return self._holder.confirmed_at
 
+    def newest_version(self):
+        """Return the newest version of the state that any control VM told of."""
+        return self._told_version
+
     def set_draining(self, draining):
         """Say in renewals whether this daemon only finishes what is in flight."""
         with self._lock:
--- a/tamarackhaven/_settings.py
+++ b/tamarackhaven/_settings.py
@@ -76,8 +76,8 @@
         its shards can leave in steps.
     """
 
-    lease_ms: int = _whole(400, 50, 10_000)
-    renew_ms: int = _whole(100, 10, 2_000)
+    lease_ms: int = _whole(550, 50, 10_000)
+    renew_ms: int = _whole(180, 10, 2_000)
     drift: float = _number(0.01, 0.0, 0.2)
     zone_grace_ms: int = _whole(2000, 0, 60_000)
 
--- /dev/null
+++ b/tests/test_fetch_pace.py
@@ -0,0 +1,23 @@
+"""Tests of when a daemon asks for news."""
+
+import pytest
+
+from tamarackhaven._fetch_pace import FetchPace
+
+
+@pytest.mark.parametrize(
+    "is_behind, has_lease, confirmed_at, due_at",
+    [
+        (False, True, 99.9, 115.0),  # answers say that there is nothing
+        (False, False, 99.9, 101.0),  # not joined: it still follows the map
+        (False, True, 98.0, 101.0),  # renewals are not answered
+        (True, True, 99.9, 100.05),  # news, but the control VM asked had none
+    ],
+)
+def test_pause_after_a_fetch(is_behind, has_lease, confirmed_at, due_at):
+    pace = FetchPace()
+    assert pace.is_due(100.0, is_behind, has_lease, confirmed_at)
+    pace.asked(100.0)
+    last = min(confirmed_at + due_at - 100.0, due_at)
+    assert not pace.is_due(due_at - 0.01, is_behind, has_lease, last)
+    assert pace.is_due(due_at + 0.01, is_behind, has_lease, last)
