--- a/tamarackhaven/_events.py
+++ b/tamarackhaven/_events.py
@@ -41,6 +41,15 @@
     member: TargetMember
 
 
+@attrs.frozen
+class TargetRemoved:
+    """A target that was lost long ago is forgotten."""
+
+    version: int
+    service: str
+    target: str
+
+
 @attrs.frozen
 class ShardChanged:
     """A shard has another owner, or is about to."""
@@ -70,6 +79,7 @@
     ResourceChanged
     | ResourceDeleted
     | TargetChanged
+    | TargetRemoved
     | ShardChanged
     | ShardRemoved
     | MembershipChanged
--- a/tamarackhaven/_resources.py
+++ b/tamarackhaven/_resources.py
@@ -82,6 +82,9 @@
     _in_range("min_targets", resource.min_targets, 0, 10_000)
     _in_range("move_batch", resource.move_batch, 1, MOVE_BATCH_MAX)
     _in_range("max_pinned_keys", resource.max_pinned_keys, 0, PINNED_MAX)
+    users = [s.name for s in state.services if s.policy == resource.name]
+    if old is not None and users:
+        _check_same_mode(old.mode, resource.mode)
     for service in state.services:
         if service.policy == resource.name:
             _check_targets(state, service, resource, zone_out="")
@@ -101,9 +104,22 @@
     policy = state.resource("OwnershipPolicy", resource.policy)
     if policy is None:
         raise _invalid(f"There is no ownership policy {resource.policy!r}.")
+    if old is not None:
+        former = state.resource("OwnershipPolicy", old.policy)
+        _check_same_mode(former.mode, policy.mode)
     _check_targets(state, resource, policy, zone_out="")
 
 
+def _check_same_mode(old_mode, new_mode):
+    """Refuse to change how many targets may serve a key of a service in use.
+
+    Failure: a shared service becomes exclusive while a daemon has not heard of it.
+    Symptom: it serves a key that another target owns by now.
+    """
+    if old_mode is not new_mode:
+        raise _invalid("The mode can't change for a service that exists.")
+
+
 def check_last_zone(resource, state):
     """Refuse to take out the last availability zone that is in."""
     if not isinstance(resource, AvailabilityZone) or resource.state is ZoneState.IN:
--- a/tamarackhaven/_state.py
+++ b/tamarackhaven/_state.py
@@ -7,25 +7,11 @@
 
 import collections
 import hashlib
-from functools import singledispatchmethod
 
 import attrs
 
-from tamarackhaven import _codec, _keys
-from tamarackhaven._changes import (
-    Change,
-    Command,
-    DeleteResource,
-    JoinTarget,
-    LeaveTarget,
-    MoveShards,
-    Outcome,
-    PinKey,
-    PutResource,
-    ReleaseShards,
-    RetireTarget,
-    UnpinKey,
-)
+from tamarackhaven import _codec
+from tamarackhaven._changes import Change, Command, Outcome
 from tamarackhaven._decisions import Decision, DecisionRecord
 from tamarackhaven._events import (
     Event,
@@ -34,19 +20,17 @@
     ShardChanged,
     ShardRemoved,
     TargetChanged,
+    TargetRemoved,
 )
-from tamarackhaven._model import ShardGrant, TargetMember, TargetState, ZoneState
-from tamarackhaven._resources import (
-    check_delete,
-    check_last_zone,
-    check_name,
-    check_resource,
-    key_of,
-)
+from tamarackhaven._model import TargetState
+from tamarackhaven._resources import key_of
+from tamarackhaven._rules import apply_change
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 # At 1,200 changes a day this remembers a resent change for over a week.
 OUTCOMES_KEPT = 10_000
+# At 300 replaced VMs a day these are the lost targets of three days.
+LOST_KEPT = 1000
 
 
 @attrs.frozen
@@ -138,7 +122,7 @@
         if first is not None:
             return first, []
         try:
-            outcome = self._apply(change, index) or Outcome(version=index)
+            outcome = apply_change(change, self, index) or Outcome(version=index)
         except TamarackhavenError as error:
             self._events = []
             outcome = _refused(error)
@@ -210,264 +194,55 @@
         if len(self._outcomes_by_change_id) > OUTCOMES_KEPT:
             self._outcomes_by_change_id.popitem(last=False)
 
-    def _decide(self, index, subject, cause, result, shards=()):
+    # What the rules alter. Each tells the watchers, too.
+
+    def decide(self, index, subject, cause, result, shards=()):
+        """Record a decision for ``explain``."""
         self.decisions.add(
             Decision(
                 f"v{index}", index, self._decided_at, subject, cause, result, [*shards]
             )
         )
 
-    @singledispatchmethod
-    def _apply(self, change, index):
-        raise TamarackhavenError(
-            ErrorKind.INVALID_RESOURCE, f"unknown change {type(change).__name__}"
-        )
-
-    @_apply.register
-    def _(self, change: PutResource, index):
-        resource = change.resource
-        check_name(resource.name)
-        old = self._resources_by_key.get(key_of(resource))
-        _check_version(resource, old, change.expected_version)
-        if not change.allow_last_zone_out:
-            check_last_zone(resource, self)
-        check_resource(resource, old, self)
-        resource = attrs.evolve(resource, version=index)
+    def put_resource(self, resource):
+        """Keep a resource under its kind and name."""
         self._resources_by_key[key_of(resource)] = resource
-        self._events.append(ResourceChanged(index, resource))
-        if type(resource).__name__ == "Service" and old is None:
-            self._create_shards(resource, index)
-        kind, name = key_of(resource)
-        result = "created" if old is None else f"changed from version {old.version}"
-        self._decide(index, f"{kind}/{name}", f"operator {change.change_id}", result)
-
-    @_apply.register
-    def _(self, change: DeleteResource, index):
-        key = change.kind, change.name
-        old = self._resources_by_key.get(key)
-        if old is None:
-            raise TamarackhavenError(ErrorKind.NOT_FOUND, f"{key[0]} {key[1]!r}")
-        if change.expected_version != old.version:
-            raise _conflict(old)
-        check_delete(old, self)
-        del self._resources_by_key[key]
-        self._events.append(ResourceDeleted(index, change.kind, change.name))
-        if change.kind == "Service":
-            self._drop_service(change.name, index)
-        subject = f"{change.kind}/{change.name}"
-        self._decide(index, subject, f"operator {change.change_id}", "deleted")
-
-    def _create_shards(self, service, index):
-        self._grants_by_service[service.name] = {}
-        for shard in range(service.shard_count):
-            self._put_grant(ShardGrant(service.name, shard), index)
-
-    def _drop_service(self, name, index):
-        for shard in self._grants_by_service.pop(name, {}):
-            self._events.append(ShardRemoved(index, name, shard))
-        for key in [key for key in self._members_by_key if key[0] == name]:
-            del self._key_by_epoch[self._members_by_key.pop(key).epoch]
-
-    @_apply.register
-    def _(self, change: JoinTarget, index):
-        check_name(change.target)
-        if self.resource("Service", change.service) is None:
-            raise TamarackhavenError(ErrorKind.UNKNOWN_SERVICE, change.service)
-        if self.resource("AvailabilityZone", change.zone) is None:
-            raise TamarackhavenError(ErrorKind.UNKNOWN_ZONE, change.zone)
-        old = self.member(change.service, change.target)
-        same = old is not None and old.instance == change.instance
-        # Failure: the old process only seemed silent to the leader, and the new one
-        # releases a shard while the old one still holds its lease. Symptom: two
-        # targets serve the key. A lost epoch is fenced by a majority, so its process
-        # can never hold a lease again.
-        if old is not None and not same and old.state is not TargetState.LOST:
-            raise TamarackhavenError(
-                ErrorKind.NAME_CLAIMED,
-                f"Instance {old.instance!r} holds {change.service}/{change.target}.",
-            )
-        member = TargetMember(
-            service=change.service,
-            target=change.target,
-            zone=change.zone,
-            instance=change.instance,
-            incarnation=change.incarnation,
-            peer=change.peer,
-            capacity=change.capacity,
-            epoch=index,
-        )
-        self._put_member(member, index)
-        self._take_over(member, same, index)
-        result = f"{change.target} joined with epoch {index}"
-        self._decide(index, change.service, f"instance {change.instance}", result)
-        return Outcome(version=index, member=self.member(change.service, change.target))
+        self._events.append(ResourceChanged(resource.version, resource))
+
+    def remove_resource(self, kind, name, index):
+        """Forget a resource; with a service its shards and targets, too."""
+        del self._resources_by_key[kind, name]
+        self._events.append(ResourceDeleted(index, kind, name))
+        if kind == "Service":
+            for shard in list(self.grants(name)):
+                self.remove_shard(name, shard, index)
+            for member in [m for m in self.members if m.service == name]:
+                self._forget_member(member)
+
+    def put_member(self, member, index):
+        """Keep a target; beyond ``LOST_KEPT`` the longest lost one is forgotten."""
+        member = attrs.evolve(member, version=index)
+        self._keep_member(member)
+        self._events.append(TargetChanged(index, member))
+        if member.state is TargetState.LOST:
+            self._forget_lost(index)
 
-    def _take_over(self, member, same_instance, index):
-        """Carry the shards of an earlier epoch of this target to the new one.
+    def _forget_lost(self, index):
+        """Bound the lost targets that are remembered.
 
-        The same process keeps its grant numbers: nobody else owned the shard in
-        between, so its ledger of bookings is whole. Another process gets new ones.
+        Failure: each replaced VM brings a new name. Symptom: the state grows for
+        ever, in every control VM and daemon. An epoch that is not remembered is
+        refused like one that was replaced, so nothing rests on the record.
         """
-        for grant in self._owned(member.service, member.target):
-            if same_instance:
-                self._put_grant(attrs.evolve(grant, epoch=member.epoch), index)
-            else:
-                self._grant(grant, member, index, grant.moving_to)
-
-    @_apply.register
-    def _(self, change: LeaveTarget, index):
-        member = self._current(change.service, change.target, change.epoch)
-        if member.state is TargetState.ACTIVE:
-            self._put_member(attrs.evolve(member, state=TargetState.LEAVING), index)
-            self._decide(index, change.service, f"{change.target} said so", "leaving")
-
-    @_apply.register
-    def _(self, change: RetireTarget, index):
-        member = self._current(change.service, change.target, change.epoch)
-        self._put_member(attrs.evolve(member, state=TargetState.LOST), index)
-        owned = self._owned(change.service, change.target)
-        for grant in owned:
-            self._hand_over(grant, index)
-        result = f"{change.target} epoch {change.epoch} retired"
-        shards = [grant.shard for grant in owned]
-        self._decide(index, change.service, change.cause, result, shards)
-
-    def _hand_over(self, grant, index):
-        """Grant a shard that its owner has lost or released to whom it moves to."""
-        member = self.member(grant.service, grant.moving_to)
-        if not self._eligible(member):
-            free = attrs.evolve(grant, owner="", epoch=0, moving_to="")
-            self._put_grant(free, index)
-            return
-        self._grant(grant, member, index)
-
-    def _grant(self, grant, member, index, moving_to=""):
-        self._put_grant(
-            attrs.evolve(
-                grant,
-                owner=member.target,
-                epoch=member.epoch,
-                grant=index,
-                previous=grant.grant,
-                moving_to=moving_to,
-            ),
-            index,
-        )
+        lost = [m for m in self.members if m.state is TargetState.LOST]
+        if len(lost) > LOST_KEPT:
+            oldest = min(lost, key=lambda member: member.version)
+            self._forget_member(oldest)
+            self._events.append(TargetRemoved(index, oldest.service, oldest.target))
 
-    @_apply.register
-    def _(self, change: MoveShards, index):
-        grants = self.grants(change.service)
-        moved = []
-        for move in change.moves:
-            grant = grants.get(move.shard)
-            member = self.member(change.service, move.to_target)
-            if grant is None or grant.grant != move.grant:
-                continue
-            if not self._eligible(member):
-                continue
-            self._move(grant, member, index)
-            moved.append(move.shard)
-        result = f"{len(moved)} of {len(change.moves)} moves begun"
-        self._decide(index, change.service, change.cause, result, moved)
-
-    def _move(self, grant, member, index):
-        if not grant.owner:
-            self._grant(grant, member, index)
-        elif grant.owner == member.target:
-            self._put_grant(attrs.evolve(grant, moving_to=""), index)
-        else:
-            self._put_grant(attrs.evolve(grant, moving_to=member.target), index)
-
-    @_apply.register
-    def _(self, change: ReleaseShards, index):
-        member = self._current(change.service, change.target, change.epoch)
-        grants = self.grants(change.service)
-        released = []
-        for wanted in change.grants:
-            grant = grants.get(wanted.shard)
-            if grant is None or grant.grant != wanted.grant:
-                continue
-            if grant.owner != change.target:
-                continue
-            if grant.moving_to:
-                self._hand_over(grant, index)
-            else:
-                # The move was taken back while the owner let go of the shard: it
-                # gets it again under a new number, since it will never again admit
-                # under the one it released.
-                self._grant(grant, member, index)
-            released.append(wanted.shard)
-        result = f"{change.target} released {len(released)}"
-        self._decide(index, change.service, "planned move", result, released)
-
-    @_apply.register
-    def _(self, change: PinKey, index):
-        service = self.resource("Service", change.service)
-        if service is None:
-            raise TamarackhavenError(ErrorKind.UNKNOWN_SERVICE, change.service)
-        grants = self.grants(change.service)
-        if any(grant.key_hash == change.key_hash for grant in grants.values()):
-            raise TamarackhavenError(ErrorKind.ALREADY_EXISTS, "The key is pinned.")
-        base = grants[_keys.shard_of(change.key_hash, service.shard_count)]
-        shard = service.shard_count
-        while shard in grants:
-            shard += 1
-        pinned = attrs.evolve(
-            base,
-            shard=shard,
-            key_hash=change.key_hash,
-            grant=index,
-            previous=0,
-            moving_to="",
-        )
-        self._put_grant(pinned, index)
-        self._decide(index, change.service, change.cause, "key pinned", [shard])
-
-    @_apply.register
-    def _(self, change: UnpinKey, index):
-        service = self.resource("Service", change.service)
-        grants = self.grants(change.service)
-        pinned = [g for g in grants.values() if g.key_hash == change.key_hash]
-        if service is None or not pinned:
-            raise TamarackhavenError(ErrorKind.NOT_FOUND, "The key is not pinned.")
-        base = grants[_keys.shard_of(change.key_hash, service.shard_count)]
-        # With two owners the key would change hands without a release.
-        if pinned[0].owner != base.owner or pinned[0].moving_to or base.moving_to:
-            raise TamarackhavenError(ErrorKind.STALE_GRANT, "Its shard is elsewhere.")
-        del grants[pinned[0].shard]
-        self._events.append(ShardRemoved(index, change.service, pinned[0].shard))
-        shards = [pinned[0].shard]
-        self._decide(index, change.service, change.cause, "key unpinned", shards)
-
-    def _eligible(self, member):
-        """Whether a target may be given shards.
-
-        Checked again here, not only by the placement: an availability zone taken
-        out between the leader's plan and this entry would else get new shards.
-        """
-        if member is None or member.state is not TargetState.ACTIVE:
-            return False
-        zone = self.resource("AvailabilityZone", member.zone)
-        return zone is not None and zone.state is ZoneState.IN
-
-    def _owned(self, service, target):
-        return [g for g in self.grants(service).values() if g.owner == target]
-
-    def _current(self, service, target, epoch):
-        """Return the target if ``epoch`` is its present one."""
-        member = self.member(service, target)
-        if member is None:
-            raise TamarackhavenError(ErrorKind.NOT_FOUND, f"{service}/{target}")
-        if member.epoch != epoch or member.state is TargetState.LOST:
-            raise TamarackhavenError(
-                ErrorKind.STALE_EPOCH, f"{service}/{target} has epoch {member.epoch}."
-            )
-        return member
-
-    def _put_member(self, member, index):
-        member = attrs.evolve(member, version=index)
-        self._keep_member(member)
-        self._events.append(TargetChanged(index, member))
+    def _forget_member(self, member):
+        del self._members_by_key[member.service, member.target]
+        del self._key_by_epoch[member.epoch]
 
     def _keep_member(self, member):
         key = member.service, member.target
@@ -477,9 +252,16 @@
         self._members_by_key[key] = member
         self._key_by_epoch[member.epoch] = key
 
-    def _put_grant(self, grant, index):
+    def remove_shard(self, service, shard, index):
+        """Forget a shard, such as a pinned key's own."""
+        del self._grants_by_service[service][shard]
+        self._events.append(ShardRemoved(index, service, shard))
+
+    def put_grant(self, grant, index):
+        """Keep the grant of a shard."""
         grant = attrs.evolve(grant, version=index)
-        self._grants_by_service[grant.service][grant.shard] = grant
+        grants = self._grants_by_service.setdefault(grant.service, {})
+        grants[grant.shard] = grant
         self._events.append(ShardChanged(index, grant))
 
 
@@ -492,29 +274,6 @@
     return Outcome(error.kind.value, error.detail, version)
 
 
-def _conflict(old):
-    error = TamarackhavenError(
-        ErrorKind.VERSION_CONFLICT, f"{old.name!r} is at version {old.version}."
-    )
-    error.version = old.version
-    return error
-
-
-def _check_version(resource, old, expected):
-    if old is None:
-        if expected:
-            raise TamarackhavenError(ErrorKind.NOT_FOUND, f"{resource.name!r}")
-        return
-    if not expected:
-        error = TamarackhavenError(
-            ErrorKind.ALREADY_EXISTS, f"{old.name!r} is at version {old.version}."
-        )
-        error.version = old.version
-        raise error
-    if expected != old.version:
-        raise _conflict(old)
-
-
 def encode_command(command):
     """Return a ``Command`` as the bytes of a log entry."""
     return _codec.dumps(command, Command)
--- a/tamarackhaven/_view.py
+++ b/tamarackhaven/_view.py
@@ -15,6 +15,7 @@
     ShardChanged,
     ShardRemoved,
     TargetChanged,
+    TargetRemoved,
 )
 from tamarackhaven._members import Membership
 from tamarackhaven._model import ShardGrant
@@ -143,6 +144,8 @@
         elif isinstance(event, TargetChanged):
             member = event.member
             self._members_by_key[member.service, member.target] = member
+        elif isinstance(event, TargetRemoved):
+            self._members_by_key.pop((event.service, event.target), None)
         elif isinstance(event, ResourceChanged):
             kind = type(event.resource).__name__
             self._resources_by_key[kind, event.resource.name] = event.resource
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -4,7 +4,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from tamarackhaven import _codec, _keys
+from tamarackhaven import _codec, _keys, _state
 from tamarackhaven._changes import (
     Command,
     DeleteResource,
@@ -18,10 +18,12 @@
     ShardMove,
     UnpinKey,
 )
+from tamarackhaven._events import TargetRemoved
 from tamarackhaven._model import (
     Address,
     AvailabilityZone,
     OwnershipPolicy,
+    PolicyMode,
     Service,
     ShardGrant,
     TargetState,
@@ -132,6 +134,26 @@
     assert log.do(delete).code == code(ErrorKind.RESOURCE_IN_USE)
 
 
+def test_mode_of_a_service_in_use_stays(log):
+    """A shared service made exclusive would have two kinds of owners for a while."""
+    shared = OwnershipPolicy("any", PolicyMode.SHARED)
+    log.put(shared)
+    wanted = OwnershipPolicy("alone", PolicyMode.SHARED)
+    invalid = code(ErrorKind.INVALID_RESOURCE)
+    assert log.put(wanted, expected=3).code == invalid
+    assert log.put(Service("rota", "any", shard_count=4), expected=4).code == invalid
+
+
+def test_lost_targets_are_forgotten_at_last(log, monkeypatch):
+    monkeypatch.setattr(_state, "LOST_KEPT", 2)
+    for number in range(4):
+        epoch = log.join(f"t{number}").version
+        log.do(RetireTarget("rota", f"t{number}", epoch))
+    assert [member.target for member in log.state.members] == ["t2", "t3"]
+    assert log.events[-1] == TargetRemoved(log.index, "rota", "t1")
+    assert log.state.member_by_epoch(epoch).target == "t3"
+
+
 def test_policy_that_targets_cannot_hold_is_refused(log):
     log.join("t1")
     policy = OwnershipPolicy("alone", min_targets=2)
