Answer what has come in before an HTTP server stops

**Cause:** The server left its loop and closed all connections at once. Answers that waited to be written, requests that arrived after the drain had seen none in flight, and connections that the system had queued broke off without an answer. A daemon that ended by SIGTERM so cut off 2 of its own callers; they could not know whether a booking ran. A request running when the drain began was also answered without "Connection: close", so its connection invited one more request. **Change:** A stop accepts what is queued, closes the listening socket, and goes on serving until no request is on its way in and no answer on its way out, 5 s at most. The header is decided when the answer is built, not when the request begins.

--- a/tamarackhaven/_http_server.py
+++ b/tamarackhaven/_http_server.py
@@ -2,8 +2,10 @@
 
 import http.client
 import logging
+import select
 import socket
 import threading
+import time
 
 import waitress
 from waitress.channel import HTTPChannel
@@ -27,6 +29,10 @@
 _LISTEN_BACKLOG = 1024
 _CONNECTIONS = 2000
 _LOOP_TIMEOUT_S = 0.2
+# Longer than any usual deadline; a drain has waited for what it could before.
+_FINISH_S = 5.0
+_FINISH_STEP_S = 0.02
+_QUIET_S = 0.1
 _RECEIVED_KEY = "tamarackhaven.received_s"
 _GONE_KEY = "waitress.client_disconnected"
 
@@ -78,10 +84,12 @@
 
 
 class _Task(WSGITask):
-    def start(self):
-        super().start()
+    def build_response_header(self):
+        # As late as possible, so that it also reaches answers to requests that were
+        # running when the stop began.
         if self.channel.server.close_connections:
             self.set_close_on_finish()
+        return super().build_response_header()
 
     def get_environment(self):
         environ = super().get_environment()
@@ -144,6 +152,12 @@
             if len(self.requests) == 1:
                 self.server.add_task(self)
 
+    def is_busy(self):
+        """Return whether a request may be on its way in, or an answer out."""
+        if self.requests or self.total_outbufs_len:
+            return True
+        return time.time() - self.last_activity < _QUIET_S
+
     def handle_read(self):
         super().handle_read()
         if self._ended:
@@ -244,7 +258,10 @@
         self._server.close_connections = True
 
     def stop(self):
-        """Close all connections and end the threads."""
+        """Take no more connections, answer what has come in, end the threads.
+
+        What is not answered ``_FINISH_S`` later is cut off.
+        """
         self._stopping = True
         self._server.pull_trigger()
         if self._thread.is_alive():
@@ -256,9 +273,43 @@
             server.asyncore.loop(
                 timeout=_LOOP_TIMEOUT_S, map=server._map, use_poll=True, count=1
             )
+        self._finish()
         server.task_dispatcher.shutdown(timeout=1)
         server.asyncore.close_all(server._map)
 
+    def _finish(self):
+        """Answer all that has come in, and close the listening socket before that.
+
+        Failure: requests arrive up to the moment of the stop, and answers still wait
+        to be written after the application gave them. Symptom: a planned stop cuts
+        callers off, and they can't know whether their bookings ran. Enough: what the
+        system had queued is accepted first, each connection is closed after its next
+        answer, and one is given up only when nothing came in for ``_QUIET_S``, so the
+        bytes of a request that were on the way have arrived.
+        """
+        self._server.close_connections = True
+        self._stop_listening()
+        end = boot_s() + _FINISH_S
+        while self._is_busy() and boot_s() < end:
+            self._server.asyncore.loop(
+                timeout=_FINISH_STEP_S, map=self._server._map, use_poll=True, count=1
+            )
+
+    def _stop_listening(self):
+        server = self._server
+        queued = select.poll()
+        queued.register(server.socket, select.POLLIN)
+        for _ in range(_LISTEN_BACKLOG):
+            if not queued.poll(0):
+                break
+            server.handle_accept()
+        server.del_channel()
+        server.socket.close()
+
+    def _is_busy(self):
+        channels = [c for c in self._server._map.values() if isinstance(c, _Channel)]
+        return any(channel.is_busy() for channel in channels)
+
 
 def _bound(listen):
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
