--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -4,7 +4,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from tamarackhaven import _codec, _keys
+from tamarackhaven import _codec, _keys, _state
 from tamarackhaven._changes import (
     Command,
     DeleteResource,
@@ -18,16 +18,20 @@
     ShardMove,
     UnpinKey,
 )
+from tamarackhaven._events import TargetRemoved
 from tamarackhaven._model import (
     Address,
     AvailabilityZone,
     OwnershipPolicy,
+    PolicyMode,
     Service,
+    ShardGrant,
     TargetState,
     ZoneState,
 )
 from tamarackhaven._state import ClusterState, StateSnapshot
 from tamarackhaven.errors import ErrorKind
+from tests import golden
 
 
 class Log:
@@ -130,6 +134,26 @@
     assert log.do(delete).code == code(ErrorKind.RESOURCE_IN_USE)
 
 
+def test_mode_of_a_service_in_use_stays(log):
+    """A shared service made exclusive would have two kinds of owners for a while."""
+    shared = OwnershipPolicy("any", PolicyMode.SHARED)
+    log.put(shared)
+    wanted = OwnershipPolicy("alone", PolicyMode.SHARED)
+    invalid = code(ErrorKind.INVALID_RESOURCE)
+    assert log.put(wanted, expected=3).code == invalid
+    assert log.put(Service("rota", "any", shard_count=4), expected=4).code == invalid
+
+
+def test_lost_targets_are_forgotten_at_last(log, monkeypatch):
+    monkeypatch.setattr(_state, "LOST_KEPT", 2)
+    for number in range(4):
+        epoch = log.join(f"t{number}").version
+        log.do(RetireTarget("rota", f"t{number}", epoch))
+    assert [member.target for member in log.state.members] == ["t2", "t3"]
+    assert log.events[-1] == TargetRemoved(log.index, "rota", "t1")
+    assert log.state.member_by_epoch(epoch).target == "t3"
+
+
 def test_policy_that_targets_cannot_hold_is_refused(log):
     log.join("t1")
     policy = OwnershipPolicy("alone", min_targets=2)
@@ -297,3 +321,28 @@
     for name, (version, region) in naive.items():
         zone = log.state.resource("AvailabilityZone", name)
         assert (zone.version, zone.region) == (version, region)
+
+
+def test_golden_session(log):
+    """Two targets join, share the shards, one leaves and one is lost."""
+    steps = [
+        JoinTarget("rota", "t1", "a", "i1", "1", Address("127.0.0.1", 1)),
+        JoinTarget("rota", "t2", "b", "i2", "1", Address("127.0.0.1", 2)),
+        MoveShards("rota", [ShardMove(n, 0, f"t{n % 2 + 1}") for n in range(4)], "new"),
+        MoveShards("rota", [ShardMove(0, 7, "t2"), ShardMove(1, 3, "t1")], "balance"),
+        ReleaseShards("rota", "t1", 5, [ShardGrant("rota", 0, "t1", 5, 7)]),
+        PutResource("op-1", AvailabilityZone("b", state=ZoneState.OUT), 1),
+        PutResource("op-1", AvailabilityZone("b", state=ZoneState.OUT), 1),
+        PutResource("op-2", AvailabilityZone("b", state=ZoneState.OUT), 2),
+        RetireTarget("rota", "t2", 6, "its lease ran out"),
+        LeaveTarget("rota", "t1", 6),
+        DeleteResource("op-3", "Service", "rota", 4),
+    ]
+    lines = []
+    for change in steps:
+        outcome = log.do(change)
+        lines.append(f"{log.index} {change}")
+        lines.append(f"   = {outcome.code or 'applied'} {outcome.detail}".rstrip())
+        lines += [f"   > {event}" for event in log.events]
+    lines += [f"{d.decision_id} {d.result}" for d in log.state.decisions.all()]
+    golden.check("state_session", "\n".join(lines) + "\n")
