--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -151,12 +151,13 @@
 def test_every_command_and_option_stands_in_a_section_of_its_own(page):
     assert "`--version`" in page
     for command in COMMANDS:
-        section = page.partition(f"\n### `{command.__name__}")[2].partition("\n### ")[0]
-        assert section, command.__name__
-        for name, parameter in inspect.signature(command).parameters.items():
+        name = command.__name__.replace("_", "-")
+        section = page.partition(f"\n### `{name}`")[2].partition("\n### ")[0]
+        assert section, name
+        for operand, parameter in inspect.signature(command).parameters.items():
             option = parameter.kind is inspect.Parameter.KEYWORD_ONLY
-            shown = "--" + name.replace("_", "-") if option else name.upper()
-            assert shown in section, (command.__name__, shown)
+            shown = "--" + operand.replace("_", "-") if option else operand.upper()
+            assert shown in section, (name, shown)
 
 
 def test_every_metric_is_named(page):
