Move shards off a target that is going even to cold ones, in time

Change: half-way through the grace shards go to the lightest target, cold or not; control VMs refuse renewals from such a zone a lease time later than daemons drain; a daemon that owns nothing drains at once, and joins at most every 2 s; a pin needs pin_rate requests a second; tick_ms and the log limit of a control VM are read. Measured: the new test of the leader is red without the change; tests of leader, hot keys and placement pass.

--- a/tamarackhaven/_control.py
+++ b/tamarackhaven/_control.py
@@ -196,10 +196,13 @@
         """Whether a zone has been out for longer than its targets may take work.
 
         Renewals go on for a moment, so that a daemon that hears can hand over its
-        shards one by one; one that can't hear stops when its lease then ends.
+        shards one by one; one that can't hear stops when its lease then ends. A lease
+        time more than the daemons' own grace, since they hear of the change later and
+        would else be refused just before they say that they only drain.
         """
         since = self._zone_out_since.get(zone)
-        grace_s = self._settings.lease.zone_grace_ms / 1000
+        lease = self._settings.lease
+        grace_s = (lease.zone_grace_ms + lease.lease_ms) / 1000
         return since is not None and _clock.boot_s() - since >= grace_s
 
     def stop(self):
--- a/tamarackhaven/_control_process.py
+++ b/tamarackhaven/_control_process.py
@@ -22,7 +22,7 @@
     folder = Path(settings.data_folder)
     folder.mkdir(parents=True, exist_ok=True)
     open_logs(settings.logs, folder)
-    log = Log("control")
+    log = Log("control", settings.logs.repeats_per_minute)
     _check_first_start(settings, folder, first_start)
     fatal = []
 
--- a/tamarackhaven/_daemon_process.py
+++ b/tamarackhaven/_daemon_process.py
@@ -23,6 +23,7 @@
 
 CALL_TIMEOUT_S = 3.0
 RETRY_S = 0.1
+JOIN_PAUSE_S = 2.0
 # What a turn without a fetch does costs some ten microseconds.
 TURN_S = 0.25
 POLL_S = 0.02
@@ -78,6 +79,7 @@
         self._stopping = threading.Event()
         self._down = threading.Event()
         self._incarnation = ""
+        self._joined_at = -JOIN_PAUSE_S
         self._zone_out_since = None
         self._lease = LeaseClient(
             settings.lease,
@@ -202,7 +204,9 @@
         elif self._zone_out_since is None:
             self._zone_out_since = _clock.boot_s()
         since = self._zone_out_since
-        if since is None or _clock.boot_s() - since >= self._grace_s:
+        settings = self._settings
+        owns = bool(self._view.owned_by(settings.service, settings.target))
+        if since is None or not owns or _clock.boot_s() - since >= self._grace_s:
             self.daemon.on_zone(state)
             self._lease.set_draining(state is ZoneState.OUT)
 
@@ -277,6 +281,9 @@
         if not self._probe.is_up():
             raise TamarackhavenError(ErrorKind.TARGET_UNREACHABLE, "before joining")
         settings = self._settings
+        # Each join is an entry of the log. A daemon that is refused again and again
+        # would fill it, and push older decisions out of the record.
+        self._stopping.wait(self._joined_at + JOIN_PAUSE_S - _clock.boot_s())
         change = JoinTarget(
             service=settings.service,
             target=settings.target,
@@ -289,6 +296,7 @@
         outcome = self._client.change(change, CALL_TIMEOUT_S)
         if outcome.code:
             raise TamarackhavenError(ErrorKind(outcome.code), outcome.detail)
+        self._joined_at = _clock.boot_s()
         self._lease.set_grant(outcome.member.epoch)
         self._fetch_wanted.set()
         self._probe.start()
--- a/tamarackhaven/_leader.py
+++ b/tamarackhaven/_leader.py
@@ -6,12 +6,11 @@
 """
 
 import threading
-import time
 
 from tamarackhaven._changes import Command, MoveShards, RetireTarget
 from tamarackhaven._decisions import Decision, DecisionRecord
 from tamarackhaven._fence_round import FenceRounds
-from tamarackhaven._model import TargetState
+from tamarackhaven._model import TargetState, ZoneState
 from tamarackhaven._pins import PinPlanner
 from tamarackhaven._placement import plan
 from tamarackhaven._plan import PlacementInputs
@@ -19,13 +18,11 @@
 from tamarackhaven._state import encode_command
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
-# Well below the lease, so that noticing a silent target adds little to the time
-# without an owner; a tick costs little, since it looks at members, not at shards.
-TICK_S = 0.02
 PIN_EVERY_S = 1.0
 # Plans without a change of state, for targets that turn cold or warm. A plan that
 # finds nothing to do costs a tenth of a second of CPU at the design size.
 REPLAN_EVERY_S = 5.0
+FAILED_PAUSE_S = 0.2
 COLD_WARMTH = 0.3
 REFUSALS_KEPT = 200
 
@@ -51,6 +48,8 @@
         self._machine = machine
         self._peers = peers
         self._leases = leases
+        self._tick_s = settings.placement.tick_ms / 1000
+        self._urgent_after_s = settings.lease.zone_grace_ms / 1000 / 2
         self._clock = clock
         self._log = log
         self._lock = threading.RLock()
@@ -69,6 +68,7 @@
         self._planned_by_service = {}
         self._proposed_by_service = {}
         self._holds_by_service = {}
+        self._going_by_service = {}
         self._cold_shards_by_service = {}
         self._retiring = {}
         self._pinned_at = 0.0
@@ -85,7 +85,7 @@
 
     def _run(self):
         while not self._stopping.is_set():
-            self._wake.wait(TICK_S)
+            self._wake.wait(self._tick_s)
             self._wake.clear()
             try:
                 self.step(self._clock.boot_s())
@@ -94,7 +94,7 @@
                 self._log.say("step given up", code=error.kind.value)
             except Exception as error:  # the leader must not die of one bad input
                 self._log.say("step failed", error=repr(error))
-                time.sleep(TICK_S)
+                self._stopping.wait(FAILED_PAUSE_S)
 
     def step(self, now):
         """Take one step at ``now``, in seconds; nothing where this VM does not lead."""
@@ -190,7 +190,9 @@
                 for service in state.services
                 if self._due(service, now, version)
             ]
-            steps = [(service, self._inputs(state, service)) for service in services]
+            steps = [
+                (service, self._inputs(state, service, now)) for service in services
+            ]
         for service, inputs in steps:
             step = plan(inputs, self._settings.placement)
             self._planned_by_service[service.name] = version, now
@@ -202,9 +204,30 @@
         if _running(self._proposed_by_service.get(service.name)):
             return False
         planned, at = self._planned_by_service.get(service.name, (-1, 0.0))
-        return planned != version or now - at >= REPLAN_EVERY_S
+        pause = self._urgent_after_s if self._is_held(service) else REPLAN_EVERY_S
+        return planned != version or now - at >= pause
+
+    def _is_held(self, service):
+        return bool(self._going_by_service.get(service.name))
+
+    def _urgent(self, state, service, now):
+        """Return the targets that soon stop although they still own shards.
 
-    def _inputs(self, state, service):
+        They leave, or their zone is out, and half the time is over in which they still
+        serve what has not moved.
+        """
+        going = {
+            member.target
+            for member in state.members
+            if member.service == service.name and _is_going(state, member)
+        }
+        since = self._going_by_service.get(service.name, {})
+        since = {target: since.get(target, now) for target in going}
+        self._going_by_service[service.name] = since
+        late = now - self._urgent_after_s
+        return frozenset(target for target, at in since.items() if at <= late)
+
+    def _inputs(self, state, service, now):
         reports = self._report_by_target
         return PlacementInputs(
             service=service,
@@ -212,6 +235,7 @@
             zones_by_name={zone.name: zone for zone in state.zones},
             members=state.members,
             grants_by_shard=dict(state.grants(service.name)),
+            urgent_targets=self._urgent(state, service, now),
             fixed_shards=self._cold_shards_by_service.get(service.name, frozenset()),
             warmth_by_target={
                 report.target: COLD_WARMTH
@@ -305,6 +329,14 @@
             )
 
 
+def _is_going(state, member):
+    if member.state is TargetState.LEAVING:
+        return True
+    zone = state.resource("AvailabilityZone", member.zone)
+    is_out = zone is not None and zone.state is ZoneState.OUT
+    return is_out and member.state is TargetState.ACTIVE
+
+
 def _owns_any(state, member):
     grants = state.grants(member.service).values()
     return any(grant.owner == member.target for grant in grants)
--- a/tamarackhaven/_pins.py
+++ b/tamarackhaven/_pins.py
@@ -81,6 +81,11 @@
         dict of int to float
             By key hash; each target's report is weighed by its rate and its age.
         """
+        rate_by_key, mean = self._rates(service, now)
+        return {key: rate / mean for key, rate in rate_by_key.items() if mean}
+
+    def _rates(self, service, now):
+        """Return the rate of each key, and of the mean target, in requests a second."""
         self._forget_stale(now)
         rates = []
         rate_by_key = {}
@@ -93,8 +98,7 @@
             for hot in report.hot_keys:
                 known = rate_by_key.get(hot.key_hash, 0.0)
                 rate_by_key[hot.key_hash] = known + rate * hot.share
-        mean = sum(rates) / len(rates) if rates else 0.0
-        return {key: rate / mean for key, rate in rate_by_key.items() if mean}
+        return rate_by_key, sum(rates) / len(rates) if rates else 0.0
 
     def decide(self, service, policy, grants_by_shard, now, max_moves=None):
         """Return what to pin, to unpin and to move home.
@@ -117,7 +121,8 @@
         -------
         PinDecision
         """
-        share_by_key = self.shares(service, now)
+        rate_by_key, mean = self._rates(service, now)
+        share_by_key = {key: rate / mean for key, rate in rate_by_key.items() if mean}
         pins = [grant for grant in grants_by_shard.values() if grant.key_hash]
         self._note_pins(service, pins, now)
         cold = [pin for pin in pins if self._is_cold(pin, share_by_key, now)]
@@ -125,19 +130,26 @@
         for pin in sorted(cold, key=lambda pin: pin.shard):
             home = grants_by_shard.get(shard_of(pin.key_hash, service.shard_count))
             _bring_home(pin, home, moves, unpins)
-        hot = self._hot(share_by_key, {pin.key_hash for pin in pins})
+        pinned = {pin.key_hash for pin in pins}
+        hot = self._hot(share_by_key, rate_by_key, pinned)
         room = max(0, policy.max_pinned_keys - len(pins))
         changes = unpins + [_pin(service, key, share_by_key[key]) for key in hot[:room]]
         bound = policy.move_batch if max_moves is None else max_moves
         cold_shards = frozenset(pin.shard for pin in cold)
         return PinDecision(changes, moves[: max(0, bound)], cold_shards)
 
-    def _hot(self, share_by_key, pinned):
-        """Return the keys to pin, hottest first."""
+    def _hot(self, share_by_key, rate_by_key, pinned):
+        """Return the keys to pin, hottest first.
+
+        A key must be hot in itself, too: where few keys are in use, each is a large
+        part of the load, and pins of them all would only make moves.
+        """
         hot = [
             key
             for key, share in share_by_key.items()
-            if share > self.settings.pin_share and key not in pinned
+            if share > self.settings.pin_share
+            and rate_by_key[key] >= self.settings.pin_rate
+            and key not in pinned
         ]
         return sorted(hot, key=lambda key: (-share_by_key[key], key))
 
--- a/tamarackhaven/_placement.py
+++ b/tamarackhaven/_placement.py
@@ -211,12 +211,16 @@
         Harm: all at once would flood the remaining targets with keys whose state
         they don't hold yet.
         Limit: ``move_batch`` on the move at once; heaviest first, since their callers
-        are the most.
+        are the most. When their owner is about to take no more work, shards go even to
+        targets that can't bear them yet: the gates there refuse what is too much,
+        and otherwise nobody would serve any of it.
         """
         movable = [grant for grant in self.stranded if self._is_movable(grant)]
         room = max(0, self.budget)
         for grant in heapq.nsmallest(room, movable, key=self._heaviest_first):
             target = self._best(grant)
+            if target is None and grant.owner in self.inputs.urgent_targets:
+                target = self.loads.lightest()
             if target is None:
                 self.hold(grant, self._no_target_cause())
                 continue
--- a/tamarackhaven/_plan.py
+++ b/tamarackhaven/_plan.py
@@ -50,6 +50,8 @@
     warmth_by_target : dict of str to float
         Share of its capacity, 0 to 1, that a cold target can take now; 1 where
         missing.
+    urgent_targets : frozenset of str
+        Targets that in a moment take no more work, whatever they still own.
     fixed_shards : frozenset of int
         Shards that must not move for balance or as hot keys, such as pinned keys that
         are about to be unpinned: else they would be moved away and home in turn.
@@ -62,6 +64,7 @@
     grants_by_shard: dict[int, ShardGrant]
     loads_by_shard: dict[int, float] = attrs.field(factory=dict)
     warmth_by_target: dict[str, float] = attrs.field(factory=dict)
+    urgent_targets: frozenset[str] = frozenset()
     fixed_shards: frozenset[int] = frozenset()
 
 
--- a/tamarackhaven/_settings.py
+++ b/tamarackhaven/_settings.py
@@ -158,19 +158,24 @@
     Parameters
     ----------
     tick_ms : int
-        Time between two placement steps.
+        Time between two steps of the leader. Well below the lease, so that noticing
+        a silent target adds little to the time without an owner; a step looks at
+        members, and at shards only after a change.
     imbalance : float
         Excess over the mean load, as a part of 1, that is left alone.
     pin_share, unpin_share : float
         A key is pinned above the one and unpinned below the other.
+    pin_rate : float
+        Fewest requests a second of a key that is pinned.
     pin_hold_s : float
         Shortest life of a pin, in seconds.
     """
 
-    tick_ms: int = _whole(100, 10, 10_000)
+    tick_ms: int = _whole(20, 10, 10_000)
     imbalance: float = _number(0.1, 0.0, 10.0)
     pin_share: float = _number(0.05, 0.0, 1.0)
     unpin_share: float = _number(0.02, 0.0, 1.0)
+    pin_rate: float = _number(50.0, 0.0, 1_000_000.0)
     pin_hold_s: float = _number(60.0, 0.0, 3600.0)
 
 
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -200,6 +200,23 @@
     assert sum(grant.moving_to == "t1" for grant in grants) == 4
 
 
+def test_shards_leave_for_a_cold_target_before_nobody_serves_them(group):
+    """A zone is taken out while the only other target is cold.
+
+    Held back until that one is warm, the shards would be served by nobody once their
+    owner stops taking work. The cold target's gate refuses what is too much.
+    """
+    group.steps()
+    group.leader.report(LoadReport("s", "t1", 5, 1.0, 1, cold=True))
+    zone = group.machine.state.resource("AvailabilityZone", "b")
+    group.put(attrs.evolve(zone, state=ZoneState.OUT, version=0), zone.version)
+    group.steps()
+    grants = group.machine.state.grants("s").values()
+    assert not any(grant.moving_to for grant in grants)
+    group.steps(later_s=1.5)
+    assert sum(grant.moving_to == "t1" for grant in grants) == 4
+
+
 def test_a_target_that_left_is_retired_once_it_owns_nothing(group):
     epoch = group.member("t1").epoch
     group.consensus.do(LeaveTarget("s", "t1", epoch))
