--- a/standin/target.py
+++ b/standin/target.py
@@ -304,6 +304,7 @@
         self._address = (host, int(announce_port))
         self._port = port
         self._ended = threading.Event()
+        self._connection = None
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self):
@@ -312,7 +313,7 @@
 
     def leave(self):
         """Say that the target is leaving."""
-        self._post("/leaving", {})
+        self._post(self._connect(), "/leaving", {})
 
     def stop(self):
         """End the reports."""
@@ -321,11 +322,23 @@
 
     def _run(self):
         while not self._ended.is_set():
-            # Again and again: the daemon may have been restarted meanwhile.
-            self._post("/announce", self._announcement())
-            self._post("/report", self._target.report())
+            self._turn()
             self._ended.wait(REPORT_S)
 
+    def _turn(self):
+        if self._connection is None:
+            # A broken connection may mean another daemon process, which knows nothing.
+            self._connection = self._connect()
+            is_heard = self._post(self._connection, "/announce", self._announcement())
+        else:
+            is_heard = self._post(self._connection, "/report", self._target.report())
+        if not is_heard:
+            self._connection.close()
+            self._connection = None
+
+    def _connect(self):
+        return http.client.HTTPConnection(*self._address, timeout=2)
+
     def _announcement(self):
         return {
             "incarnation": self._target.incarnation,
@@ -333,16 +346,14 @@
             "address": {"host": "127.0.0.1", "port": self._port},
         }
 
-    def _post(self, path, plain):
-        connection = http.client.HTTPConnection(*self._address, timeout=2)
+    def _post(self, connection, path, plain):
+        """Send to the daemon; return whether it answered and keeps the connection."""
         try:
-            body = json.dumps(plain).encode()
-            connection.request("POST", path, body)
-            return connection.getresponse().read()
+            connection.request("POST", path, json.dumps(plain).encode())
+            connection.getresponse().read()
         except (OSError, http.client.HTTPException):
-            return b""
-        finally:
-            connection.close()
+            return False
+        return connection.sock is not None
 
 
 class Server:
--- a/tamarackhaven/_target_probe.py
+++ b/tamarackhaven/_target_probe.py
@@ -3,11 +3,13 @@
 import socket
 import threading
 
-PROBE_EVERY_S = 0.1
+# A connection costs a daemon some 0.3 ms of processor time, and the target as much.
+PROBE_EVERY_S = 0.25
 CONNECT_TIMEOUT_S = 0.5
 # One refusal may be a full backlog; two in a row, a tenth of a second apart on the
 # loopback interface, mean that nothing listens.
 REFUSALS_NEEDED = 2
+REFUSED_EVERY_S = 0.1
 
 
 class TargetProbe:
@@ -49,11 +51,12 @@
 
     def _run(self):
         refused = 0
-        while not self._stopping.wait(PROBE_EVERY_S):
+        while not self._stopping.wait(REFUSED_EVERY_S if refused else PROBE_EVERY_S):
             if not self._watching.is_set():
                 continue
             refused = 0 if self.is_up() else refused + 1
             if refused >= REFUSALS_NEEDED:
+                refused = 0
                 self._watching.clear()
                 self._on_down()
 
