Give requests enough threads to reach the gate, and one address to a target

**Cause:** With 16 threads a daemon's callers stood in line before the gate, which knows deadlines, shares and Retry-After; the line refused them as QUEUE_FULL without any of these. And a target could announce an address that the probe didn't watch. **Change:** 80 threads by default, for a dozen slots and 64 places in the queue. The new test was not tried without the check.

--- a/tamarackhaven/_daemon.py
+++ b/tamarackhaven/_daemon.py
@@ -278,7 +278,14 @@
     # What the target says.
 
     def announced(self, announcement):
-        """Take in the announcement of a target; a new start gets a new gate."""
+        """Take in the announcement of a target; a new start gets a new gate.
+
+        Raises
+        ------
+        TamarackhavenError
+            ADDRESS_MISMATCH if the settings name another address.
+        """
+        _check_address(announcement.address, self.settings.target_address)
         with self._announce_lock:
             new = self.link.is_new(announcement)
             if new:
@@ -380,6 +387,22 @@
             return self.ledger.import_(part, grant, previous_grant, now_unix)
 
 
+def _check_address(announced, expected):
+    """Refuse an announcement that the probe of the target would not fit.
+
+    Failure: requests go to the announced address while the probe watches the one of
+    the settings. Symptom: a target in good health is given up, or one that is down is
+    kept. With one address for both neither can happen.
+    """
+    same_port = expected.port in (0, announced.port)
+    if announced.host != expected.host or not same_port:
+        raise TamarackhavenError(
+            ErrorKind.ADDRESS_MISMATCH,
+            f"{announced.host}:{announced.port} was announced, "
+            f"target_address is {expected.host}:{expected.port}.",
+        )
+
+
 def _end(target):
     """Close what an earlier start of the target left; waiting requests are refused."""
     if target is None:
--- a/tamarackhaven/_settings.py
+++ b/tamarackhaven/_settings.py
@@ -191,7 +191,8 @@
     caller, peer, announce, metrics : Listen
         Ports for callers, for other daemons, for the target, and for scrapers.
     target_address : Listen
-        Where the target takes requests.
+        Where the target takes requests. An announcement of another address is refused;
+        port 0 leaves the port to the announcement.
     forward_wait_ms : int
         Longest time a request waits for a key on the move.
     stale_s : float
@@ -211,7 +212,11 @@
         validator=deep_iterable(instance_of(ControlMember), and_(min_len(1)))
     )
     capacity: int = _whole(1, 1, 1_000)
-    threads: int = _whole(16, 1, 512)
+    # Load: callers wait in the gate's queue, each on a thread. Harm: with fewer threads
+    # than slots and places in the queue the line forms before the gate, where nobody
+    # looks at deadlines, fair shares or Retry-After. Limit: a dozen slots and
+    # ``queue_requests`` fit; more threads would cost memory and wait without use.
+    threads: int = _whole(80, 1, 512)
     forward_wait_ms: int = _whole(300, 0, 60_000)
     stale_s: float = _number(3.0, 0.1, 60.0)
     drain_s: float = _number(30.0, 0.0, 3600.0)
--- a/tamarackhaven/errors.py
+++ b/tamarackhaven/errors.py
@@ -67,6 +67,7 @@
     ANSWER_TIMEOUT = "TH406"
     ANSWER_MISMATCH = "TH407"
     CANCELLED = "TH408"
+    ADDRESS_MISMATCH = "TH409"
     # Bookings.
     BOOKING_IN_PROGRESS = "TH501"
     BOOKING_UNKNOWN = "TH502"
@@ -213,6 +214,13 @@
         502, 41, _UNKNOWN, _SAME, "The target answered another request."
     ),
     _K.CANCELLED: Answer(503, 41, _UNKNOWN, _SAME, "The request was cancelled."),
+    _K.ADDRESS_MISMATCH: Answer(
+        422,
+        42,
+        _NO,
+        _NEVER,
+        "The target announced another address than the daemon's settings name.",
+    ),
     _K.BOOKING_IN_PROGRESS: Answer(
         409, 50, _UNKNOWN, _SAME, "The first try of this booking is still running."
     ),
--- a/tests/test_path_http.py
+++ b/tests/test_path_http.py
@@ -1,6 +1,7 @@
 """The request path over real sockets on loopback."""
 
 import contextlib
+import json
 import socket
 import threading
 import time
@@ -341,6 +342,18 @@
     assert standin.served == 0
 
 
+def test_an_announcement_of_another_address_is_refused_with_both_named(pair):
+    node = pair[1]
+    announced = node.daemon.link.state().announcement.address
+    plain = {"incarnation": "x", "slots": 2}
+    plain["address"] = {"host": "127.0.0.9", "port": announced.port}
+    port = node.daemon.announce.port
+    got = ask(port, "POST", "/announce", json.dumps(plain))
+    assert (got.status, got.name) == (422, "ADDRESS_MISMATCH")
+    assert "127.0.0.9" in got.plain["detail"] and "127.0.0.1" in got.plain["detail"]
+    assert node.daemon.link.state().announcement.address == announced
+
+
 def test_a_taken_port_is_named():
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", 0))
