Serve shared services at any target, and give lookups at a frozen owner up

**Cause:** Choice, ejection, retries and hedges were pure modules that nothing used: a service with a shared policy answered NO_OWNER to all. A lookup forwarded to a daemon that then froze waited until its deadline, though its key had another owner. **Change:** The path has two routes. `OwnerRoute` tries once more at the next owner, out of a retry budget; a forwarded lookup is given up when the view shows another owner, a booking never. `SharedRoute` chooses among active targets in zones that are in, tries elsewhere what did not run or may run twice, and races a slow try with a second one after the 95th percentile of recent tries; the loser is cancelled. A target that refused is left out for the time that it named. Bookings of shared services are refused as BOOKING_SHARED (TH507). Retries and refused retries are counted by reason. **Measured:** Over real sockets with in-process daemons.

--- a/tamarackhaven/_choice.py
+++ b/tamarackhaven/_choice.py
@@ -113,10 +113,14 @@
         """Count the end of a request, however it ended.
 
         One that was cancelled or timed out counts with the time it took so far: a
-        target that answers nothing must not look fast.
+        target that answers nothing must not look fast. One that was refused counts
+        with None, which leaves the latency as it was: a target that refuses at once
+        would look fastest of all and draw the requests that it refuses.
         """
         seen = self._seen(target)
         seen.in_flight = max(0, seen.in_flight - 1)
+        if latency_s is None:
+            return
         mean = self._latency(seen, now)
         if latency_s < mean:
             latency_s = mean + self.settings.latency_weight * (latency_s - mean)
--- a/tamarackhaven/_daemon.py
+++ b/tamarackhaven/_daemon.py
@@ -16,11 +16,15 @@
 from tamarackhaven._http_server import MAX_HEADER_BYTES, HttpServer
 from tamarackhaven._ledger import Ledger
 from tamarackhaven._metrics import metrics_server
-from tamarackhaven._model import ZoneState
+from tamarackhaven._model import PolicyMode, ZoneState
 from tamarackhaven._owner import Owner
+from tamarackhaven._owner_route import OwnerRoute
 from tamarackhaven._path import RequestPath
 from tamarackhaven._peer_app import peer_app
+from tamarackhaven._retries import Retries, owner_retries
+from tamarackhaven._retry import RetrySettings
 from tamarackhaven._send import Connections
+from tamarackhaven._shared_route import SharedRoute
 from tamarackhaven._target_link import TargetLink
 from tamarackhaven._verify import Standing
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
@@ -119,7 +123,7 @@
         self._hot_keys = HotKeys(now=clock.boot_s())
         self._admitted = 0
         self._grants = Grants(_Locked(self.ledger, self.ledger_lock), clock)
-        self._forwarder = Forwarder(settings.threads)
+        self._forwarder = Forwarder(2 * settings.threads)
         self._canceller = Canceller()
         owner = Owner(
             settings,
@@ -133,18 +137,31 @@
             clock,
             self._note_key,
         )
-        self.path = RequestPath(
+        self.path = self._make_path(view, owner, log.part("path"))
+        self._servers = []
+        self._open_ports(take_ledger or _no_ledger)
+
+    def _make_path(self, view, owner, log):
+        settings, metrics, clock = self.settings, self._metrics, self._clock
+        exclusive = OwnerRoute(
             settings,
             view,
             owner,
             self._forwarder,
             self.standing,
+            Retries(
+                owner_retries(settings.threads), PolicyMode.EXCLUSIVE, metrics, clock
+            ),
             metrics,
-            log.part("path"),
             clock,
         )
-        self._servers = []
-        self._open_ports(take_ledger or _no_ledger)
+        retries = Retries(RetrySettings(), PolicyMode.SHARED, metrics, clock)
+        self._shared = SharedRoute(
+            settings, view, owner, self._forwarder, retries, metrics, clock
+        )
+        return RequestPath(
+            view, exclusive, self._shared, self.standing, metrics, log, clock
+        )
 
     def _open_ports(self, take_ledger):
         settings = self.settings
@@ -206,6 +223,7 @@
     def stop(self):
         """Close all ports and connections; what is in flight is cut off."""
         self._stop_servers()
+        self._shared.close()
         self._forwarder.close()
         self._canceller.close()
         with self._lock:
--- a/tamarackhaven/_forward.py
+++ b/tamarackhaven/_forward.py
@@ -1,9 +1,12 @@
 """Filter: hand a request to the owner's daemon, and its answer back."""
 
+import json
 import threading
 
 from tamarackhaven import _request as names
 from tamarackhaven._clock import boot_s
+from tamarackhaven._model import PolicyMode
+from tamarackhaven._retry import LOST_KINDS, REFUSED_KINDS, RELOCATED_KINDS
 from tamarackhaven._send import Connections, Sending, send
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
@@ -24,7 +27,8 @@
     Parameters
     ----------
     limit : int
-        Most connections to one daemon; as many as there are threads here suffice.
+        Most connections to one daemon; two for each thread suffice, as a cancelled
+        try ends a moment after the one that was quicker.
     """
 
     def __init__(self, limit):
@@ -49,7 +53,7 @@
             kind = _KIND_OF_DAEMON.get(error.kind, error.kind)
             raise TamarackhavenError(kind, error.detail) from error
         kind = _KIND_BY_CODE.get(answer.header(names.ERROR_HEADER))
-        if kind in MOVABLE:
+        if kind in _raised_kinds(located.mode):
             detail = f"{located.owner.target} said so."
             raise TamarackhavenError(kind, detail, _retry_after_s(answer))
         return answer
@@ -82,22 +86,22 @@
 
 
 def _retry_after_s(answer):
-    value = answer.header(names.RETRY_AFTER_HEADER)
-    return float(value) if value.isdigit() else 0.0
+    """Return the exact time in the body; the header has whole seconds."""
+    try:
+        return float(json.loads(answer.body).get("retry_after_s", 0.0))
+    except (ValueError, TypeError, AttributeError):
+        value = answer.header(names.RETRY_AFTER_HEADER)
+        return float(value) if value.isdigit() else 0.0
 
 
-# The request surely did not run, and a newer view may name another owner.
-MOVABLE = frozenset(
-    {
-        ErrorKind.NOT_OWNER,
-        ErrorKind.NO_OWNER,
-        ErrorKind.MOVING,
-        ErrorKind.OWNER_UNREACHABLE,
-        ErrorKind.LEASE_LOST,
-        ErrorKind.DRAINING,
-        ErrorKind.ZONE_OUT,
-    }
-)
+def _raised_kinds(mode):
+    """Return the refusals of another daemon after which this one may try again.
+
+    All other answers are passed on as they are, with their exact Retry-After.
+    """
+    if mode is PolicyMode.SHARED:
+        return RELOCATED_KINDS | REFUSED_KINDS | LOST_KINDS
+    return RELOCATED_KINDS | {ErrorKind.CANCELLED}
 
 
 def _sending(request, located):
@@ -110,8 +114,9 @@
         (names.DEADLINE_MS_HEADER, str(left_ms)),
         (names.CALLER_HEADER, request.caller),
         (names.HOPS_HEADER, str(request.hops + 1)),
-        (names.EPOCH_HEADER, str(located.grant.grant)),
     ]
+    if located.grant.grant:
+        headers.append((names.EPOCH_HEADER, str(located.grant.grant)))
     if request.first_sent_s is not None:
         headers.append((names.FIRST_SENT_HEADER, f"{request.first_sent_s:.6f}"))
     limit = max(located.service.max_body_bytes, _LEAST_BODY_BYTES)
--- a/tamarackhaven/_grants.py
+++ b/tamarackhaven/_grants.py
@@ -96,6 +96,11 @@
                 raise TamarackhavenError(ErrorKind.MOVING, "", RETRY_AFTER_S)
             self._in_flight[*shard, key_hash] += 1
 
+    def enter_shared(self, grant, key_hash):
+        """Count in a request of a shared service, whose keys are granted to nobody."""
+        with self._lock:
+            self._in_flight[grant.service, grant.shard, key_hash] += 1
+
     def leave(self, grant, key_hash):
         """Count a request out."""
         entry = (grant.service, grant.shard, key_hash)
--- a/tamarackhaven/_metrics.py
+++ b/tamarackhaven/_metrics.py
@@ -12,21 +12,21 @@
 from tamarackhaven._answer import answer_error
 from tamarackhaven._http_server import HttpServer, raw_request, respond
 from tamarackhaven._request import HttpAnswer
+from tamarackhaven._retry import (
+    LOST_KINDS,
+    REFUSED_KINDS,
+    RELOCATED_KINDS,
+    RetryReason,
+    RetryRefusal,
+)
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 REFUSALS = "tamarackhaven_refusals_total"
 RETRIES = "tamarackhaven_retries_total"
+RETRIES_REFUSED = "tamarackhaven_retries_refused_total"
 ANSWERS = "tamarackhaven_answers_total"
 LATENCY = "tamarackhaven_latency_seconds"
-RETRY_REASONS = (
-    ErrorKind.NOT_OWNER,
-    ErrorKind.NO_OWNER,
-    ErrorKind.MOVING,
-    ErrorKind.OWNER_UNREACHABLE,
-    ErrorKind.LEASE_LOST,
-    ErrorKind.DRAINING,
-    ErrorKind.ZONE_OUT,
-)
+RETRY_REASONS = (*(RELOCATED_KINDS | REFUSED_KINDS | LOST_KINDS), RetryReason.HEDGE)
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -35,7 +35,8 @@
 _DIGITS = 2
 _HELP_BY_NAME = {
     REFUSALS: "Requests answered with an error of the closed list, by its name.",
-    RETRIES: "Second tries after an answer that surely did not run, by reason.",
+    RETRIES: "Further tries of one request, by the error before it, or HEDGE.",
+    RETRIES_REFUSED: "Errors that were answered without a further try, by reason.",
     ANSWERS: "Answers that were passed on, by HTTP status.",
     LATENCY: "Time from a request's arrival to the target's answer.",
 }
@@ -60,6 +61,8 @@
             self.count(REFUSALS, 0, kind=kind.name)
         for reason in RETRY_REASONS:
             self.count(RETRIES, 0, reason=reason.name)
+        for refusal in RetryRefusal:
+            self.count(RETRIES_REFUSED, 0, reason=refusal.value)
 
     def count(self, name, amount=1, **labels):
         """Add ``amount`` to a counter."""
--- a/tamarackhaven/_owner.py
+++ b/tamarackhaven/_owner.py
@@ -13,6 +13,7 @@
     BookingTry,
     Replay,
 )
+from tamarackhaven._model import PolicyMode
 from tamarackhaven._request import HttpAnswer
 from tamarackhaven._send import Sending, send
 from tamarackhaven._verify import verify
@@ -86,7 +87,10 @@
         """
         self._verify(located)
         self._note_key(request.key_hash)
-        self._grants.enter(located.grant, request.key_hash)
+        if located.mode is PolicyMode.SHARED:
+            self._grants.enter_shared(located.grant, request.key_hash)
+        else:
+            self._grants.enter(located.grant, request.key_hash)
         try:
             if request.is_booking:
                 return self._book(request, located, gone)
@@ -171,11 +175,16 @@
         """
         now = self._clock.boot_s()
         start_by_s = min(self._lease.held_until(now), request.deadline_s)
+        times = (
+            (names.START_BY_HEADER, str(int(start_by_s * 1000))),
+            (names.DEADLINE_HEADER, str(int(request.deadline_s * 1000))),
+        )
+        if located.mode is PolicyMode.SHARED:
+            return times
         return (
             (names.EPOCH_HEADER, str(located.grant.grant)),
             (names.SHARD_HEADER, str(located.grant.shard)),
-            (names.START_BY_HEADER, str(int(start_by_s * 1000))),
-            (names.DEADLINE_HEADER, str(int(request.deadline_s * 1000))),
+            *times,
         )
 
 
--- a/tamarackhaven/_retry.py
+++ b/tamarackhaven/_retry.py
@@ -39,6 +39,7 @@
         _K.CONNECTIONS_FULL,
         _K.TARGET_UNREACHABLE,
         _K.TARGET_REFUSED,
+        _K.STATE_STALE,
     }
 )
 """Nothing ran at this target; another one may have room."""
@@ -189,6 +190,10 @@
         self.counts_by_reason[reason] += 1
         return True
 
+    def give_back(self):
+        """Return a token that was spent for a try which then was not made."""
+        self._add(1.0)
+
     def may_retry(self, failed, now, draw):
         """Return what becomes of a failed try.
 
--- a/tamarackhaven/_seams.py
+++ b/tamarackhaven/_seams.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from tamarackhaven._model import Service, ShardGrant, TargetMember
+from tamarackhaven._model import PolicyMode, Service, ShardGrant, TargetMember
 
 
 @attrs.frozen
@@ -19,11 +19,14 @@
         The owning target; None if the shard has no owner.
     service : Service
         The service that the key belongs to.
+    mode : PolicyMode
+        Of the service. A key of a shared one has no owner.
     """
 
     grant: ShardGrant
     owner: TargetMember | None
     service: Service
+    mode: PolicyMode = PolicyMode.EXCLUSIVE
 
 
 class View(Protocol):
@@ -42,6 +45,12 @@
             UNKNOWN_SERVICE if there is no such service.
         """
 
+    def takers(self, service: str) -> list[TargetMember]:
+        """Return the targets of a service that may get new work."""
+
+    def member(self, service: str, target: str) -> TargetMember | None:
+        """Return one target, or None."""
+
 
 class Lease(Protocol):
     """The lease of the target beside this daemon; times are of CLOCK_BOOTTIME."""
--- a/tamarackhaven/_view.py
+++ b/tamarackhaven/_view.py
@@ -17,7 +17,7 @@
     TargetChanged,
 )
 from tamarackhaven._members import Membership
-from tamarackhaven._model import ShardGrant
+from tamarackhaven._model import PolicyMode, ShardGrant, TargetState, ZoneState
 from tamarackhaven._seams import Located
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
@@ -107,6 +107,7 @@
         self._resources_by_key = {}
         self._members_by_key = {}
         self._shards_by_service = {}
+        self._takers_by_service = {}
 
     @property
     def version(self):
@@ -130,6 +131,7 @@
                 return False
             if feed.snapshot:
                 self._clear()
+            self._takers_by_service = {}
             for event in feed.events:
                 if feed.snapshot or event.version > self._version:
                     self._apply(event)
@@ -189,7 +191,30 @@
                 shard = _keys.shard_of(key_hash, resource.shard_count)
             grant = shards.get(service, shard)
             owner = self._members_by_key.get((service, grant.owner))
-            return Located(grant, owner, resource)
+            return Located(grant, owner, resource, self._mode(resource))
+
+    def _mode(self, service):
+        policy = self._resources_by_key.get(("OwnershipPolicy", service.policy))
+        return policy.mode if policy else PolicyMode.EXCLUSIVE
+
+    def takers(self, service):
+        """Return the targets of a service that take work, by this view.
+
+        They are active and their availability zones are in. The list is made once a
+        version, as each request of a shared service asks for it.
+        """
+        with self._lock:
+            known = self._takers_by_service.get(service)
+            if known is None:
+                known = [m for m in self._members_by_key.values() if self._takes(m)]
+                known = [member for member in known if member.service == service]
+                self._takers_by_service[service] = known
+            return known
+
+    def _takes(self, member):
+        zone = self._resources_by_key.get(("AvailabilityZone", member.zone))
+        out = zone is not None and zone.state is ZoneState.OUT
+        return member.state is TargetState.ACTIVE and not out
 
     def owned_by(self, service, target):
         """Return the grants of a target."""
--- a/tamarackhaven/errors.py
+++ b/tamarackhaven/errors.py
@@ -75,6 +75,7 @@
     BOOKING_MISMATCH = "TH504"
     LEDGER_FULL = "TH505"
     BOOKING_OWNER_CHANGED = "TH506"
+    BOOKING_SHARED = "TH507"
     # Resources and the control group.
     INVALID_RESOURCE = "TH601"
     NOT_FOUND = "TH602"
@@ -240,6 +241,9 @@
         _LATER,
         "This try did not run; an earlier one may have, at a former owner.",
     ),
+    _K.BOOKING_SHARED: Answer(
+        422, 52, _NO, _NEVER, "A shared service takes no bookings."
+    ),
     _K.LEDGER_FULL: Answer(503, 30, _NO, _LATER, "The ledger of bookings is full."),
     _K.INVALID_RESOURCE: Answer(422, 60, _NO, _NEVER, "The resource is not valid."),
     _K.NOT_FOUND: Answer(404, 61, _NO, _NEVER, "There is no such resource."),
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -13,7 +13,7 @@
 from tamarackhaven._keys import shard_of
 from tamarackhaven._logs import Log
 from tamarackhaven._metrics import Metrics
-from tamarackhaven._model import Address, Service, ShardGrant, TargetMember
+from tamarackhaven._model import Address, PolicyMode, Service, ShardGrant, TargetMember
 from tamarackhaven._seams import Located
 from tamarackhaven._settings import (
     BookingSettings,
@@ -32,8 +32,9 @@
 class FakeView:
     """Shards by number; every shard belongs to ``default`` unless set otherwise."""
 
-    def __init__(self, service=SERVICE):
+    def __init__(self, service=SERVICE, mode=PolicyMode.EXCLUSIVE):
         self.service = service
+        self.mode = mode
         self.member_by_name = {}
         self.grant_by_shard = {}
         self.version = 1
@@ -49,7 +50,14 @@
             raise TamarackhavenError(ErrorKind.UNKNOWN_SERVICE, service)
         shard = shard_of(key_hash, self.service.shard_count)
         grant = self.grant_by_shard.get(shard, ShardGrant(service, shard))
-        return Located(grant, self.member_by_name.get(grant.owner), self.service)
+        owner = self.member_by_name.get(grant.owner)
+        return Located(grant, owner, self.service, self.mode)
+
+    def takers(self, service):
+        return list(self.member_by_name.values())
+
+    def member(self, service, target):
+        return self.member_by_name.get(target)
 
 
 @attrs.define
@@ -107,7 +115,7 @@
         )
         self.peer = Address("127.0.0.1", self.daemon.peer.port)
         view.member_by_name[target] = TargetMember(
-            "s", target, "z1", "i", "inc", self.peer
+            "s", target, "z1", "i", "inc", self.peer, epoch=1
         )
         announce = f"127.0.0.1:{self.daemon.announce.port}"
         standin = standin or StandinSettings()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,7 +5,15 @@
 
 from hypothesis import given, settings, strategies as st
 
-from tamarackhaven._metrics import LATENCY, REFUSALS, RETRIES, RETRY_REASONS, Metrics
+from tamarackhaven._metrics import (
+    LATENCY,
+    REFUSALS,
+    RETRIES,
+    RETRIES_REFUSED,
+    RETRY_REASONS,
+    Metrics,
+)
+from tamarackhaven._retry import RetryRefusal
 from tamarackhaven.errors import ErrorKind
 
 _SAMPLE = re.compile(
@@ -19,6 +27,8 @@
         assert f'{REFUSALS}{{kind="{kind.name}"}} 0\n' in page
     for reason in RETRY_REASONS:
         assert f'{RETRIES}{{reason="{reason.name}"}} 0\n' in page
+    for refusal in RetryRefusal:
+        assert f'{RETRIES_REFUSED}{{reason="{refusal.value}"}} 0\n' in page
 
 
 def test_counts_from_many_threads_add_up():
--- /dev/null
+++ b/tests/test_shared.py
@@ -0,0 +1,213 @@
+"""Shared services and retries, over real sockets on loopback."""
+
+import contextlib
+import http.client
+import json
+import socket
+import threading
+from types import SimpleNamespace
+
+import attrs
+import pytest
+
+from tamarackhaven import _clock
+from tamarackhaven._keys import hash_key, shard_of
+from tamarackhaven._metrics import RETRIES, RETRIES_REFUSED, Metrics
+from tamarackhaven._model import Address, PolicyMode, TargetMember, ZoneState
+from tamarackhaven._retries import Retries
+from tamarackhaven._retry import RetrySettings
+from tamarackhaven._shared_pool import RecentQuantile, SharedPool
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+from tests.fakes import FakeView, Node, ask, booking, running, wait_for
+
+SHARD = shard_of(hash_key("s", "k"), 4)
+LONG = {"Tamarackhaven_Deadline_Ms": "20000"}
+FIRST_BYTES = 1
+
+
+@pytest.fixture
+def trio():
+    view = FakeView(mode=PolicyMode.SHARED)
+    nodes = [Node(view, f"t{n}") for n in (1, 2, 3)]
+    with running(*nodes):
+        yield nodes
+
+
+def targets_that_answer(node, count=30):
+    got = [node.ask(**LONG) for _ in range(count)]
+    assert {g.status for g in got} == {200}
+    return {g.plain["target"] for g in got}
+
+
+def test_any_target_answers_and_no_booking_is_taken(trio):
+    """A key of a shared service is answered by several targets.
+
+    Nobody remembers its bookings, so they are refused at both ports, and run nowhere.
+    """
+    assert len(targets_that_answer(trio[0])) > 1
+    served = [node.standin.target.served for node in trio]
+    hops = {"Tamarackhaven_Hops": "1"}
+    for port, more in ((trio[0].daemon.caller.port, {}), (trio[1].peer.port, hops)):
+        got = ask(port, "POST", **booking("b", **more))
+        assert (got.status, got.name, got.ran) == (422, "BOOKING_SHARED", "no")
+    assert [node.standin.target.served for node in trio] == served
+
+
+@pytest.mark.parametrize(
+    ("kind", "cause"),
+    [
+        ("LEASE_LOST", lambda node: setattr(node.lease, "until_s", 0.0)),
+        ("LEASE_LOST", lambda node: setattr(node.lease, "held_epoch", 2)),
+        ("ZONE_OUT", lambda node: node.daemon.on_zone(ZoneState.OUT)),
+        ("DRAINING", lambda node: node.standin.announcer.leave()),
+        ("STATE_STALE", lambda node: setattr(node.daemon, "_confirmed_s", -999.0)),
+    ],
+)
+def test_what_one_target_may_not_serve_another_does(trio, kind, cause):
+    cause(trio[1])
+    wait_for(lambda: trio[0].ask(**LONG).status == 200)
+    assert "t2" not in targets_that_answer(trio[0])
+    assert trio[0].metrics.counter(RETRIES, reason=kind) > 0
+
+
+def test_a_slow_try_is_raced_and_its_loser_cancelled(trio):
+    """t3 takes 20 s; a caller gets the answer of another target long before.
+
+    The try at t3 is cancelled there: it runs nothing to its end, and is idle soon.
+    """
+    first, slow = trio[0], trio[2].standin.target
+    targets_that_answer(first, 40)
+    served = slow.served
+    slow.settings = attrs.evolve(slow.settings, service_ms=20_000)
+    slow.honours_deadlines = False
+
+    # One connection that stays open: a caller that hangs up would cancel it, too.
+    caller = http.client.HTTPConnection("127.0.0.1", first.daemon.caller.port)
+
+    def hedged():
+        caller.request("GET", "/s/k", headers={"Tamarackhaven-Deadline-Ms": "20000"})
+        assert json.loads(caller.getresponse().read())["target"] != "t3"
+        return first.metrics.counter(RETRIES, reason="HEDGE")
+
+    wait_for(hedged)
+    wait_for(lambda: not slow.report()["running"], 10)
+    caller.close()
+    assert slow.served == served
+
+
+def test_a_quantile_of_recent_tries_forgets():
+    quantile = RecentQuantile()
+    for _ in range(19):
+        quantile.add(9.0)
+    assert quantile.value_s is None
+    for number in range(300):
+        quantile.add(number % 100 / 1000)
+    assert 0.09 <= quantile.value_s <= 0.099
+
+
+def test_a_target_that_only_loses_races_is_left_out():
+    members = [
+        TargetMember("s", name, "z", "i", "n", Address("h", 1)) for name in "abc"
+    ]
+    pool, rng = SharedPool("z"), SimpleNamespace(sample=lambda free, n: free[:n])
+    gone = TamarackhavenError(ErrorKind.CALLER_GONE)
+    pool.choose(members, 1, 0.0, rng)
+    for _ in range(5):
+        pool.started("a")
+        pool.ended("a", gone, True, 0.01, 0.0)
+    for tried in ((), ("b",)):
+        assert pool.choose(members, 1, 0.0, rng, tried).target != "a"
+    assert pool.choose(members, 1, 0.0, rng, ("b", "c")).target == "a"
+
+
+@pytest.mark.parametrize(
+    ("reason", "kind", "mode", "attempts", "left_s", "is_booking"),
+    [
+        ("not-retryable", "UNKNOWN_SERVICE", "shared", 1, 9, False),
+        ("may-have-run", "FORWARD_LOST", "exclusive", 1, 9, True),
+        ("only-owner", "QUEUE_FULL", "exclusive", 1, 9, False),
+        ("attempts", "QUEUE_FULL", "shared", 3, 9, False),
+        ("deadline", "QUEUE_FULL", "shared", 1, 0, False),
+        ("budget", "QUEUE_FULL", "shared", 1, 9, False),
+    ],
+)
+def test_refused_retries_are_counted(reason, kind, mode, attempts, left_s, is_booking):
+    metrics = Metrics()
+    clock = SimpleNamespace(boot_s=lambda: 100.0)
+    burst = 0.0 if reason == "budget" else 5.0
+    settings = RetrySettings(burst=burst)
+    retries = Retries(settings, PolicyMode(mode), metrics, clock)
+    request = SimpleNamespace(is_booking=is_booking, deadline_s=100.0 + left_s)
+    error = TamarackhavenError(ErrorKind[kind])
+    assert not retries.allows(error, request, attempts)
+    assert metrics.counter(RETRIES_REFUSED, reason=reason) == 1
+
+
+class SilentDaemon:
+    """Takes connections and answers nothing; ``hang_up`` closes them."""
+
+    def __init__(self):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(*self._listener.getsockname())
+        self.socks = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self._listener.accept()
+                sock.recv(FIRST_BYTES)
+                self.socks.append(sock)
+
+    def hang_up(self):
+        for sock in self.socks:
+            sock.close()
+
+
+@pytest.fixture
+def frozen_owner():
+    """A daemon that asks, one that will own the key, and a frozen one that does."""
+    view = FakeView()
+    nodes = [Node(view, f"t{n}", forward_wait_ms=10_000) for n in (1, 2)]
+    silent = SilentDaemon()
+    with running(*nodes):
+        view.member_by_name["t3"] = TargetMember(
+            "s", "t3", "z1", "i", "inc", silent.address, epoch=1
+        )
+        view.grant(SHARD, "t3", 10)
+        yield *nodes, silent
+
+
+@pytest.mark.parametrize("lost", [False, True])
+def test_a_lookup_at_a_frozen_or_lost_daemon_goes_to_the_next_owner(frozen_owner, lost):
+    """The owner's daemon takes a lookup and freezes, or is lost before it answers.
+
+    The group fences it and grants its shard to t2: the caller is answered by t2 then,
+    and doesn't wait for its deadline of 20 seconds.
+    """
+    first, second, silent = frozen_owner
+    got, started = [], _clock.boot_s()
+    thread = threading.Thread(target=lambda: got.append(first.ask(**LONG)))
+    thread.start()
+    wait_for(lambda: silent.socks)
+    if lost:
+        silent.hang_up()
+        wait_for(lambda: first.daemon.path.waiting)
+    second.own(SHARD, grant=11)
+    thread.join()
+    assert (got[0].status, got[0].plain["target"]) == (200, "t2")
+    assert _clock.boot_s() - started < 15
+    assert first.metrics.counter(RETRIES, reason="FORWARD_LOST") == 1
+
+
+def test_a_booking_at_a_frozen_daemon_is_never_run_elsewhere(frozen_owner):
+    first, second, silent = frozen_owner
+    headers = booking("b", Tamarackhaven_Deadline_Ms="1000")
+    got = []
+    thread = threading.Thread(target=lambda: got.append(first.ask("POST", **headers)))
+    thread.start()
+    wait_for(lambda: silent.socks)
+    second.own(SHARD, grant=11)
+    thread.join()
+    assert (got[0].name, got[0].ran) == ("ANSWER_TIMEOUT", "unknown")
+    assert second.standin.target.served == 0
