--- a/tamarackhaven/errors.py
+++ b/tamarackhaven/errors.py
@@ -67,6 +67,7 @@
     ANSWER_TIMEOUT = "TH406"
     ANSWER_MISMATCH = "TH407"
     CANCELLED = "TH408"
+    ADDRESS_MISMATCH = "TH409"
     # Bookings.
     BOOKING_IN_PROGRESS = "TH501"
     BOOKING_UNKNOWN = "TH502"
@@ -74,6 +75,7 @@
     BOOKING_MISMATCH = "TH504"
     LEDGER_FULL = "TH505"
     BOOKING_OWNER_CHANGED = "TH506"
+    BOOKING_SHARED = "TH507"
     # Resources and the control group.
     INVALID_RESOURCE = "TH601"
     NOT_FOUND = "TH602"
@@ -213,6 +215,13 @@
         502, 41, _UNKNOWN, _SAME, "The target answered another request."
     ),
     _K.CANCELLED: Answer(503, 41, _UNKNOWN, _SAME, "The request was cancelled."),
+    _K.ADDRESS_MISMATCH: Answer(
+        422,
+        42,
+        _NO,
+        _NEVER,
+        "The target announced another address than the daemon's settings name.",
+    ),
     _K.BOOKING_IN_PROGRESS: Answer(
         409, 50, _UNKNOWN, _SAME, "The first try of this booking is still running."
     ),
@@ -232,6 +241,9 @@
         _LATER,
         "This try did not run; an earlier one may have, at a former owner.",
     ),
+    _K.BOOKING_SHARED: Answer(
+        422, 52, _NO, _NEVER, "A shared service takes no bookings."
+    ),
     _K.LEDGER_FULL: Answer(503, 30, _NO, _LATER, "The ledger of bookings is full."),
     _K.INVALID_RESOURCE: Answer(422, 60, _NO, _NEVER, "The resource is not valid."),
     _K.NOT_FOUND: Answer(404, 61, _NO, _NEVER, "There is no such resource."),
