--- a/tamarackhaven/_daemon.py
+++ b/tamarackhaven/_daemon.py
@@ -16,11 +16,15 @@
 from tamarackhaven._http_server import MAX_HEADER_BYTES, HttpServer
 from tamarackhaven._ledger import Ledger
 from tamarackhaven._metrics import metrics_server
-from tamarackhaven._model import ZoneState
+from tamarackhaven._model import PolicyMode, ZoneState
 from tamarackhaven._owner import Owner
+from tamarackhaven._owner_route import OwnerRoute
 from tamarackhaven._path import RequestPath
 from tamarackhaven._peer_app import peer_app
+from tamarackhaven._retries import Retries, owner_retries
+from tamarackhaven._retry import RetrySettings
 from tamarackhaven._send import Connections
+from tamarackhaven._shared_route import SharedRoute
 from tamarackhaven._target_link import TargetLink
 from tamarackhaven._verify import Standing
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
@@ -119,7 +123,7 @@
         self._hot_keys = HotKeys(now=clock.boot_s())
         self._admitted = 0
         self._grants = Grants(_Locked(self.ledger, self.ledger_lock), clock)
-        self._forwarder = Forwarder(settings.threads)
+        self._forwarder = Forwarder(2 * settings.threads)
         self._canceller = Canceller()
         owner = Owner(
             settings,
@@ -133,18 +137,31 @@
             clock,
             self._note_key,
         )
-        self.path = RequestPath(
+        self.path = self._make_path(view, owner, log.part("path"))
+        self._servers = []
+        self._open_ports(take_ledger or _no_ledger)
+
+    def _make_path(self, view, owner, log):
+        settings, metrics, clock = self.settings, self._metrics, self._clock
+        exclusive = OwnerRoute(
             settings,
             view,
             owner,
             self._forwarder,
             self.standing,
+            Retries(
+                owner_retries(settings.threads), PolicyMode.EXCLUSIVE, metrics, clock
+            ),
             metrics,
-            log.part("path"),
             clock,
         )
-        self._servers = []
-        self._open_ports(take_ledger or _no_ledger)
+        retries = Retries(RetrySettings(), PolicyMode.SHARED, metrics, clock)
+        self._shared = SharedRoute(
+            settings, view, owner, self._forwarder, retries, metrics, clock
+        )
+        return RequestPath(
+            view, exclusive, self._shared, self.standing, metrics, log, clock
+        )
 
     def _open_ports(self, take_ledger):
         settings = self.settings
@@ -206,6 +223,7 @@
     def stop(self):
         """Close all ports and connections; what is in flight is cut off."""
         self._stop_servers()
+        self._shared.close()
         self._forwarder.close()
         self._canceller.close()
         with self._lock:
@@ -278,7 +296,14 @@
     # What the target says.
 
     def announced(self, announcement):
-        """Take in the announcement of a target; a new start gets a new gate."""
+        """Take in the announcement of a target; a new start gets a new gate.
+
+        Raises
+        ------
+        TamarackhavenError
+            ADDRESS_MISMATCH if the settings name another address.
+        """
+        _check_address(announcement.address, self.settings.target_address)
         with self._announce_lock:
             new = self.link.is_new(announcement)
             if new:
@@ -380,6 +405,22 @@
             return self.ledger.import_(part, grant, previous_grant, now_unix)
 
 
+def _check_address(announced, expected):
+    """Refuse an announcement that the probe of the target would not fit.
+
+    Failure: requests go to the announced address while the probe watches the one of
+    the settings. Symptom: a target in good health is given up, or one that is down is
+    kept. With one address for both neither can happen.
+    """
+    same_port = expected.port in (0, announced.port)
+    if announced.host != expected.host or not same_port:
+        raise TamarackhavenError(
+            ErrorKind.ADDRESS_MISMATCH,
+            f"{announced.host}:{announced.port} was announced, "
+            f"target_address is {expected.host}:{expected.port}.",
+        )
+
+
 def _end(target):
     """Close what an earlier start of the target left; waiting requests are refused."""
     if target is None:
