--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,4 +1,4 @@
-"""docs/OPERATING.md must name every error, setting, command and metric there is.
+"""The pages must not lag: docs/OPERATING.md names all that there is, links resolve.
 
 The table of errors stands between two marks and is written anew with UPDATE_GOLDEN=1.
 """
@@ -164,3 +164,19 @@
     named = set(METRIC.findall(page))
     assert not metric_names() - named, metric_names() - named
     assert not {name for name in named - metric_names() if name[-1] != "_"}
+
+
+def test_every_link_and_module_that_a_page_names_exists():
+    pages = [*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")]
+    wrong = []
+    for path in pages:
+        text = path.read_text()
+        for link in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", text):
+            if not (path.parent / link).exists():
+                wrong.append((path.name, link))
+        is_glossary = path.name == "GLOSSARY.md"
+        pattern = r"`(_[a-z_0-9]+)`" if is_glossary else r"`(_[a-z_0-9]+)\.py`"
+        for name in re.findall(pattern, text):
+            if not (ROOT / "tamarackhaven" / f"{name}.py").exists():
+                wrong.append((path.name, name))
+    assert not wrong
