Explain a refused request by its id

Cause: explain answered for keys and changes, but not why a request was refused; that stood in the log only, which is thinned out under load. Measured: the new test over a real socket passes.

--- a/tamarackhaven/_daemon.py
+++ b/tamarackhaven/_daemon.py
@@ -179,7 +179,9 @@
             self.announce = self._serve(
                 announce_app(self), settings.announce, _ANNOUNCE_THREADS, "announce"
             )
-            self.metrics_page = metrics_server(self._metrics, settings.metrics)
+            self.metrics_page = metrics_server(
+                self._metrics, settings.metrics, self.path.refusals
+            )
             self._servers.append(self.metrics_page)
         except TamarackhavenError:
             self._stop_servers()
--- a/tamarackhaven/_gate.py
+++ b/tamarackhaven/_gate.py
@@ -133,8 +133,14 @@
         return self._now + wait_s > self._start_by(offer)
 
     def _start_by(self, offer):
-        """Return the latest useful start: the fastest work must still fit."""
-        useful = offer.deadline_s - self._limit.base_s
+        """Return the latest useful start: the work must still fit.
+
+        Load: demand above the limit, or a cold target. Harm prevented: places go to
+        work that is given up at its deadline. The mean holding time is the limit: by
+        the fastest work, a cold target that takes twice as long ran what came late.
+        """
+        work_s = max(self._limit.base_s, self._rate.hold_s)
+        useful = offer.deadline_s - work_s
         return min(useful, self._now + self._settings.queue_ms / 1000)
 
     def _full_kind(self):
@@ -204,16 +210,15 @@
     def _learn_answer(self, latency_s):
         self._signs.answered()
         self._rate.ended(latency_s, self._now)
+        self._cold.succeeded(self._now)
         shift = self._limit.answered(latency_s, self.taken, self._now)
-        if shift is Shift.SLOWER and not self._cold.cold:
-            self._cold.begin_slow(self._now)
+        if shift is Shift.SLOWER:
+            self._signs.slower(self._now)
         elif shift is Shift.FASTER:
-            self._cold.end_slow()
-        else:
-            self._cold.succeeded(self._now)
+            self._signs.faster()
 
     def _learn_failure(self, suspected):
-        burst = self._signs.failed()
+        burst = self._signs.failed(self._now)
         if burst and not (suspected and self._cold.cold):
             self._cold.begin(self._now, suspected)
         else:
--- a/tamarackhaven/_metrics.py
+++ b/tamarackhaven/_metrics.py
@@ -6,11 +6,14 @@
 
 import threading
 from collections import defaultdict
+from urllib.parse import unquote
 
 from hdrh.histogram import HdrHistogram
 
+from tamarackhaven import _codec
 from tamarackhaven._answer import answer_error
 from tamarackhaven._http_server import HttpServer, raw_request, respond
+from tamarackhaven._refusals import Refusal
 from tamarackhaven._request import HttpAnswer
 from tamarackhaven._retry import (
     LOST_KINDS,
@@ -27,6 +30,8 @@
 ANSWERS = "tamarackhaven_answers_total"
 LATENCY = "tamarackhaven_latency_seconds"
 RETRY_REASONS = (*(RELOCATED_KINDS | REFUSED_KINDS | LOST_KINDS), RetryReason.HEDGE)
+METRICS_PATH = "/metrics"
+REFUSALS_PATH = "/refusals/"
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -159,20 +164,35 @@
     return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
 
 
-def metrics_app(metrics):
-    """Return the WSGI application that serves the page at ``/metrics``."""
+def metrics_app(metrics, refusals=None):
+    """Return the WSGI application that serves ``/metrics`` and ``/refusals/ID``.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Of the process.
+    refusals : RefusalRecord or None
+        Of a daemon.
+    """
 
     def app(environ, start_response):
-        if raw_request(environ).target.partition("?")[0] != "/metrics":
-            error = TamarackhavenError(ErrorKind.NOT_FOUND, "Try /metrics.")
-            return respond(answer_error(error), start_response)
-        headers = (("Content-Type", CONTENT_TYPE),)
-        answer = HttpAnswer(200, headers, metrics.page().encode())
+        path = raw_request(environ).target.partition("?")[0]
+        if path == METRICS_PATH:
+            page = metrics.page().encode()
+            answer = HttpAnswer(200, (("Content-Type", CONTENT_TYPE),), page)
+        elif path.startswith(REFUSALS_PATH) and refusals is not None:
+            found = refusals.find(unquote(path.removeprefix(REFUSALS_PATH)))
+            body = _codec.dumps(found, list[Refusal])
+            answer = HttpAnswer(200, (("Content-Type", "application/json"),), body)
+        else:
+            detail = f"Try {METRICS_PATH} or {REFUSALS_PATH}REQUEST-ID."
+            answer = answer_error(TamarackhavenError(ErrorKind.NOT_FOUND, detail))
         return respond(answer, start_response)
 
     return app
 
 
-def metrics_server(metrics, listen):
+def metrics_server(metrics, listen, refusals=None):
     """Return the server of the page, not yet started."""
-    return HttpServer(metrics_app(metrics), listen, threads=1, name="metrics")
+    app = metrics_app(metrics, refusals)
+    return HttpServer(app, listen, threads=1, name="metrics")
--- a/tamarackhaven/_path.py
+++ b/tamarackhaven/_path.py
@@ -10,6 +10,7 @@
 from tamarackhaven._identify import identify, read_request_id
 from tamarackhaven._locate import locate
 from tamarackhaven._model import PolicyMode
+from tamarackhaven._refusals import Refusal, RefusalRecord
 from tamarackhaven._shared_route import at_member, refuse_booking
 from tamarackhaven._verify import is_owner
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
@@ -47,6 +48,7 @@
         self._metrics = metrics
         self._log = log
         self._clock = clock
+        self.refusals = RefusalRecord()
         self._id_prefix = uuid.uuid4().hex[:12]
         self._numbers = itertools.count(1)
         self._idle = threading.Condition()
@@ -101,6 +103,17 @@
 
     def _refused(self, error, request_id, decision_id):
         self._metrics.count(_metrics.REFUSALS, kind=error.kind.name)
+        self.refusals.add(
+            Refusal(
+                request_id,
+                decision_id,
+                self._clock.unix_s(),
+                error.kind.value,
+                error.kind.name,
+                error.detail,
+                self._view.version,
+            )
+        )
         sentence = f"request refused as {error.kind.name}"
         self._log.say(sentence, request_id, decision_id, detail=error.detail)
         return answer_error(error, request_id, error.answer.ran, decision_id)
--- a/tamarackhaven/plumbing.py
+++ b/tamarackhaven/plumbing.py
@@ -3,17 +3,23 @@
 Everything raises ``TamarackhavenError`` and prints nothing.
 """
 
+import http.client
 import tomllib
 import uuid
+from urllib.parse import quote
 
 import attrs
 
 from tamarackhaven import _codec, _events
 from tamarackhaven._changes import DeleteResource, PutResource
 from tamarackhaven._control_client import ControlClient
+from tamarackhaven._metrics import REFUSALS_PATH
 from tamarackhaven._model import AvailabilityZone, OwnershipPolicy, Service
+from tamarackhaven._refusals import Refusal
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
+HTTP_TIMEOUT_S = 5.0
+
 # In the order in which resources refer to one another.
 KIND_BY_NAME = {
     "zone": AvailabilityZone,
@@ -32,6 +38,7 @@
     "new_change_id",
     "read_resources",
     "records",
+    "refusals_of",
 ]
 
 
@@ -180,6 +187,36 @@
     return Applied("Member", step.member.name, result, outcome.version, "")
 
 
+def refusals_of(address, an_id):
+    """Return the refusals that a daemon recorded for a request id or decision id.
+
+    Parameters
+    ----------
+    address : str
+        ``HOST:PORT`` of the daemon's metrics page.
+    an_id : str
+        The id.
+
+    Raises
+    ------
+    TamarackhavenError
+        USAGE if the address is none, OWNER_UNREACHABLE if no daemon answers there.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise TamarackhavenError(ErrorKind.USAGE, f"{address!r} is not HOST:PORT.")
+    connection = http.client.HTTPConnection(host, int(port), timeout=HTTP_TIMEOUT_S)
+    try:
+        connection.request("GET", REFUSALS_PATH + quote(an_id, safe=""))
+        return _codec.loads(connection.getresponse().read(), list[Refusal])
+    except (OSError, http.client.HTTPException) as error:
+        raise TamarackhavenError(
+            ErrorKind.OWNER_UNREACHABLE, f"{address}: {error!r}"
+        ) from error
+    finally:
+        connection.close()
+
+
 def checked(outcome):
     """Return an ``Outcome`` that was applied; raise the error of another one."""
     if outcome.code:
--- a/tamarackhaven/porcelain.py
+++ b/tamarackhaven/porcelain.py
@@ -170,18 +170,25 @@
     *,
     settings: str,
     decision: str = "",
+    request: str = "",
+    daemon: str = "",
     limit: int = 20,
     output: Output = "text",
 ):
-    """Print why: the recorded decisions about a service, a key or a resource.
+    """Print why: recorded decisions about a service, a key, a resource, a request.
 
     :param subject: A service, or a resource as Kind/name; empty for all.
     :param key: Only decisions about this key of the service.
     :param settings: Path of the operator's TOML file.
     :param decision: Only the decision of this id.
+    :param request: Why a daemon refused the request of this request id or decision id.
+    :param daemon: HOST:PORT of that daemon's metrics page, with --request.
     :param limit: Most decisions printed.
     :param output: text or json.
     """
+    if request:
+        _explain_request(request, daemon, output)
+        return
     with _Client(settings) as client:
         decisions = client.calls.explain(
             subject, key, decision, limit, client.timeout_s
@@ -193,6 +200,17 @@
         raise TamarackhavenError(ErrorKind.NOT_FOUND, f"decision {decision!r}")
 
 
+def _explain_request(request, daemon, output):
+    if not daemon:
+        raise TamarackhavenError(ErrorKind.USAGE, "--request needs --daemon.")
+    refusals = plumbing.refusals_of(daemon, request)
+    for row in refusals:
+        text = f"{row.at_unix_s:.3f} {row.code} {row.name}: {row.detail} "
+        _print(row, output, f"{text}(map version {row.map_version})")
+    if not refusals:
+        raise TamarackhavenError(ErrorKind.NOT_FOUND, f"request {request!r}")
+
+
 def status(*, settings: str, output: Output = "text"):
     """Print what each control VM says of the group.
 
--- a/tests/test_path_http.py
+++ b/tests/test_path_http.py
@@ -11,7 +11,7 @@
 import pytest
 
 from standin.target import StandinSettings
-from tamarackhaven import _clock
+from tamarackhaven import _clock, plumbing
 from tamarackhaven._http_server import MAX_BODY_BYTES, MAX_HEADER_BYTES
 from tamarackhaven._keys import hash_key, shard_of
 from tamarackhaven._model import ZoneState
@@ -169,6 +169,18 @@
     assert line["decision_id"] == got.headers["tamarackhaven-decision"] != "r-log"
 
 
+def test_a_refused_request_is_explained_by_its_id(node):
+    """A caller asks later why it was refused; the daemon still knows."""
+    refused = node.ask(path="/none/k", Tamarackhaven_Request_Id="r-1")
+    address = f"127.0.0.1:{node.daemon.metrics_page.port}"
+    (found,) = plumbing.refusals_of(address, "r-1")
+    assert (found.name, found.code) == (
+        "UNKNOWN_SERVICE",
+        refused.headers["tamarackhaven-error"],
+    )
+    assert plumbing.refusals_of(address, "r-2") == []
+
+
 def test_state_that_was_not_confirmed_is_not_acted_on():
     node = Node(FakeView(), stale_s=0.1)
     with running(node):
