Let the stand-in announce itself again once its incarnation changes

**Cause:** since it announces itself only once for each connection, the test of a new start behind a leaving target failed: it changes the incarnation of a running stand-in. **Change:** an announcement that differs from the last one is sent. **Measured:** tests/test_path_http.py: 1 failed, then 41 passed.

--- a/standin/target.py
+++ b/standin/target.py
@@ -305,6 +305,7 @@
         self._port = port
         self._ended = threading.Event()
         self._connection = None
+        self._announced = None
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self):
@@ -326,10 +327,14 @@
             self._ended.wait(REPORT_S)
 
     def _turn(self):
+        announcement = self._announcement()
         if self._connection is None:
             # A broken connection may mean another daemon process, which knows nothing.
             self._connection = self._connect()
-            is_heard = self._post(self._connection, "/announce", self._announcement())
+            self._announced = None
+        if announcement != self._announced:
+            is_heard = self._post(self._connection, "/announce", announcement)
+            self._announced = announcement
         else:
             is_heard = self._post(self._connection, "/report", self._target.report())
         if not is_heard:
