Bring back what a merge had dropped from the stand-in target

Cause: a conflict was settled by taking one side's whole file, which lost the other side's handling of HEAD. Change: both sides' changes are in.

--- a/standin/target.py
+++ b/standin/target.py
@@ -142,6 +142,7 @@
             return "stale-epoch"
         self._epoch_by_shard[shard] = epoch
         now_ms = boot_ms()
+        headers["started"] = now_ms
         if now_ms > float(headers.get("start-by", "inf")):
             return "started-late"
         if now_ms > float(headers.get("deadline", "inf")):
@@ -160,7 +161,7 @@
             return Reply(503, {"refused": "given-up"}, (DID_NOT_RUN,))
         with self._lock:
             self.served += 1
-        if method == "GET":
+        if method in ("GET", "HEAD"):
             return Reply(200, {"target": self.settings.name, "path": path})
         return self._book(path, headers)
 
@@ -193,7 +194,14 @@
             self._executions_by_key[key] += 1
             times = self._executions_by_key[key]
             if self._journal:
-                line = {"key": key, "target": self.settings.name, "path": path}
+                line = {
+                    "key": key,
+                    "target": self.settings.name,
+                    "path": path,
+                    "shard": headers.get("shard", ""),
+                    "grant": int(headers.get("epoch", 0)),
+                    "started_ms": headers["started"],
+                }
                 self._journal.write(json.dumps(line) + "\n")
                 self._journal.flush()
                 os.fsync(self._journal.fileno())
