End a process whole when a port is taken or a sync fails

**Cause:** Threads for leases and calls keep a Python process alive. A daemon whose caller, peer or metrics port was taken, and a control VM whose TCP port was taken, printed nothing and never ended. A control VM after a failed sync stopped its log, but went on answering renewals of leases and never exited with its code. A control VM's name that is not among its members was told without the file. **Change:** A control VM stops all its parts whatever ended it; a daemon ends its lease and its calls if a port can't be opened. Settings that contradict one another are found while the file is read. The two tests in test_control_process.py were seen failing without the change (the lease port stayed bound). `pytest tests`: 578 passed.

--- a/features/environment.py
+++ b/features/environment.py
@@ -69,6 +69,9 @@
     context.started_s = time.monotonic()
     context.processes = []
     context.second = ""
+    if "settings" in scenario.effective_tags:
+        target = TargetSpec("booking", "t1", "a")
+        context.cluster = Cluster(context.folder, PROGRAM, [target])
 
 
 def remove_target(cluster, name):
@@ -88,6 +91,9 @@
             process.wait(10)
     if context.second:
         remove_target(context.cluster, context.second)
+    if "settings" in scenario.effective_tags:
+        context.cluster.stop()
+        context.cluster = None
     duration_s = time.monotonic() - context.started_s
     rows = [*context.measured, f"{duration_s:.1f} s in all"]
     # Past behave's capture: the figures belong to the run, passed or not.
--- a/tamarackhaven/_control.py
+++ b/tamarackhaven/_control.py
@@ -94,9 +94,16 @@
         self._versions = Versions(self.machine, self._loop.loop)
         self.machine.on_applied(self._applied)
         self._was_voter = self._is_voter(membership)
+        self._server = None
 
     def start(self):
-        """Start the member and answer calls."""
+        """Start the member and answer calls; after an error, ``stop`` it.
+
+        Raises
+        ------
+        TamarackhavenError
+            PORT_TAKEN.
+        """
         self.consensus.start()
         self.leader.start()
         self._loop.call(self._listen(), CALL_TIMEOUT_S)
@@ -113,14 +120,15 @@
                 self._versions,
             ),
         ]
-        self._server = Server(services)
+        server = Server(services)
         try:
-            await self._server.start(self._member.host, self._member.port)
+            await server.start(self._member.host, self._member.port)
         except OSError as error:
             raise TamarackhavenError(
                 ErrorKind.PORT_TAKEN,
                 f"members.port: {self._member.host}:{self._member.port}: {error}",
             ) from error
+        self._server = server
 
     def _fence(self, service, target, epoch):
         fenced = self.leases.fence(service, target, epoch)
@@ -187,16 +195,13 @@
         self._log.say("stopped", member=self._settings.name)
 
     async def _close(self):
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
 
 
 def _own_member(settings):
-    for member in settings.members:
-        if member.name == settings.name:
-            return member
-    raise TamarackhavenError(
-        ErrorKind.SETTINGS_OUT_OF_RANGE, f"name: {settings.name!r} is not in members"
-    )
+    by_name = {member.name: member for member in settings.members}
+    return by_name[settings.name]
 
 
 def _first_membership(settings):
--- a/tamarackhaven/_control_process.py
+++ b/tamarackhaven/_control_process.py
@@ -31,14 +31,18 @@
         stop.set()
 
     control = Control(settings, log, on_fatal)
-    control.start()
-    stop.wait()
+    try:
+        control.start()
+        stop.wait()
+    finally:
+        # Failure: a port is taken, or a sync failed. Symptom: the threads for leases
+        # and calls keep the process alive, and a member that can't go on still renews
+        # leases. Enough: they end here, whatever the error was; after a failed sync
+        # the log is closed already, so nothing more is written.
+        control.stop()
     if fatal:
-        # Nothing more is written or answered: after a failed sync neither the log
-        # nor the page cache can be trusted.
         log.say("stopped by a fault", error=str(fatal[0]))
         raise fatal[0]
-    control.stop()
 
 
 def _check_first_start(settings, folder, first_start):
--- a/tamarackhaven/_daemon_process.py
+++ b/tamarackhaven/_daemon_process.py
@@ -86,17 +86,7 @@
             on_version=lambda version: self._fetch_wanted.set(),
             on_must_rejoin=self._must_rejoin,
         )
-        metrics = Metrics()
-        self.daemon = Daemon(
-            settings,
-            self._view,
-            OwnLease(self._lease),
-            metrics,
-            self._log,
-            _clock,
-            on_target=self._target_changed,
-            take_ledger=self._parts.take,
-        )
+        self.daemon = self._open_daemon()
         self._handover = Handover(
             settings,
             self.daemon,
@@ -112,6 +102,24 @@
             threading.Thread(target=self._keep_joined, name="join", daemon=True),
         ]
 
+    def _open_daemon(self):
+        try:
+            return Daemon(
+                self._settings,
+                self._view,
+                OwnLease(self._lease),
+                Metrics(),
+                self._log,
+                _clock,
+                on_target=self._target_changed,
+                take_ledger=self._parts.take,
+            )
+        except TamarackhavenError:
+            # Their threads would keep the process from ending.
+            self._lease.stop()
+            self._client.close()
+            raise
+
     def start(self):
         """Serve, and join once the target announces itself."""
         self.daemon.start()
--- a/tamarackhaven/_settings_file.py
+++ b/tamarackhaven/_settings_file.py
@@ -1,6 +1,7 @@
 """Reads a part's settings from a TOML file and reports all its problems at once."""
 
 import difflib
+import functools
 import pathlib
 import tomllib
 import types
@@ -8,6 +9,7 @@
 
 import attrs
 
+from tamarackhaven._settings import ControlSettings
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 _NAME_BY_TYPE = {
@@ -68,11 +70,27 @@
     table = _read(path)
     problems = []
     settings = _build(table, settings_class, "", problems)
+    if not problems:
+        problems = cross_problems(settings)
     if problems:
         raise SettingsError(path, problems)
     return settings
 
 
+@functools.singledispatch
+def cross_problems(settings):
+    """Return the problems of settings that are right one by one, as a list."""
+    return []
+
+
+@cross_problems.register
+def _(settings: ControlSettings):
+    if settings.name in [member.name for member in settings.members]:
+        return []
+    text = f"is out of range: {settings.name!r} is not in members"
+    return [Problem(ErrorKind.SETTINGS_OUT_OF_RANGE, "name", text)]
+
+
 def _read(path):
     try:
         return tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
--- /dev/null
+++ b/tests/test_control_process.py
@@ -0,0 +1,73 @@
+"""A control VM that can't go on ends whole, and leaves no thread that answers."""
+
+import socket
+import threading
+
+import pytest
+
+from standin.cluster import HOST, free_port, wait_until
+from tamarackhaven import _files
+from tamarackhaven._changes import PutResource
+from tamarackhaven._control_client import ControlClient
+from tamarackhaven._control_process import run_control
+from tamarackhaven._model import AvailabilityZone
+from tamarackhaven._settings import ControlMember, ControlSettings, Listen
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+from tamarackhaven.plumbing import checked
+from tests.broken_files import BrokenFiles
+
+WAIT_S = 30
+
+
+@pytest.fixture
+def settings(tmp_path):
+    member = ControlMember("c1", HOST, free_port(), free_port())
+    folder = str(tmp_path / "c1")
+    return ControlSettings("c1", "a", folder, Listen(HOST, free_port()), [member])
+
+
+def assert_lease_port_is_free(settings):
+    with socket.socket(type=socket.SOCK_DGRAM) as free:
+        free.bind((HOST, settings.members[0].lease_port))
+
+
+def test_a_failed_sync_ends_the_whole_process(settings, monkeypatch):
+    """A daemon renews its lease with a control VM whose disk has just failed.
+
+    The sync of a change fails, and the member stops. Were the thread for leases to go
+    on, the process would not end, and would go on promising what it can't write down.
+    """
+    files, ended = BrokenFiles(), []
+    monkeypatch.setattr(_files, "Files", lambda: files)
+
+    def run():
+        try:
+            run_control(settings, True, threading.Event())
+        except TamarackhavenError as error:
+            ended.append(error)
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    client = ControlClient(settings.members)
+    try:
+        client.fetch(0, WAIT_S, linearizable=True)
+        files.failure = "sync"
+        with pytest.raises(TamarackhavenError):
+            checked(client.change(PutResource("1", AvailabilityZone("a")), 2))
+    finally:
+        client.close()
+    wait_until(lambda: ended, WAIT_S, "the end of the process")
+    assert ended[0].kind is ErrorKind.SYNC_FAILED
+    assert_lease_port_is_free(settings)
+
+
+def test_a_taken_port_ends_the_whole_process(settings):
+    """Another process listens on the TCP port; the one for leases was still free."""
+    with socket.socket() as taken:
+        taken.bind((HOST, settings.members[0].port))
+        taken.listen()
+        with pytest.raises(TamarackhavenError) as caught:
+            run_control(settings, True, threading.Event())
+    assert caught.value.kind is ErrorKind.PORT_TAKEN
+    assert str(settings.members[0].port) in caught.value.detail
+    assert_lease_port_is_free(settings)
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -1,6 +1,7 @@
 """Settings files: the examples, and every kind of mistake."""
 
 import pathlib
+import re
 
 import attrs
 import pytest
@@ -93,6 +94,18 @@
         load_settings(path, OperatorSettings)
 
 
+def test_a_control_vm_must_be_among_its_members(tmp_path):
+    path = tmp_path / "c.toml"
+    text = (EXAMPLES / "control.toml").read_text()
+    path.write_text(re.sub("^name = .*", 'name = "other"', text, count=1, flags=re.M))
+    with pytest.raises(TamarackhavenError) as caught:
+        load_settings(path, ControlSettings)
+    assert caught.value.kind is ErrorKind.SETTINGS_OUT_OF_RANGE
+    assert caught.value.detail == (
+        f"{path}: name: is out of range: 'other' is not in members"
+    )
+
+
 def test_a_missing_file_is_named(tmp_path):
     with pytest.raises(TamarackhavenError) as caught:
         load_settings(tmp_path / "none.toml", OperatorSettings)
