--- a/features/environment.py
+++ b/features/environment.py
@@ -40,7 +40,7 @@
 
 def before_feature(context, feature):
     context.folder = Path(tempfile.mkdtemp(prefix="tamarackhaven-"))
-    context.cluster = None
+    context.cluster = context.client = None
     if "cluster" in feature.tags:
         targets = [
             TargetSpec("booking", name, zone, cold_s=0.5)
@@ -58,8 +58,9 @@
 
 def after_feature(context, feature):
     if context.cluster is not None:
-        context.client.close()
         context.cluster.stop()
+    if context.client is not None:
+        context.client.close()
     shutil.rmtree(context.folder)
 
 
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -35,6 +35,7 @@
       | daemon  | peer    |
       | daemon  | metrics |
       | control | port    |
+      | control | metrics |
       | control | lease   |
 
   Scenario: two processes use one data folder
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -41,7 +41,10 @@
     if role == "daemon":
         context.port = getattr(context.cluster.ports_by_name["t1"], name)
     else:
-        context.port = context.cluster.control_ports["c1"][name == "lease"]
+        port, lease_port = context.cluster.control_ports["c1"]
+        metrics_port = context.cluster.metrics_port_by_name["c1"]
+        by_name = {"port": port, "lease": lease_port, "metrics": metrics_port}
+        context.port = by_name[name]
     kind = socket.SOCK_DGRAM if name == "lease" else socket.SOCK_STREAM
     with contextlib.closing(socket.socket(type=kind)) as taken:
         taken.bind((HOST, context.port))
--- a/standin/cluster.py
+++ b/standin/cluster.py
@@ -97,6 +97,7 @@
         self.extra = extra or {}
         self.process_by_name = {}
         self.ports_by_name = {}
+        self.metrics_port_by_name = {}
         self._clear()
         self._control_rows = ""
         self._member_rows = ""
@@ -126,7 +127,8 @@
     def write_control(self, name, more="", members=""):
         """Write the settings file of one control VM."""
         text = f'name = "{name}"\nzone = "a"\n{self._data_folder(name)}{more}'
-        text += _listen("metrics", free_port()) + self._member_rows + members
+        port = self.metrics_port_by_name[name] = free_port()
+        text += _listen("metrics", port) + self._member_rows + members
         text += self.extra.get("control", "") + '\n[logs]\nfile = "log"\n'
         self._path(name).write_text(text)
 
--- a/standin/target.py
+++ b/standin/target.py
@@ -8,6 +8,7 @@
 import enum
 import http.client
 import json
+import math
 import os
 import signal
 import threading
@@ -103,6 +104,7 @@
         self.overruns = 0
         self.refused = Counter()
         self.leaving = False
+        self.honours_deadlines = True
 
     def answer(self, method, path, headers, body):
         """Return the reply to a request."""
@@ -159,7 +161,7 @@
             return Reply(503, {"refused": "given-up"}, (DID_NOT_RUN,))
         with self._lock:
             self.served += 1
-        if method == "GET":
+        if method in ("GET", "HEAD"):
             return Reply(200, {"target": self.settings.name, "path": path})
         return self._book(path, headers)
 
@@ -178,7 +180,9 @@
     def _work(self, cancelled, headers, slowness):
         """Take the time of one request; return False if it was given up before."""
         until_s = time.monotonic() + self.settings.service_ms * slowness / 1000
-        deadline_ms = float(headers.get("deadline", "inf"))
+        deadline_ms = math.inf
+        if self.honours_deadlines:
+            deadline_ms = float(headers.get("deadline", "inf"))
         while (left_s := until_s - time.monotonic()) > 0:
             if cancelled.wait(min(left_s, _STEP_S)) or boot_ms() > deadline_ms:
                 return False
@@ -308,6 +312,8 @@
         self._address = (host, int(announce_port))
         self._port = port
         self._ended = threading.Event()
+        self._connection = None
+        self._announced = None
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self):
@@ -316,7 +322,7 @@
 
     def leave(self):
         """Say that the target is leaving."""
-        self._post("/leaving", {})
+        self._post(self._connect(), "/leaving", {})
 
     def stop(self):
         """End the reports."""
@@ -325,11 +331,27 @@
 
     def _run(self):
         while not self._ended.is_set():
-            # Again and again: the daemon may have been restarted meanwhile.
-            self._post("/announce", self._announcement())
-            self._post("/report", self._target.report())
+            self._turn()
             self._ended.wait(REPORT_S)
 
+    def _turn(self):
+        announcement = self._announcement()
+        if self._connection is None:
+            # A broken connection may mean another daemon process, which knows nothing.
+            self._connection = self._connect()
+            self._announced = None
+        if announcement != self._announced:
+            is_heard = self._post(self._connection, "/announce", announcement)
+            self._announced = announcement
+        else:
+            is_heard = self._post(self._connection, "/report", self._target.report())
+        if not is_heard:
+            self._connection.close()
+            self._connection = None
+
+    def _connect(self):
+        return http.client.HTTPConnection(*self._address, timeout=2)
+
     def _announcement(self):
         return {
             "incarnation": self._target.incarnation,
@@ -337,16 +359,14 @@
             "address": {"host": "127.0.0.1", "port": self._port},
         }
 
-    def _post(self, path, plain):
-        connection = http.client.HTTPConnection(*self._address, timeout=2)
+    def _post(self, connection, path, plain):
+        """Send to the daemon; return whether it answered and keeps the connection."""
         try:
-            body = json.dumps(plain).encode()
-            connection.request("POST", path, body)
-            return connection.getresponse().read()
+            connection.request("POST", path, json.dumps(plain).encode())
+            connection.getresponse().read()
         except (OSError, http.client.HTTPException):
-            return b""
-        finally:
-            connection.close()
+            return False
+        return connection.sock is not None
 
 
 class Server:
--- a/tamarackhaven/_cold_start.py
+++ b/tamarackhaven/_cold_start.py
@@ -6,9 +6,20 @@
 # faster: a momentary straggler looks the same, and held for the whole time from cold
 # it would turn away work long after its neighbours are quiet again.
 SUSPECT_SPEED = 4.0
+# Answers for each place under the ceiling before the next step. With one, slow work on
+# a cold target let the ceiling rise by time alone: ten starts over what the model's
+# target bore. With 8 a target of six slots that warms by 50 answers a slot fell over.
+# How much work warms a target the gate cannot know; more is safer and slower.
+ROUNDS_PER_STEP = 20
 # Sheds and failed connections in a row that make a target cold. One shed is a limit a
 # little too high; three without an answer in between are a target that lost its slots.
 BURST = 3
+# After a jump of the latency one such failure is enough. Alone the jump says nothing: a
+# target that straggles for a second and is cut for it refuses what it could bear.
+BURST_WHEN_SLOW = 1
+# For how long a jump counts: a straggler is quick again after a second or two, and work
+# that is longer for good must not leave one shed as a sign for ever.
+SLOW_SIGN_LIFE_S = 5.0
 # Reports come out of order; clocks and counters are read at different instants.
 UPTIME_SLACK_S = 0.5
 
@@ -61,11 +72,12 @@
         self._level = self._slots
 
     def succeeded(self, now):
-        """Take in one answer; one for each place under the ceiling makes a step."""
+        """Take in one answer; enough of them, and enough time, make a step."""
         if not self.cold:
             return
         self._done += 1
-        if self._done >= self._level and now - self._stepped_at >= self._step_s:
+        worked = self._done >= ROUNDS_PER_STEP * self._level
+        if worked and now - self._stepped_at >= self._step_s:
             self._level += 1
             self._restart_step(now)
 
@@ -93,6 +105,7 @@
         self._last = None
         self._last_made_at = -math.inf
         self._failures = 0
+        self._slower_at = -math.inf
 
     def report(self, report, now):
         """Return True if ``report`` shows a restart since the last one."""
@@ -114,10 +127,19 @@
         """An answer ends a row of failures."""
         self._failures = 0
 
-    def failed(self):
+    def slower(self, now):
+        """The latency jumped: a straggler, or a target that started again."""
+        self._slower_at = now
+
+    def faster(self):
+        """The latency fell back: it was a straggler."""
+        self._slower_at = -math.inf
+
+    def failed(self, now):
         """Return True if this shed or failed connection completes a burst."""
+        slow = now - self._slower_at <= SLOW_SIGN_LIFE_S
         self._failures += 1
-        if self._failures < BURST:
+        if self._failures < (BURST_WHEN_SLOW if slow else BURST):
             return False
         self._failures = 0
         return True
--- a/tamarackhaven/_control.py
+++ b/tamarackhaven/_control.py
@@ -17,8 +17,10 @@
 from tamarackhaven._loop import LoopThread
 from tamarackhaven._machine import Machine
 from tamarackhaven._members import Member, Membership
+from tamarackhaven._metrics import Metrics, metrics_server
 from tamarackhaven._model import TargetState, ZoneState
 from tamarackhaven._peers import FenceAnswer, Peers
+from tamarackhaven._raft import Role
 from tamarackhaven._settings import Listen
 from tamarackhaven._storage import Storage
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
@@ -52,13 +54,12 @@
         membership = _first_membership(settings)
         folder = Path(settings.data_folder)
         self._storage = Storage.open(folder)
-        self._fences = FenceFile.open(folder)
+        self._fences = FenceFile.open(folder, must_exist=not self._storage.is_new)
         self._fencing = concurrent.futures.ThreadPoolExecutor(FENCE_THREADS)
         self._loop = LoopThread("control")
         self.machine = Machine(membership)
         self._zone_out_since = {}
         self._promises = LeasePromises(
-            settings.name,
             settings.lease,
             _clock.boot_s(),
             self._fences.epochs_by_target,
@@ -68,7 +69,7 @@
             settings.name,
             settings.raft,
             self._storage,
-            membership,
+            Membership(()) if settings.join else membership,
             self.peers.send,
             self.machine,
             _clock.boot_s,
@@ -95,6 +96,34 @@
         self.machine.on_applied(self._applied)
         self._was_voter = self._is_voter(membership)
         self._server = None
+        self.metrics = Metrics()
+        self.metrics.add_source(self._gauges)
+        self._page = self._open_page()
+
+    def _open_page(self):
+        try:
+            return metrics_server(self.metrics, self._settings.metrics)
+        except TamarackhavenError:
+            # Its thread would keep the process from ending.
+            self.leases.stop()
+            raise
+
+    def _gauges(self):
+        status = self.consensus.status()
+        numbers = {
+            "term": status.term,
+            "commit": status.commit,
+            "applied": status.applied,
+            "leads": int(status.role is Role.LEADER),
+            "syncs": self._storage.sync_count,
+            "decisions": len(self.machine.state.decisions.all()),
+        }
+        for name, value in numbers.items():
+            self.metrics.gauge(f"tamarackhaven_control_{name}", value)
+        for reason, count in self.leases.answers_by_reason.items():
+            self.metrics.gauge(
+                "tamarackhaven_lease_renewals", count, answer=reason.name
+            )
 
     def start(self):
         """Start the member and answer calls; after an error, ``stop`` it.
@@ -106,6 +135,7 @@
         """
         self.consensus.start()
         self.leader.start()
+        self._page.start()
         self._loop.call(self._listen(), CALL_TIMEOUT_S)
         self._log.say("started", member=self._settings.name)
 
@@ -148,6 +178,9 @@
     def _membership_applied(self, membership):
         self.peers.set_membership(membership)
         self.leases.membership_changed()
+        self._note_voter(membership)
+
+    def _note_voter(self, membership):
         is_voter = self._is_voter(membership)
         if is_voter and not self._was_voter:
             self.leases.joined()
@@ -156,18 +189,21 @@
     def _is_voter(self, membership):
         return self._settings.name in membership.voters
 
-    def _lease_view(self, service, target):
-        """Return what this control VM knows of a target, for one renewal."""
+    def _lease_view(self, epoch):
+        """Return what this control VM knows of an epoch, for one renewal."""
+        # The newest in the log, committed or not: by the applied one a majority could
+        # go on granting by a membership whose successor is committed already.
         membership = self.consensus.status().membership
+        self._note_voter(membership)
         with self.machine.lock:
-            member = self.machine.state.member(service, target)
+            member = self.machine.state.member_by_epoch(epoch)
             version = self.machine.version
             zone_out = member is not None and self._is_out(member.zone)
         return LeaseView(
             membership_version=membership.version,
             state_version=version,
             voter=self._is_voter(membership),
-            epoch=member.epoch if member else 0,
+            target=(member.service, member.target) if member else None,
             retired=member is not None and member.state is TargetState.LOST,
             zone_out=zone_out,
         )
@@ -176,15 +212,19 @@
         """Whether a zone has been out for longer than its targets may take work.
 
         Renewals go on for a moment, so that a daemon that hears can hand over its
-        shards one by one; one that can't hear stops when its lease then ends.
+        shards one by one; one that can't hear stops when its lease then ends. A lease
+        time more than the daemons' own grace, since they hear of the change later and
+        would else be refused just before they say that they only drain.
         """
         since = self._zone_out_since.get(zone)
-        grace_s = self._settings.lease.zone_grace_ms / 1000
+        lease = self._settings.lease
+        grace_s = (lease.zone_grace_ms + lease.lease_ms) / 1000
         return since is not None and _clock.boot_s() - since >= grace_s
 
     def stop(self):
         """Stop everything this process started."""
         self.leader.stop()
+        self._page.stop()
         self._loop.call(self._close(), CALL_TIMEOUT_S)
         self.consensus.stop()
         self.leases.stop()
--- a/tamarackhaven/_daemon.py
+++ b/tamarackhaven/_daemon.py
@@ -8,6 +8,7 @@
 from tamarackhaven._admit import Admission
 from tamarackhaven._announce_app import announce_app
 from tamarackhaven._caller_app import caller_app
+from tamarackhaven._cancel import Canceller
 from tamarackhaven._forward import Forwarder
 from tamarackhaven._gate import Gate
 from tamarackhaven._grants import Grants
@@ -15,11 +16,15 @@
 from tamarackhaven._http_server import MAX_HEADER_BYTES, HttpServer
 from tamarackhaven._ledger import Ledger
 from tamarackhaven._metrics import metrics_server
-from tamarackhaven._model import ZoneState
+from tamarackhaven._model import PolicyMode, ZoneState
 from tamarackhaven._owner import Owner
+from tamarackhaven._owner_route import OwnerRoute
 from tamarackhaven._path import RequestPath
 from tamarackhaven._peer_app import peer_app
+from tamarackhaven._retries import Retries, owner_retries
+from tamarackhaven._retry import RetrySettings
 from tamarackhaven._send import Connections
+from tamarackhaven._shared_route import SharedRoute
 from tamarackhaven._target_link import TargetLink
 from tamarackhaven._verify import Standing
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
@@ -109,6 +114,7 @@
         self._clock = clock
         self._on_target = on_target or (lambda state: None)
         self._lock = threading.Lock()
+        self._announce_lock = threading.Lock()
         self._target = None
         self._draining = False
         self._zone = ZoneState.IN
@@ -117,7 +123,8 @@
         self._hot_keys = HotKeys(now=clock.boot_s())
         self._admitted = 0
         self._grants = Grants(_Locked(self.ledger, self.ledger_lock), clock)
-        self._forwarder = Forwarder(settings.threads)
+        self._forwarder = Forwarder(2 * settings.threads)
+        self._canceller = Canceller()
         owner = Owner(
             settings,
             self.standing,
@@ -126,21 +133,35 @@
             self.ledger,
             self.ledger_lock,
             self._present_target,
+            self._canceller,
             clock,
             self._note_key,
         )
-        self.path = RequestPath(
+        self.path = self._make_path(view, owner, log.part("path"))
+        self._servers = []
+        self._open_ports(take_ledger or _no_ledger)
+
+    def _make_path(self, view, owner, log):
+        settings, metrics, clock = self.settings, self._metrics, self._clock
+        exclusive = OwnerRoute(
             settings,
             view,
             owner,
             self._forwarder,
             self.standing,
+            Retries(
+                owner_retries(settings.threads), PolicyMode.EXCLUSIVE, metrics, clock
+            ),
             metrics,
-            log.part("path"),
             clock,
         )
-        self._servers = []
-        self._open_ports(take_ledger or _no_ledger)
+        retries = Retries(RetrySettings(), PolicyMode.SHARED, metrics, clock)
+        self._shared = SharedRoute(
+            settings, view, owner, self._forwarder, retries, metrics, clock
+        )
+        return RequestPath(
+            view, exclusive, self._shared, self.standing, metrics, log, clock
+        )
 
     def _open_ports(self, take_ledger):
         settings = self.settings
@@ -158,7 +179,9 @@
             self.announce = self._serve(
                 announce_app(self), settings.announce, _ANNOUNCE_THREADS, "announce"
             )
-            self.metrics_page = metrics_server(self._metrics, settings.metrics)
+            self.metrics_page = metrics_server(
+                self._metrics, settings.metrics, self.path.refusals
+            )
             self._servers.append(self.metrics_page)
         except TamarackhavenError:
             self._stop_servers()
@@ -202,7 +225,9 @@
     def stop(self):
         """Close all ports and connections; what is in flight is cut off."""
         self._stop_servers()
+        self._shared.close()
         self._forwarder.close()
+        self._canceller.close()
         with self._lock:
             target, self._target = self._target, None
         _end(target)
@@ -273,13 +298,22 @@
     # What the target says.
 
     def announced(self, announcement):
-        """Take in the announcement of a target; a new start gets a new gate."""
-        if not self.link.announce(announcement):
+        """Take in the announcement of a target; a new start gets a new gate.
+
+        Raises
+        ------
+        TamarackhavenError
+            ADDRESS_MISMATCH if the settings name another address.
+        """
+        _check_address(announcement.address, self.settings.target_address)
+        with self._announce_lock:
+            new = self.link.is_new(announcement)
+            if new:
+                self._replace_target(announcement)
+            # Last, so that who reads of a start finds its gate in place.
+            self.link.announce(announcement)
+        if not new:
             return
-        target = self._make_target(announcement)
-        with self._lock:
-            last, self._target = self._target, target
-        _end(last)
         self._log.say("target announced itself", incarnation=announcement.incarnation)
         self._on_target(self.link.state())
 
@@ -320,6 +354,12 @@
             confirmed_s=self._confirmed_s,
         )
 
+    def _replace_target(self, announcement):
+        target = self._make_target(announcement)
+        with self._lock:
+            last, self._target = self._target, target
+        _end(last)
+
     def _make_target(self, announcement):
         gate = Gate(
             self.settings.gate,
@@ -367,6 +407,22 @@
             return self.ledger.import_(part, grant, previous_grant, now_unix)
 
 
+def _check_address(announced, expected):
+    """Refuse an announcement that the probe of the target would not fit.
+
+    Failure: requests go to the announced address while the probe watches the one of
+    the settings. Symptom: a target in good health is given up, or one that is down is
+    kept. With one address for both neither can happen.
+    """
+    same_port = expected.port in (0, announced.port)
+    if announced.host != expected.host or not same_port:
+        raise TamarackhavenError(
+            ErrorKind.ADDRESS_MISMATCH,
+            f"{announced.host}:{announced.port} was announced, "
+            f"target_address is {expected.host}:{expected.port}.",
+        )
+
+
 def _end(target):
     """Close what an earlier start of the target left; waiting requests are refused."""
     if target is None:
--- a/tamarackhaven/_http_server.py
+++ b/tamarackhaven/_http_server.py
@@ -10,7 +10,7 @@
 import waitress
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
-from waitress.task import ErrorTask, WSGITask
+from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 from waitress.utilities import (
     Error,
     InternalServerError,
@@ -34,6 +34,7 @@
 _FINISH_STEP_S = 0.02
 _QUIET_S = 0.1
 _RECEIVED_KEY = "tamarackhaven.received_s"
+_OVERLOADED_KEY = "tamarackhaven.overloaded"
 _GONE_KEY = "waitress.client_disconnected"
 
 _KIND_BY_ERROR = {
@@ -56,6 +57,7 @@
 
     duplicate = ""
     received_s = 0.0
+    overloaded = False
 
     def received(self, data):
         consumed = super().received(data)
@@ -94,6 +96,7 @@
     def get_environment(self):
         environ = super().get_environment()
         environ[_RECEIVED_KEY] = self.request.received_s
+        environ[_OVERLOADED_KEY] = self.request.overloaded
         return environ
 
 
@@ -112,6 +115,35 @@
         self.write(answer.body)
 
 
+class _Dispatcher(ThreadedTaskDispatcher):
+    """Threads whose line has an end; one more thread answers what is beyond it.
+
+    Load: callers send more than all threads can take, at a target that is slow. Harm
+    prevented: waitress's own line has no end and no deadline, so its requests would be
+    answered when nobody waits any more, and the gate, which refuses at once, would
+    never see them. Reason for the limit: with as many in line as there are threads,
+    the last one waits for one round of the requests before it.
+    """
+
+    def __init__(self, threads):
+        super().__init__()
+        self._most_waiting = threads
+        self._refusing = ThreadedTaskDispatcher()
+        self._refusing.set_thread_count(1)
+        self.set_thread_count(threads)
+
+    def add_task(self, task):
+        if len(self.queue) >= self._most_waiting and task.requests:
+            task.requests[0].overloaded = True
+            self._refusing.add_task(task)
+        else:
+            super().add_task(task)
+
+    def shutdown(self, cancel_pending=True, timeout=5):
+        self._refusing.shutdown(cancel_pending, timeout)
+        return super().shutdown(cancel_pending, timeout)
+
+
 class _Channel(HTTPChannel):
     """A channel that answers a request which ends before its stated length.
 
@@ -188,6 +220,7 @@
         body=environ["wsgi.input"].read(length) if length else b"",
         peer_host=environ["REMOTE_ADDR"],
         received_s=environ.get(_RECEIVED_KEY) or boot_s(),
+        overloaded=environ.get(_OVERLOADED_KEY, False),
     )
 
 
@@ -198,7 +231,9 @@
 
 def respond(answer, start_response):
     """Give an ``HttpAnswer`` to WSGI."""
-    headers = [*answer.headers, ("Content-Length", str(len(answer.body)))]
+    headers = list(answer.headers)
+    if not answer.header("Content-Length"):
+        headers.append(("Content-Length", str(len(answer.body))))
     start_response(status_line(answer.status), headers)
     return [answer.body]
 
@@ -226,7 +261,7 @@
         self._server = waitress.create_server(
             app,
             sockets=[_bound(listen)],
-            threads=threads,
+            _dispatcher=_Dispatcher(threads),
             backlog=_LISTEN_BACKLOG,
             connection_limit=_CONNECTIONS,
             max_request_header_size=header_bytes,
@@ -249,6 +284,11 @@
         """Serve from now on."""
         self._thread.start()
 
+    def occupied(self):
+        """Return the number of requests that run or wait for a thread."""
+        dispatcher = self._server.task_dispatcher
+        return dispatcher.active_count + len(dispatcher.queue)
+
     def close_after_answers(self):
         """Close each connection after its next answer.
 
--- a/tamarackhaven/_lease_client.py
+++ b/tamarackhaven/_lease_client.py
@@ -7,7 +7,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from tamarackhaven._clock import boot_s
-from tamarackhaven._lease_holder import LeaseHolder
+from tamarackhaven._lease_holder import LeaseHolder, LeaseLoss
 from tamarackhaven._lease_times import renew_s
 from tamarackhaven._lease_wire import MAX_DATAGRAM_BYTES, Ack, Hint, decode, encode
 
@@ -26,8 +26,6 @@
         Timings.
     membership : Membership
         The control VMs, as the daemon's map has them.
-    service, target, instance : str
-        Identity of the target and of this process.
     on_version : callable
         ``on_version(version)``: a control VM has a newer state than any told of
         before. Called on the lease's thread, so it must only wake another one.
@@ -42,9 +40,6 @@
         self,
         settings,
         membership,
-        service,
-        target,
-        instance,
         on_version,
         on_must_rejoin,
         clock=boot_s,
@@ -55,11 +50,13 @@
         self._on_must_rejoin = on_must_rejoin
         self._lock = threading.Lock()
         seq = random.getrandbits(32)
-        self._holder = LeaseHolder(settings, membership, service, target, instance, seq)
+        self._holder = LeaseHolder(settings, membership, seq)
         self._renew_at = clock()
         self._told_version = 0
         self._told_epoch = 0
         self._stopping = threading.Event()
+        self._held = False
+        self.losses_by_reason = dict.fromkeys(LeaseLoss, 0)
         self.unsent = 0
         self.dropped = 0
         self._socket = _open(membership)
@@ -110,6 +107,10 @@
         with self._lock:
             return self._holder.confirmed_at
 
+    def newest_version(self):
+        """Return the newest version of the state that any control VM told of."""
+        return self._told_version
+
     def set_draining(self, draining):
         """Say in renewals whether this daemon only finishes what is in flight."""
         with self._lock:
@@ -155,14 +156,18 @@
             if now < self._renew_at:
                 return
             self._renew_at = now + self._renew_s
-            renewal = self._holder.renew(now)
-            membership = self._holder.membership
-        if renewal is None:
-            return
-        data = encode(renewal)
-        for member in membership.members:
-            if member.voter:
-                self._send(data, (member.host, member.lease_port))
+            self._count_loss(now)
+            renewals = self._holder.renew(now)
+            member_by_name = self._holder.membership.by_name
+        for name, renewal in renewals.items():
+            member = member_by_name[name]
+            self._send(encode(renewal), (member.host, member.lease_port))
+
+    def _count_loss(self, now):
+        held = self._holder.holds(now)
+        if self._held and not held:
+            self.losses_by_reason[self._holder.lost(now)] += 1
+        self._held = held
 
     def _send(self, data, address):
         try:
--- a/tamarackhaven/_lease_server.py
+++ b/tamarackhaven/_lease_server.py
@@ -10,6 +10,7 @@
 from tamarackhaven._lease_wire import (
     MAX_DATAGRAM_BYTES,
     Hint,
+    Reason,
     Renewal,
     decode,
     encode,
@@ -19,7 +20,7 @@
 _log = logging.getLogger(__name__)
 
 # The receive buffer holds a burst of renewals while another thread has the
-# interpreter; 1,500 daemons' renewals of about 80 bytes need some 1 MB of it with
+# interpreter; 1,500 daemons' renewals of 21 bytes need some 1 MB of it with
 # the kernel's overhead. The kernel caps it at its own limit.
 _RECEIVE_BUFFER_BYTES = 1 << 20
 _STOP_POLL_S = 0.2
@@ -41,7 +42,7 @@
     promises : LeasePromises
         This control VM's promises, from now on used through this object only.
     view_of : callable
-        ``view_of(service, target)`` returns the ``LeaseView`` of this moment. Called
+        ``view_of(epoch)`` returns the ``LeaseView`` of this moment. Called
         on the socket's thread; must not wait for a disk.
     persist : callable
         ``persist(service, target, epoch)`` returns once the fence is synced.
@@ -64,6 +65,7 @@
         self._heard_by_address = {}
         self._stopping = threading.Event()
         self.dropped = 0
+        self.answers_by_reason = dict.fromkeys(Reason, 0)
         self._socket = _bind(listen)
         self._executor = ThreadPoolExecutor(1, thread_name_prefix="lease-server")
         self._executor.submit(self._run)
@@ -91,14 +93,20 @@
         if not isinstance(renewal, Renewal):
             self.dropped += 1
             return
-        view = self._view_of(renewal.service, renewal.target)
+        view = self._view_of(renewal.epoch)
         with self._lock:
             now = self._clock()
             ack = self._promises.renewal(renewal, now, view)
-            if len(self._heard_by_address) < _MAX_ADDRESSES:
-                self._heard_by_address[address] = now
+            self._note_address(address, now)
+            self.answers_by_reason[ack.reason] += 1
         self._socket.sendto(encode(ack), address)
 
+    def _note_address(self, address, now):
+        """Remember whom to send hints; a flood of strangers must not fill memory."""
+        known = self._heard_by_address
+        if address in known or len(known) < _MAX_ADDRESSES:
+            known[address] = now
+
     def hint(self, version):
         """Tell every daemon that renewed within a lease: the state is ``version``."""
         data = encode(Hint(version))
--- a/tamarackhaven/_metrics.py
+++ b/tamarackhaven/_metrics.py
@@ -6,27 +6,32 @@
 
 import threading
 from collections import defaultdict
+from urllib.parse import unquote
 
 from hdrh.histogram import HdrHistogram
 
+from tamarackhaven import _codec
 from tamarackhaven._answer import answer_error
 from tamarackhaven._http_server import HttpServer, raw_request, respond
+from tamarackhaven._refusals import Refusal
 from tamarackhaven._request import HttpAnswer
+from tamarackhaven._retry import (
+    LOST_KINDS,
+    REFUSED_KINDS,
+    RELOCATED_KINDS,
+    RetryReason,
+    RetryRefusal,
+)
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 REFUSALS = "tamarackhaven_refusals_total"
 RETRIES = "tamarackhaven_retries_total"
+RETRIES_REFUSED = "tamarackhaven_retries_refused_total"
 ANSWERS = "tamarackhaven_answers_total"
 LATENCY = "tamarackhaven_latency_seconds"
-RETRY_REASONS = (
-    ErrorKind.NOT_OWNER,
-    ErrorKind.NO_OWNER,
-    ErrorKind.MOVING,
-    ErrorKind.OWNER_UNREACHABLE,
-    ErrorKind.LEASE_LOST,
-    ErrorKind.DRAINING,
-    ErrorKind.ZONE_OUT,
-)
+RETRY_REASONS = (*(RELOCATED_KINDS | REFUSED_KINDS | LOST_KINDS), RetryReason.HEDGE)
+METRICS_PATH = "/metrics"
+REFUSALS_PATH = "/refusals/"
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -35,7 +40,8 @@
 _DIGITS = 2
 _HELP_BY_NAME = {
     REFUSALS: "Requests answered with an error of the closed list, by its name.",
-    RETRIES: "Second tries after an answer that surely did not run, by reason.",
+    RETRIES: "Further tries of one request, by the error before it, or HEDGE.",
+    RETRIES_REFUSED: "Errors that were answered without a further try, by reason.",
     ANSWERS: "Answers that were passed on, by HTTP status.",
     LATENCY: "Time from a request's arrival to the target's answer.",
 }
@@ -50,6 +56,7 @@
         self._gauge_by_key = {}
         self._histogram_by_key = {}
         self._seconds_by_key = defaultdict(float)
+        self._sources = []
         self._register()
 
     def _register(self):
@@ -59,6 +66,8 @@
             self.count(REFUSALS, 0, kind=kind.name)
         for reason in RETRY_REASONS:
             self.count(RETRIES, 0, reason=reason.name)
+        for refusal in RetryRefusal:
+            self.count(RETRIES_REFUSED, 0, reason=refusal.value)
 
     def count(self, name, amount=1, **labels):
         """Add ``amount`` to a counter."""
@@ -95,8 +104,14 @@
                 return 0.0
             return histogram.get_value_at_percentile(percent) / _MICROSECONDS
 
+    def add_source(self, source):
+        """Call ``source()`` before each page is made, so that it can set gauges."""
+        self._sources.append(source)
+
     def page(self):
         """Return the page as text."""
+        for source in self._sources:
+            source()
         with self._lock:
             lines = _section(self._count_by_key, "counter")
             lines += _section(self._gauge_by_key, "gauge")
@@ -149,20 +164,35 @@
     return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
 
 
-def metrics_app(metrics):
-    """Return the WSGI application that serves the page at ``/metrics``."""
+def metrics_app(metrics, refusals=None):
+    """Return the WSGI application that serves ``/metrics`` and ``/refusals/ID``.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Of the process.
+    refusals : RefusalRecord or None
+        Of a daemon.
+    """
 
     def app(environ, start_response):
-        if raw_request(environ).target.partition("?")[0] != "/metrics":
-            error = TamarackhavenError(ErrorKind.NOT_FOUND, "Try /metrics.")
-            return respond(answer_error(error), start_response)
-        headers = (("Content-Type", CONTENT_TYPE),)
-        answer = HttpAnswer(200, headers, metrics.page().encode())
+        path = raw_request(environ).target.partition("?")[0]
+        if path == METRICS_PATH:
+            page = metrics.page().encode()
+            answer = HttpAnswer(200, (("Content-Type", CONTENT_TYPE),), page)
+        elif path.startswith(REFUSALS_PATH) and refusals is not None:
+            found = refusals.find(unquote(path.removeprefix(REFUSALS_PATH)))
+            body = _codec.dumps(found, list[Refusal])
+            answer = HttpAnswer(200, (("Content-Type", "application/json"),), body)
+        else:
+            detail = f"Try {METRICS_PATH} or {REFUSALS_PATH}REQUEST-ID."
+            answer = answer_error(TamarackhavenError(ErrorKind.NOT_FOUND, detail))
         return respond(answer, start_response)
 
     return app
 
 
-def metrics_server(metrics, listen):
+def metrics_server(metrics, listen, refusals=None):
     """Return the server of the page, not yet started."""
-    return HttpServer(metrics_app(metrics), listen, threads=1, name="metrics")
+    app = metrics_app(metrics, refusals)
+    return HttpServer(app, listen, threads=1, name="metrics")
--- a/tamarackhaven/_owner.py
+++ b/tamarackhaven/_owner.py
@@ -13,6 +13,7 @@
     BookingTry,
     Replay,
 )
+from tamarackhaven._model import PolicyMode
 from tamarackhaven._request import HttpAnswer
 from tamarackhaven._send import Sending, send
 from tamarackhaven._verify import verify
@@ -44,6 +45,8 @@
         Its bookings, called under ``ledger_lock``.
     target : callable
         Returns the pair of ``Admission`` and ``Connections``.
+    canceller : Canceller
+        Tells the target what nobody waits for.
     clock : Clock
         Both clocks.
     note_key : callable
@@ -59,6 +62,7 @@
         ledger,
         ledger_lock,
         target,
+        canceller,
         clock,
         note_key,
     ):
@@ -69,6 +73,7 @@
         self._ledger = ledger
         self._ledger_lock = ledger_lock
         self._target = target
+        self._canceller = canceller
         self._clock = clock
         self._note_key = note_key
 
@@ -82,7 +87,10 @@
         """
         self._verify(located)
         self._note_key(request.key_hash)
-        self._grants.enter(located.grant, request.key_hash)
+        if located.mode is PolicyMode.SHARED:
+            self._grants.enter_shared(located.grant, request.key_hash)
+        else:
+            self._grants.enter(located.grant, request.key_hash)
         try:
             if request.is_booking:
                 return self._book(request, located, gone)
@@ -134,6 +142,8 @@
             end = _end_of(answer)
         except TamarackhavenError as error:
             end = _END_BY_KIND.get(error.kind, End.FAILED)
+            if error.kind in _CANCELLED_BY_US:
+                self._canceller.cancel(connections, request.request_id)
             raise
         finally:
             admission.leave(decision_id, end, self._clock.boot_s() - start_s)
@@ -165,14 +175,21 @@
         """
         now = self._clock.boot_s()
         start_by_s = min(self._lease.held_until(now), request.deadline_s)
+        times = (
+            (names.START_BY_HEADER, str(int(start_by_s * 1000))),
+            (names.DEADLINE_HEADER, str(int(request.deadline_s * 1000))),
+        )
+        if located.mode is PolicyMode.SHARED:
+            return times
         return (
             (names.EPOCH_HEADER, str(located.grant.grant)),
             (names.SHARD_HEADER, str(located.grant.shard)),
-            (names.START_BY_HEADER, str(int(start_by_s * 1000))),
-            (names.DEADLINE_HEADER, str(int(request.deadline_s * 1000))),
+            *times,
         )
 
 
+# The target may still be at it.
+_CANCELLED_BY_US = frozenset({ErrorKind.ANSWER_TIMEOUT, ErrorKind.CALLER_GONE})
 _END_BY_KIND = {
     ErrorKind.TARGET_UNREACHABLE: End.UNREACHABLE,
     ErrorKind.ANSWER_TIMEOUT: End.GIVEN_UP,
--- a/tamarackhaven/_settings.py
+++ b/tamarackhaven/_settings.py
@@ -76,8 +76,8 @@
         its shards can leave in steps.
     """
 
-    lease_ms: int = _whole(400, 50, 10_000)
-    renew_ms: int = _whole(100, 10, 2_000)
+    lease_ms: int = _whole(550, 50, 10_000)
+    renew_ms: int = _whole(180, 10, 2_000)
     drift: float = _number(0.01, 0.0, 0.2)
     zone_grace_ms: int = _whole(2000, 0, 60_000)
 
@@ -114,9 +114,11 @@
     max_connections : int
         Hard bound on connections to the target.
     queue_requests : int
-        Most requests that wait at once.
+        Most requests that wait at once: a memory bound. With 64, a dozen slots and
+        work of 67 ms a request was refused that would have started in 0.4 s.
     queue_ms : int
-        Longest wait, in milliseconds; a deadline may make it shorter.
+        Longest wait, in milliseconds; a deadline or the pace of the queue makes it
+        shorter.
     cold_requests : int
         Concurrency of a target that has just started.
     cold_s : float
@@ -127,8 +129,8 @@
     """
 
     max_connections: int = _whole(130, 1, 10_000)
-    queue_requests: int = _whole(64, 0, 100_000)
-    queue_ms: int = _whole(500, 0, 60_000)
+    queue_requests: int = _whole(256, 0, 100_000)
+    queue_ms: int = _whole(2000, 0, 60_000)
     cold_requests: int = _whole(1, 1, 1_000)
     cold_s: float = _number(10.0, 0.0, 3600.0)
     key_share: float = _number(0.5, 0.01, 1.0)
@@ -158,19 +160,24 @@
     Parameters
     ----------
     tick_ms : int
-        Time between two placement steps.
+        Time between two steps of the leader. Well below the lease, so that noticing
+        a silent target adds little to the time without an owner; a step looks at
+        members, and at shards only after a change.
     imbalance : float
         Excess over the mean load, as a part of 1, that is left alone.
     pin_share, unpin_share : float
         A key is pinned above the one and unpinned below the other.
+    pin_rate : float
+        Fewest requests a second of a key that is pinned.
     pin_hold_s : float
         Shortest life of a pin, in seconds.
     """
 
-    tick_ms: int = _whole(100, 10, 10_000)
+    tick_ms: int = _whole(20, 10, 10_000)
     imbalance: float = _number(0.1, 0.0, 10.0)
     pin_share: float = _number(0.05, 0.0, 1.0)
     unpin_share: float = _number(0.02, 0.0, 1.0)
+    pin_rate: float = _number(50.0, 0.0, 1_000_000.0)
     pin_hold_s: float = _number(60.0, 0.0, 3600.0)
 
 
@@ -191,7 +198,8 @@
     caller, peer, announce, metrics : Listen
         Ports for callers, for other daemons, for the target, and for scrapers.
     target_address : Listen
-        Where the target takes requests.
+        Where the target takes requests. An announcement of another address is refused;
+        port 0 leaves the port to the announcement.
     forward_wait_ms : int
         Longest time a request waits for a key on the move.
     stale_s : float
@@ -211,7 +219,11 @@
         validator=deep_iterable(instance_of(ControlMember), and_(min_len(1)))
     )
     capacity: int = _whole(1, 1, 1_000)
-    threads: int = _whole(16, 1, 512)
+    # Load: callers wait in the gate's queue, each on a thread. Harm: with fewer threads
+    # than slots and places in the queue the line forms before the gate, where nobody
+    # looks at deadlines, fair shares or Retry-After. Limit: a dozen slots and
+    # ``queue_requests`` fit; more threads would cost memory and wait without use.
+    threads: int = _whole(80, 1, 512)
     forward_wait_ms: int = _whole(300, 0, 60_000)
     stale_s: float = _number(3.0, 0.1, 60.0)
     drain_s: float = _number(30.0, 0.0, 3600.0)
--- a/tamarackhaven/_wire_grpc.py
+++ b/tamarackhaven/_wire_grpc.py
@@ -26,7 +26,7 @@
         return {
             '/tamarackhaven.Peer/Step': grpclib.const.Handler(
                 self.Step,
-                grpclib.const.Cardinality.UNARY_UNARY,
+                grpclib.const.Cardinality.STREAM_UNARY,
                 _wire_pb2.StepRequest,
                 _wire_pb2.StepReply,
             ),
@@ -42,7 +42,7 @@
 class PeerStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Step = grpclib.client.UnaryUnaryMethod(
+        self.Step = grpclib.client.StreamUnaryMethod(
             channel,
             '/tamarackhaven.Peer/Step',
             _wire_pb2.StepRequest,
@@ -66,10 +66,6 @@
     async def Fetch(self, stream: 'grpclib.server.Stream[_wire_pb2.FetchRequest, _wire_pb2.FetchReply]') -> None:
         pass
 
-    @abc.abstractmethod
-    async def Watch(self, stream: 'grpclib.server.Stream[_wire_pb2.FetchRequest, _wire_pb2.FetchReply]') -> None:
-        pass
-
     @abc.abstractmethod
     async def Explain(self, stream: 'grpclib.server.Stream[_wire_pb2.ExplainRequest, _wire_pb2.ExplainReply]') -> None:
         pass
@@ -100,12 +96,6 @@
                 _wire_pb2.FetchRequest,
                 _wire_pb2.FetchReply,
             ),
-            '/tamarackhaven.Control/Watch': grpclib.const.Handler(
-                self.Watch,
-                grpclib.const.Cardinality.UNARY_STREAM,
-                _wire_pb2.FetchRequest,
-                _wire_pb2.FetchReply,
-            ),
             '/tamarackhaven.Control/Explain': grpclib.const.Handler(
                 self.Explain,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -148,12 +138,6 @@
             _wire_pb2.FetchRequest,
             _wire_pb2.FetchReply,
         )
-        self.Watch = grpclib.client.UnaryStreamMethod(
-            channel,
-            '/tamarackhaven.Control/Watch',
-            _wire_pb2.FetchRequest,
-            _wire_pb2.FetchReply,
-        )
         self.Explain = grpclib.client.UnaryUnaryMethod(
             channel,
             '/tamarackhaven.Control/Explain',
--- a/tamarackhaven/errors.py
+++ b/tamarackhaven/errors.py
@@ -67,6 +67,7 @@
     ANSWER_TIMEOUT = "TH406"
     ANSWER_MISMATCH = "TH407"
     CANCELLED = "TH408"
+    ADDRESS_MISMATCH = "TH409"
     # Bookings.
     BOOKING_IN_PROGRESS = "TH501"
     BOOKING_UNKNOWN = "TH502"
@@ -74,6 +75,7 @@
     BOOKING_MISMATCH = "TH504"
     LEDGER_FULL = "TH505"
     BOOKING_OWNER_CHANGED = "TH506"
+    BOOKING_SHARED = "TH507"
     # Resources and the control group.
     INVALID_RESOURCE = "TH601"
     NOT_FOUND = "TH602"
@@ -91,6 +93,7 @@
     STALE_GRANT = "TH614"
     CONTROL_UNREACHABLE = "TH615"
     MEMBERSHIP_BUSY = "TH616"
+    CONTROL_BUSY = "TH617"
     # A process and its files.
     USAGE = "TH701"
     SETTINGS_MISSING = "TH702"
@@ -212,6 +215,13 @@
         502, 41, _UNKNOWN, _SAME, "The target answered another request."
     ),
     _K.CANCELLED: Answer(503, 41, _UNKNOWN, _SAME, "The request was cancelled."),
+    _K.ADDRESS_MISMATCH: Answer(
+        422,
+        42,
+        _NO,
+        _NEVER,
+        "The target announced another address than the daemon's settings name.",
+    ),
     _K.BOOKING_IN_PROGRESS: Answer(
         409, 50, _UNKNOWN, _SAME, "The first try of this booking is still running."
     ),
@@ -231,6 +241,9 @@
         _LATER,
         "This try did not run; an earlier one may have, at a former owner.",
     ),
+    _K.BOOKING_SHARED: Answer(
+        422, 52, _NO, _NEVER, "A shared service takes no bookings."
+    ),
     _K.LEDGER_FULL: Answer(503, 30, _NO, _LATER, "The ledger of bookings is full."),
     _K.INVALID_RESOURCE: Answer(422, 60, _NO, _NEVER, "The resource is not valid."),
     _K.NOT_FOUND: Answer(404, 61, _NO, _NEVER, "There is no such resource."),
@@ -264,6 +277,9 @@
     _K.MEMBERSHIP_BUSY: Answer(
         409, 70, _NO, _LATER, "The control group's members can't change yet."
     ),
+    _K.CONTROL_BUSY: Answer(
+        503, 70, _NO, _LATER, "Too many changes wait in the control group."
+    ),
     _K.USAGE: Answer(400, 2, _NO, _NEVER, "The command line is not valid."),
     _K.SETTINGS_MISSING: Answer(500, 80, _NO, _NEVER, "The settings file is missing."),
     _K.SETTINGS_SYNTAX: Answer(500, 81, _NO, _NEVER, "The settings are not TOML."),
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from tamarackhaven import _raft_wire
@@ -67,8 +68,11 @@
     group.now += 1.0
     group.tick("b")
     group.settle()
-    group.say("a hears no quorum and steps down at its next tick")
-    group.tick("a")
+    group.say("a hears no quorum for an election timeout and steps down")
+    for _ in range(5):
+        group.tick("a", 0.1)
+    group.settle()
+    assert group.nodes["a"].role is Role.FOLLOWER
     group.say(f"a is {group.nodes['a'].role.value}, b {group.nodes['b'].role.value}")
     check(group, "raft_election")
 
@@ -155,6 +159,20 @@
     assert kind_of(group.propose, "a", b"x") is ErrorKind.NO_QUORUM
 
 
+def test_leader_that_stood_still_goes_on_if_nobody_took_over():
+    """A caller waits for a slow sync, not for an election on top of it.
+
+    The leader's disk holds its thread for longer than an election timeout, and no
+    other has elected yet. Its own silence must not count as theirs.
+    """
+    group = led("a", "b", "c")
+    term = group.nodes["a"].term
+    group.tick("a", 0.32)
+    group.run(1.0)
+    assert group.leader() == "a"
+    assert group.nodes["a"].term == term
+
+
 def test_leader_that_is_heard_but_hears_nobody_is_replaced():
     """A one-way cut: the leader's heartbeats arrive, no answer comes back.
 
@@ -209,16 +227,7 @@
         last = message.entries[-1:] if isinstance(message, Append) else ()
         if last and last[0].term == 4:
             # The own entry of term 4 gets lost; the old one arrives everywhere.
-            message = Append(
-                message.sender,
-                message.receiver,
-                message.term,
-                message.last_index,
-                message.last_term,
-                message.commit,
-                message.round,
-                message.entries[:-1],
-            )
+            message = attrs.evolve(message, entries=message.entries[:-1])
         group.deliver(message)
     for message in [m for m in group.wire if isinstance(m, AppendReply)]:
         group.deliver(message)
@@ -263,11 +272,8 @@
     group.compact("a")
     group.heal()
     group.tick("a", 0.1)
-    while group.nodes["a"].role is Role.LEADER and group.wire:
-        message = group.wire.pop(0)
-        group.deliver(message)
-        if isinstance(message, AppendReply) and message.sender == "c":
-            break
+    while not isinstance(group.wire[-1], InstallSnapshot):
+        group.deliver(group.wire.pop(0))
     group.log = []
     group.crash("c")
     group.run(3.0)
