--- a/features/loss.feature
+++ b/features/loss.feature
@@ -39,10 +39,12 @@
     Given a healthy cluster
     And callers look up and book
     When "d-t3" is frozen
-    And 2 s pass
+    And bookings of its keys wait at "t3"
     Then "t3" owns nothing within 30 s
-    When "d-t3" is woken
-    And 1 s pass
+    When each of these keys is booked at "t1"
+    And "d-t3" is woken
+    Then every waiting booking gets an answer
+    When 1 s pass
     Then every target owns shards again
     And no booking is lost or doubled
     And no shard ran at two targets in overlapping grants
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -1,9 +1,12 @@
 """Steps that start, break and heal the processes of a cluster, and audit bookings."""
 
+import http.client
 import itertools
 import signal
 import time
+import uuid
 from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 
@@ -21,6 +24,8 @@
 from standin.cluster import wait_until
 from standin.load import Load, ask, outage_s
 
+WAITERS = 12
+
 
 @given("a healthy cluster")
 def healthy_cluster(context):
@@ -65,6 +70,51 @@
     context.frozen_s = time.monotonic()
 
 
+@when('bookings of its keys wait at "{name}"')
+def bookings_wait(context, name):
+    port = context.cluster.ports_by_name[name].caller
+    context.waiting_keys = keys_of(context, [f"d-{name}"])[:WAITERS]
+    assert context.waiting_keys
+    context.waiters = ThreadPoolExecutor(WAITERS)
+    context.waiting = [
+        context.waiters.submit(book, port, key) for key in context.waiting_keys
+    ]
+
+
+def book(port, key):
+    """Book once, waiting long enough for a frozen daemon to wake."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=HEAL_S)
+    headers = {
+        "Idempotency-Key": uuid.uuid4().hex,
+        "Tamarackhaven-First-Sent": f"{time.time():.3f}",
+    }
+    try:
+        return ask(port, "booking", key, "POST", headers, connection)
+    finally:
+        connection.close()
+
+
+@when('each of these keys is booked at "{name}"')
+def each_booked(context, name):
+    port = context.cluster.ports_by_name[name].caller
+    left = set(context.waiting_keys)
+
+    def all_booked():
+        left.difference_update([k for k in left if book(port, k).status == 201])
+        return not left
+
+    wait_until(all_booked, HEAL_S, "a booking of each key at its new owner")
+
+
+@then("every waiting booking gets an answer")
+def waiting_answered(context):
+    answers = [future.result(HEAL_S) for future in context.waiting]
+    context.waiters.shutdown()
+    said = Counter(answer.error or str(answer.status) for answer in answers)
+    context.measured.append(f"waiting bookings: {dict(said)}")
+    assert all(answer.status for answer in answers), said
+
+
 @when('"{name}" is woken')
 def woken(context, name):
     context.cluster.send_signal(name, signal.SIGCONT)
