--- a/features/steps/zone_steps.py
+++ b/features/steps/zone_steps.py
@@ -17,6 +17,12 @@
     context.zone_s = time.monotonic()
 
 
+@when('the last zone, "{name}", is taken out')
+def last_zone_taken(context, name):
+    set_zones(context, ZoneState.OUT, name, last=True)
+    context.zone_s = time.monotonic()
+
+
 @then('after {after:g} s no target of zone "{zone}" starts anything for {lasting:g} s')
 def nothing_starts_after(context, after, zone, lasting):
     time.sleep(max(0, context.zone_s + after - time.monotonic()))
--- a/features/support.py
+++ b/features/support.py
@@ -69,12 +69,12 @@
     return settled and owners == set(context.cluster.spec_by_name)
 
 
-def set_zones(context, state, *names):
+def set_zones(context, state, *names, last=False):
     """Change the state of availability zones; return when the last one is in force."""
     for name in names:
         zone = AvailabilityZone(name, state=state)
         change_id = plumbing.new_change_id()
-        plumbing.apply_resource(context.client, zone, change_id, HEAL_S)
+        plumbing.apply_resource(context.client, zone, change_id, HEAL_S, last)
 
 
 def keys_of(context, names):
--- a/features/zones.feature
+++ b/features/zones.feature
@@ -64,6 +64,25 @@
     And no booking is lost or doubled
     And no shard ran at two targets in overlapping grants
 
+  Scenario: the last zone is taken out by an explicit word
+    No target is left that could take the shards, so moves can't empty the zone. Its
+    gates must stop all the same; callers are told to come back later. Taken in again,
+    it serves on.
+    Given a healthy cluster
+    And callers look up and book
+    When zone "a" is taken out
+    And zone "b" is taken out
+    And the last zone, "c", is taken out
+    Then after 4 s no target of zone "c" starts anything for 2 s
+    And no target of zone "a" starts anything for 1 s
+    When zone "c" is taken in
+    Then lookups of all keys are answered at "t1"
+    When zone "a" is taken in
+    And zone "b" is taken in
+    Then every target owns shards again
+    And no booking is lost or doubled
+    And no shard ran at two targets in overlapping grants
+
   Scenario: a zone goes out while a target elsewhere is lost
     Shards of zone a are on their way to the others when one of these others dies, with
     some of them just arrived. They go on to the one that is left.
