--- a/features/environment.py
+++ b/features/environment.py
@@ -40,7 +40,7 @@
 
 def before_feature(context, feature):
     context.folder = Path(tempfile.mkdtemp(prefix="tamarackhaven-"))
-    context.cluster = None
+    context.cluster = context.client = None
     if "cluster" in feature.tags:
         targets = [
             TargetSpec("booking", name, zone, cold_s=0.5)
@@ -58,8 +58,9 @@
 
 def after_feature(context, feature):
     if context.cluster is not None:
-        context.client.close()
         context.cluster.stop()
+    if context.client is not None:
+        context.client.close()
     shutil.rmtree(context.folder)
 
 
@@ -69,6 +70,9 @@
     context.started_s = time.monotonic()
     context.processes = []
     context.second = ""
+    if "settings" in scenario.effective_tags:
+        target = TargetSpec("booking", "t1", "a")
+        context.cluster = Cluster(context.folder, PROGRAM, [target])
 
 
 def remove_target(cluster, name):
@@ -88,6 +92,9 @@
             process.wait(10)
     if context.second:
         remove_target(context.cluster, context.second)
+    if "settings" in scenario.effective_tags:
+        context.cluster.stop()
+        context.cluster = None
     duration_s = time.monotonic() - context.started_s
     rows = [*context.measured, f"{duration_s:.1f} s in all"]
     # Past behave's capture: the figures belong to the run, passed or not.
--- a/tamarackhaven/_control.py
+++ b/tamarackhaven/_control.py
@@ -95,9 +95,18 @@
         self._versions = Versions(self.machine, self._loop.loop)
         self.machine.on_applied(self._applied)
         self._was_voter = self._is_voter(membership)
+        self._server = None
         self.metrics = Metrics()
         self.metrics.add_source(self._gauges)
-        self._page = metrics_server(self.metrics, settings.metrics)
+        self._page = self._open_page()
+
+    def _open_page(self):
+        try:
+            return metrics_server(self.metrics, self._settings.metrics)
+        except TamarackhavenError:
+            # Its thread would keep the process from ending.
+            self.leases.stop()
+            raise
 
     def _gauges(self):
         status = self.consensus.status()
@@ -117,7 +126,13 @@
             )
 
     def start(self):
-        """Start the member and answer calls."""
+        """Start the member and answer calls; after an error, ``stop`` it.
+
+        Raises
+        ------
+        TamarackhavenError
+            PORT_TAKEN.
+        """
         self.consensus.start()
         self.leader.start()
         self._page.start()
@@ -135,14 +150,15 @@
                 self._versions,
             ),
         ]
-        self._server = Server(services)
+        server = Server(services)
         try:
-            await self._server.start(self._member.host, self._member.port)
+            await server.start(self._member.host, self._member.port)
         except OSError as error:
             raise TamarackhavenError(
                 ErrorKind.PORT_TAKEN,
                 f"members.port: {self._member.host}:{self._member.port}: {error}",
             ) from error
+        self._server = server
 
     def _fence(self, service, target, epoch):
         fenced = self.leases.fence(service, target, epoch)
@@ -219,16 +235,13 @@
         self._log.say("stopped", member=self._settings.name)
 
     async def _close(self):
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
 
 
 def _own_member(settings):
-    for member in settings.members:
-        if member.name == settings.name:
-            return member
-    raise TamarackhavenError(
-        ErrorKind.SETTINGS_OUT_OF_RANGE, f"name: {settings.name!r} is not in members"
-    )
+    by_name = {member.name: member for member in settings.members}
+    return by_name[settings.name]
 
 
 def _first_membership(settings):
--- a/tamarackhaven/_daemon_process.py
+++ b/tamarackhaven/_daemon_process.py
@@ -87,18 +87,7 @@
             on_version=lambda version: self._fetch_wanted.set(),
             on_must_rejoin=self._must_rejoin,
         )
-        metrics = Metrics()
-        metrics.add_source(lambda: self._gauges(metrics))
-        self.daemon = Daemon(
-            settings,
-            self._view,
-            OwnLease(self._lease),
-            metrics,
-            self._log,
-            _clock,
-            on_target=self._target_changed,
-            take_ledger=self._parts.take,
-        )
+        self.daemon = self._open_daemon()
         self._handover = Handover(
             settings,
             self.daemon,
@@ -114,6 +103,26 @@
             threading.Thread(target=self._keep_joined, name="join", daemon=True),
         ]
 
+    def _open_daemon(self):
+        metrics = Metrics()
+        metrics.add_source(lambda: self._gauges(metrics))
+        try:
+            return Daemon(
+                self._settings,
+                self._view,
+                OwnLease(self._lease),
+                metrics,
+                self._log,
+                _clock,
+                on_target=self._target_changed,
+                take_ledger=self._parts.take,
+            )
+        except TamarackhavenError:
+            # Their threads would keep the process from ending.
+            self._lease.stop()
+            self._client.close()
+            raise
+
     def _gauges(self, metrics):
         for reason, count in self._lease.losses_by_reason.items():
             name = "tamarackhaven_lease_losses"
