Refuse a feed that is cut off, and read all of its text

**Cause:** reading stopped once all bytes were taken in, while text could still be to come, and a cut feed passed as a whole one. **Change:** it is read to its end mark; without one the reader gives up and asks again. **Measured:** the new test fails without the check and passes with it.

--- a/tamarackhaven/_feed_wire.py
+++ b/tamarackhaven/_feed_wire.py
@@ -10,6 +10,7 @@
 
 from tamarackhaven import _codec
 from tamarackhaven._events import Event
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 # A part is some 100 KB of text and 600 KB as records.
 PART_EVENTS = 512
@@ -44,10 +45,19 @@
 
 def _texts(data):
     """Yield one part's text after another."""
+    if not data:
+        return
     decompressor = zlib.decompressobj()
     text = b""
-    while data:
-        text += decompressor.decompress(data, _READ_BYTES)
+    # All bytes may have been taken in while text is still to come out of them.
+    while not decompressor.eof:
+        piece = decompressor.decompress(data, _READ_BYTES)
         data = decompressor.unconsumed_tail
+        if not piece and not data and not decompressor.eof:
+            # Failure: a feed is cut off. Symptom: its version counts as applied, and
+            # the events of its end never arrive. Enough: the reader gives up and asks
+            # again.
+            raise TamarackhavenError(ErrorKind.INTERNAL, "a feed is cut off")
+        text += piece
         *whole, text = text.split(_END)
         yield from whole
--- a/tests/test_feed_wire.py
+++ b/tests/test_feed_wire.py
@@ -2,11 +2,14 @@
 
 import tracemalloc
 
+import pytest
+
 from tamarackhaven._events import ResourceDeleted, ShardChanged
 from tamarackhaven._feed_wire import PART_EVENTS, PackedEvents, pack
 from tamarackhaven._history import Feed
 from tamarackhaven._model import ShardGrant
 from tamarackhaven._view import View
+from tamarackhaven.errors import TamarackhavenError
 
 
 def events_of(count):
@@ -24,6 +27,16 @@
     assert list(PackedEvents(b"")) == []
 
 
+def test_a_feed_that_is_cut_off_changes_nothing():
+    data = pack(events_of(3 * PART_EVENTS))
+    for snapshot in (True, False):
+        view = View()
+        with pytest.raises(TamarackhavenError):
+            view.apply(Feed(9, snapshot, PackedEvents(data[:-9])))
+        assert view.version == 0
+        assert view.owned_by("s", "t0") == []
+
+
 def test_a_first_feed_is_never_whole_in_memory():
     """A daemon starts at a service with many shards and must stay within 64 MB.
 
