--- a/tamarackhaven/_daemon_process.py
+++ b/tamarackhaven/_daemon_process.py
@@ -24,8 +24,9 @@
 CALL_TIMEOUT_S = 3.0
 RETRY_S = 0.1
 JOIN_PAUSE_S = 2.0
-# What a turn without a fetch does costs some ten microseconds.
-TURN_S = 0.25
+# A turn without a fetch passes on when the map was last confirmed, well within
+# ``stale_s``.
+TURN_S = 0.5
 POLL_S = 0.02
 
 
