Give up a target that takes requests and says nothing

**Cause:** A target that hangs with its port open kept its shards for as long as it hung: each request for them waited until its deadline. What the link knew of its silence was used by nobody. **Change:** `Silence` hears reports, announcements and answers. With requests in flight and no word for `target_silent_s` (3 s) the target counts as hung until it speaks: its daemon gives its shards up, refuses what waits as MOVING, ends what is in flight as CANCELLED (unknown; lookups are tried at the next owner, bookings nowhere), retires its epoch and joins again after the next word. A target that never reported is left to deadlines. The tests were not tried with each safeguard broken.

--- a/benches/bench_shared.py
+++ b/benches/bench_shared.py
@@ -34,7 +34,11 @@
 policy = "p"
 shard_count = 16
 """
-WARM = {"daemon": "\n[gate]\ncold_s = 0.0\ncold_requests = 12\n"}
+EXTRA = {
+    "daemon": "\n[gate]\ncold_s = 0.0\ncold_requests = 12\n",
+    # No key is pinned: the keys of a target are those of its shards.
+    "control": "\n[placement]\npin_share = 1.0\n",
+}
 KEYS = [f"k{number}" for number in range(200)]
 FAST_MS, SLOW_MS = 5.0, 100.0
 VARIANTS = ("whole", "no-hedge", "no-choice")
@@ -67,7 +71,7 @@
                 for n in range(3)
             ]
             specs += [TargetSpec("s", "t3", "a", cold_s=0.0, service_ms=SLOW_MS)]
-            cluster = SharedCluster(folder / variant, program(variant), specs, 1, WARM)
+            cluster = SharedCluster(folder / variant, program(variant), specs, 1, EXTRA)
             cluster_by_variant[variant] = cluster
             cluster.start(RESOURCES.format(mode="shared"))
             answers[variant] = collections.Counter()
@@ -120,7 +124,7 @@
     for variant in ("no-watch", "whole"):
         specs = [TargetSpec("s", f"t{n}", "a", cold_s=0.0) for n in range(3)]
         cluster = Cluster(
-            folder / f"frozen-{variant}", program(variant), specs, 3, WARM
+            folder / f"frozen-{variant}", program(variant), specs, 3, EXTRA
         )
         try:
             cluster.start(RESOURCES.format(mode="exclusive"))
--- a/tamarackhaven/_daemon.py
+++ b/tamarackhaven/_daemon.py
@@ -25,6 +25,7 @@
 from tamarackhaven._retry import RetrySettings
 from tamarackhaven._send import Connections
 from tamarackhaven._shared_route import SharedRoute
+from tamarackhaven._silence import Silence
 from tamarackhaven._target_link import TargetLink
 from tamarackhaven._verify import Standing
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
@@ -108,6 +109,7 @@
         self.ledger = Ledger(settings.bookings)
         self.ledger_lock = threading.Lock()
         self.link = TargetLink(clock)
+        self.silence = Silence(settings.target_silent_s)
         self._lease = lease
         self._metrics = metrics
         self._log = log.part("daemon")
@@ -115,7 +117,7 @@
         self._on_target = on_target or (lambda state: None)
         self._lock = threading.Lock()
         self._announce_lock = threading.Lock()
-        self._target = None
+        self._target = self._given_up = None
         self._draining = False
         self._zone = ZoneState.IN
         self._confirmed_s = clock.boot_s()
@@ -136,6 +138,7 @@
             self._canceller,
             clock,
             self._note_key,
+            self.silence,
         )
         self.path = self._make_path(view, owner, log.part("path"))
         self._servers = []
@@ -307,7 +310,10 @@
         with self._announce_lock:
             new = self.link.is_new(announcement)
             if new:
+                self.silence.started(self._clock.boot_s())
                 self._replace_target(announcement)
+            else:
+                self.silence.heard(self._clock.boot_s())
             # Last, so that who reads of a start finds its gate in place.
             self.link.announce(announcement)
         if not new:
@@ -318,6 +324,7 @@
     def reported(self, report):
         """Take in a report of the target."""
         self.link.report(report)
+        self.silence.reported(self._clock.boot_s())
         target = self._target
         if target is not None:
             target.admission.report(report)
@@ -327,12 +334,28 @@
     def left(self):
         """Take in that the target has begun to leave."""
         self.link.leave()
+        self.silence.heard(self._clock.boot_s())
         target = self._target
         if target is not None:
             target.admission.stop(ErrorKind.DRAINING)
         self._log.say("target is leaving")
         self._on_target(self.link.state())
 
+    def give_up_target(self):
+        """Refuse what waits for a hung target; what is in flight ends by itself."""
+        target = self._target
+        if target is not None:
+            self._given_up = target
+            # They did not run, and may run at the next owner.
+            target.admission.stop(ErrorKind.MOVING)
+
+    def take_target_back(self):
+        """Let requests through to a target that was given up and speaks again."""
+        given_up, self._given_up = self._given_up, None
+        leaving = self._draining or self.link.state().leaving
+        if given_up is not None and given_up is self._target and not leaving:
+            given_up.admission.open(cold=False)
+
     def state(self):
         """Return what the target is told, as a JSON object."""
         now = self._clock.boot_s()
--- a/tamarackhaven/_daemon_process.py
+++ b/tamarackhaven/_daemon_process.py
@@ -107,7 +107,9 @@
             self._log.part("handover"),
         )
         self._reports = LoadReports(settings, self.daemon, self._client, self._lease)
-        self._probe = TargetProbe(settings.target_address, self._target_down)
+        self._probe = TargetProbe(
+            settings.target_address, self._target_down, self._target_is_hung
+        )
         self._threads = [
             threading.Thread(target=self._keep_map, name="map", daemon=True),
             threading.Thread(target=self._keep_joined, name="join", daemon=True),
@@ -261,8 +263,9 @@
         )
 
     def _join(self):
-        if not self._probe.is_up():
+        if self.daemon.silence.hung or not self._probe.is_up():
             raise TamarackhavenError(ErrorKind.TARGET_UNREACHABLE, "before joining")
+        self.daemon.take_target_back()
         settings = self._settings
         change = JoinTarget(
             service=settings.service,
@@ -281,24 +284,36 @@
         self._probe.start()
         self._log.say("joined", epoch=outcome.member.epoch)
 
+    def _target_is_hung(self):
+        return self.daemon.silence.check(_clock.boot_s())
+
     def _target_down(self):
-        """The target takes no connection: give its shards up.
+        """The target takes no connection, or is hung: give its shards up.
 
         The lease is kept until every request in flight has ended: a target that only
         closed its listening socket may still be at work on them. One that died has
-        cut them off already, so nothing is lost by the order.
+        cut them off already, so nothing is lost by the order. At a hung one they
+        are given up at once, and may still run when it goes on: it refuses to start
+        them after Start-By, and nothing bounds the end of what it had started.
         """
+        hung = self.daemon.silence.hung
+        reason = "its daemon found it hung" if hung else "its daemon found it down"
+        if hung:
+            self.daemon.give_up_target()
         settings = self._settings
         epoch = self._lease.epoch()
         self._down.set()
         self._take_grants()
-        self._log.say("target is down", epoch=epoch)
+        self._log.say("target is given up", reason=reason, epoch=epoch)
         end = _clock.boot_s() + settings.drain_s
         while self.daemon.in_flight_at_target() and _clock.boot_s() < end:
             self._stopping.wait(POLL_S)
         self._lease.release()
         change = RetireTarget(
-            settings.service, settings.target, epoch, "its daemon found it down"
+            settings.service,
+            settings.target,
+            epoch,
+            "its daemon found it hung" if hung else "its daemon found it down",
         )
         try:
             self._client.change(change, CALL_TIMEOUT_S)
--- a/tamarackhaven/_owner.py
+++ b/tamarackhaven/_owner.py
@@ -51,6 +51,8 @@
         Both clocks.
     note_key : callable
         Told the key hash of every request that this target owns.
+    silence : Silence
+        Says whether the target is hung.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         canceller,
         clock,
         note_key,
+        silence,
     ):
         self._settings = settings
         self._standing = standing
@@ -76,6 +79,7 @@
         self._canceller = canceller
         self._clock = clock
         self._note_key = note_key
+        self._silence = silence
 
     def serve(self, request, located, gone):
         """Return the target's whole answer.
@@ -165,7 +169,28 @@
             deadline_s=request.deadline_s,
             max_body_bytes=located.service.max_body_bytes,
         )
-        return send(connections, sending, gone)
+        return self._send_heard(connections, sending, gone)
+
+    def _send_heard(self, connections, sending, gone):
+        """Send; end at once, in doubt, when the target is found hung.
+
+        Its shards are given up by then, so its callers aren't held until their
+        deadlines: a lookup may be answered by the next owner.
+        """
+        watch = _HangWatch(self._silence, gone)
+        self._silence.began(self._clock.boot_s())
+        answered = False
+        try:
+            answer = send(connections, sending, watch)
+            answered = True
+            return answer
+        except TamarackhavenError as error:
+            if error.kind is not ErrorKind.CALLER_GONE or not watch.hung:
+                raise
+            detail = "The target is hung."
+            raise TamarackhavenError(ErrorKind.CANCELLED, detail) from error
+        finally:
+            self._silence.ended(answered, self._clock.boot_s())
 
     def _fence(self, request, located):
         """Return the headers by which a target refuses what comes too late.
@@ -189,11 +214,14 @@
 
 
 # The target may still be at it.
-_CANCELLED_BY_US = frozenset({ErrorKind.ANSWER_TIMEOUT, ErrorKind.CALLER_GONE})
+_CANCELLED_BY_US = frozenset(
+    {ErrorKind.ANSWER_TIMEOUT, ErrorKind.CALLER_GONE, ErrorKind.CANCELLED}
+)
 _END_BY_KIND = {
     ErrorKind.TARGET_UNREACHABLE: End.UNREACHABLE,
     ErrorKind.ANSWER_TIMEOUT: End.GIVEN_UP,
     ErrorKind.CALLER_GONE: End.GIVEN_UP,
+    ErrorKind.CANCELLED: End.GIVEN_UP,
     ErrorKind.LEASE_LOST: End.GIVEN_UP,
     ErrorKind.NOT_OWNER: End.GIVEN_UP,
     ErrorKind.DRAINING: End.GIVEN_UP,
@@ -203,6 +231,20 @@
 }
 
 
+class _HangWatch:
+    """Says whether a try at the target is to be ended, and notes why."""
+
+    def __init__(self, silence, gone):
+        self._silence = silence
+        self._gone = gone
+        self.hung = False
+
+    def __call__(self):
+        """Return whether the target is hung or the caller gone."""
+        self.hung = self._silence.hung
+        return self.hung or self._gone()
+
+
 def _never():
     return False
 
--- a/tamarackhaven/_settings.py
+++ b/tamarackhaven/_settings.py
@@ -197,6 +197,9 @@
         Longest time a request waits for a key on the move.
     stale_s : float
         State unconfirmed for longer is not acted on.
+    target_silent_s : float
+        A target with requests in flight that neither reports nor answers for longer
+        is given up; 0 for never.
     """
 
     service: str = _text()
@@ -220,6 +223,7 @@
     forward_wait_ms: int = _whole(300, 0, 60_000)
     stale_s: float = _number(3.0, 0.1, 60.0)
     drain_s: float = _number(30.0, 0.0, 3600.0)
+    target_silent_s: float = _number(3.0, 0.0, 3600.0)
     lease: LeaseSettings = attrs.field(factory=LeaseSettings)
     gate: GateSettings = attrs.field(factory=GateSettings)
     bookings: BookingSettings = attrs.field(factory=BookingSettings)
--- a/tamarackhaven/_target_link.py
+++ b/tamarackhaven/_target_link.py
@@ -39,14 +39,11 @@
         It has begun to leave.
     report : TargetReport or None
         Its last report, with its present age.
-    silent_s : float
-        Time since it last said anything, in seconds.
     """
 
     announcement: Announcement | None
     leaving: bool
     report: TargetReport | None
-    silent_s: float
 
 
 class TargetLink:
@@ -64,7 +61,7 @@
         self._announcement = None
         self._leaving = False
         self._report = None
-        self._report_s = self._heard_s = clock.boot_s()
+        self._report_s = clock.boot_s()
 
     def is_new(self, announcement):
         """Return whether an announcement is of another start than the last one."""
@@ -74,7 +71,6 @@
     def announce(self, announcement):
         """Take in an announcement."""
         with self._lock:
-            self._heard_s = self._clock.boot_s()
             if self.is_new(announcement):
                 self._leaving = False
                 self._report = None
@@ -83,13 +79,12 @@
     def report(self, report):
         """Take in a report."""
         with self._lock:
-            self._heard_s = self._report_s = self._clock.boot_s()
+            self._report_s = self._clock.boot_s()
             self._report = report
 
     def leave(self):
         """Note that the target has begun to leave."""
         with self._lock:
-            self._heard_s = self._clock.boot_s()
             self._leaving = True
 
     def state(self):
@@ -100,9 +95,7 @@
             if report is not None:
                 age_s = report.age_s + now - self._report_s
                 report = attrs.evolve(report, age_s=age_s)
-            return LinkState(
-                self._announcement, self._leaving, report, now - self._heard_s
-            )
+            return LinkState(self._announcement, self._leaving, report)
 
 
 def report_from(plain):
--- a/tamarackhaven/_target_probe.py
+++ b/tamarackhaven/_target_probe.py
@@ -13,8 +13,8 @@
 class TargetProbe:
     """Connects to the target a few times a second while it is a member.
 
-    A refused connection means that no process listens; a slow one is left to the
-    gate, which sees latency and reports.
+    A refused connection means that no process listens; one that is slow but not
+    hung is left to the gate, which sees latency and reports.
 
     Parameters
     ----------
@@ -22,11 +22,14 @@
         Where the target takes requests.
     on_down : callable
         Called once per ``start``, on the probe's thread.
+    is_hung : callable
+        Says whether the target, though it takes connections, is to be given up.
     """
 
-    def __init__(self, address, on_down):
+    def __init__(self, address, on_down, is_hung):
         self._address = address.host, address.port
         self._on_down = on_down
+        self._is_hung = is_hung
         self._watching = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="probe", daemon=True)
@@ -53,7 +56,7 @@
             if not self._watching.is_set():
                 continue
             refused = 0 if self.is_up() else refused + 1
-            if refused >= REFUSALS_NEEDED:
+            if refused >= REFUSALS_NEEDED or self._is_hung():
                 self._watching.clear()
                 self._on_down()
 
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,104 @@
+"""Tests of a target that takes requests and says nothing."""
+
+import threading
+
+import pytest
+
+from standin.target import StandinSettings
+from tamarackhaven import _clock
+from tamarackhaven._keys import hash_key, shard_of
+from tamarackhaven._silence import Silence
+from tests.fakes import FakeView, Node, booking, running, wait_for
+
+SHARD = shard_of(hash_key("s", "k"), 4)
+
+# Steps of a target with a limit of 3 s: begin, answer, error (an end without an
+# answer), report, or start, each at a time; then the check's time and its result.
+SESSIONS = {
+    "hung": ("report 0, begin 1", 4.0, True),
+    "not yet": ("report 0, begin 1", 3.9, False),
+    "idle": ("report 0, begin 1, answer 2", 60.0, False),
+    "idle for long, then asked": ("report 0, begin 50", 52.9, False),
+    "a straggler that still reports": ("report 0, begin 1, report 5", 7.9, False),
+    "a straggler that answers others": (
+        "report 0, begin 1, begin 2, answer 6",
+        8.9,
+        False,
+    ),
+    "errors are no answers": ("report 0, begin 1, begin 2, error 3", 4.0, True),
+    "never reported": ("begin 1", 60.0, False),
+    "a new start has not reported": ("report 0, start 1, begin 2", 60.0, False),
+    "back with a report": ("report 0, begin 1, check 5, report 6", 6.5, False),
+    "stays hung without a word": ("report 0, begin 1, check 5, error 6", 60.0, True),
+}
+
+
+@pytest.mark.parametrize("name", SESSIONS)
+def test_only_silence_of_every_kind_is_a_hang(name):
+    steps, check_s, expected = SESSIONS[name]
+    silence = Silence(3.0)
+    act_by_word = {
+        "begin": silence.began,
+        "answer": lambda now: silence.ended(True, now),
+        "error": lambda now: silence.ended(False, now),
+        "report": silence.reported,
+        "start": silence.started,
+        "check": silence.check,
+    }
+    for step in steps.split(", "):
+        word, now = step.split()
+        act_by_word[word](float(now))
+    assert silence.check(check_s) is expected
+
+
+def test_callers_of_a_hung_target_are_not_held_until_their_deadlines():
+    """A target hangs with a lookup and a booking; both have 20 s.
+
+    Once it is found hung the booking's caller hears "unknown" at once, and the lookup
+    is answered by the next owner. The booking is not tried anywhere else.
+    """
+    view, slow = FakeView(), StandinSettings(service_ms=60_000)
+    first = Node(view, "t1", slow, forward_wait_ms=10_000, target_silent_s=3600.0)
+    second = Node(view, "t2")
+    long = {"Tamarackhaven_Deadline_Ms": "20000"}
+    with running(first, second):
+        first.own(SHARD)
+        got, silence = {}, first.daemon.silence
+        asks = {
+            "lookup": lambda: first.ask(**long),
+            "booking": lambda: first.ask("POST", **booking("b", **long)),
+        }
+        threads = [
+            threading.Thread(target=lambda w=word, a=ask: got.update({w: a()}))
+            for word, ask in asks.items()
+        ]
+        for thread in threads:
+            thread.start()
+        wait_for(lambda: first.daemon.in_flight("s", SHARD) == 2)
+        wait_for(lambda: first.standin.target.report()["running"] == 2)
+        first.standin.announcer.stop()
+        started = _clock.boot_s()
+        assert silence.check(started + 4000)
+        second.own(SHARD, grant=11)
+        for thread in threads:
+            thread.join()
+        assert _clock.boot_s() - started < 15
+        assert (got["lookup"].status, got["lookup"].plain["target"]) == (200, "t2")
+        assert (got["booking"].name, got["booking"].ran) == ("CANCELLED", "unknown")
+        assert second.standin.target.counts()["executions"] == {}
+
+
+def test_a_target_that_was_given_up_is_taken_back_warm_but_a_new_one_is_cold():
+    node = Node(FakeView())
+    with running(node):
+        node.own(*range(4))
+        node.daemon.give_up_target()
+        assert node.ask().name == "MOVING"
+        node.daemon.take_target_back()
+        assert node.ask().status == 200
+        node.daemon.give_up_target()
+        node.standin.target.incarnation = "another"
+        wait_for(lambda: node.ask().status == 200)
+        gate = node.daemon._target.admission
+        node.daemon.take_target_back()
+        assert gate is node.daemon._target.admission
