--- a/tamarackhaven/_control_client.py
+++ b/tamarackhaven/_control_client.py
@@ -224,7 +224,7 @@
         address = member.host, member.port
         channel = self._channel_by_address.get(address)
         if channel is None:
-            channel = Channel(member.host, member.port, loop=self._loop.loop)
+            channel = Channel(member.host, member.port)
             self._channel_by_address[address] = channel
         return channel
 
--- a/tamarackhaven/_peers.py
+++ b/tamarackhaven/_peers.py
@@ -120,7 +120,7 @@
         channel = self._channel_by_name.get(name)
         if channel is None:
             loop = self._loop_thread.loop
-            channel = Channel(member.host, member.port, loop=loop)
+            channel = Channel(member.host, member.port)
             self._channel_by_name[name] = channel
         return channel
 
