--- a/tamarackhaven/_peers.py
+++ b/tamarackhaven/_peers.py
@@ -119,7 +119,6 @@
         member = self._member_by_name[name]
         channel = self._channel_by_name.get(name)
         if channel is None:
-            loop = self._loop_thread.loop
             channel = Channel(member.host, member.port)
             self._channel_by_name[name] = channel
         return channel
