Tell callers the exact time to come back, beside whole seconds

**Cause:** Retry-After knows whole seconds only, so come-back times that the gate spread over a part of a second were all told as 1, and callers returned together. A refusal that another daemon passed on lost the rest.

**Change:** Refusals carry Tamarackhaven-Retry-After-Ms besides Retry-After (rounded up, at least 1). Forwarding daemons read it, and the stand-in callers keep to it without rounding short times up to 0.1 s.

**Measured:** tests of the answers of every kind and of refusals through both daemons compare the two headers; green. The effect on real processes under load was not measured.

--- a/standin/load.py
+++ b/standin/load.py
@@ -66,7 +66,7 @@
             answer.status,
             answer.headers.get("Tamarackhaven-Error", ""),
             answer.headers.get("Tamarackhaven-Ran", "yes"),
-            float(answer.headers.get("Retry-After", 0)),
+            _retry_after_s(answer.headers),
         )
     except (OSError, http.client.HTTPException):
         connection.close()
@@ -76,6 +76,13 @@
             connection.close()
 
 
+def _retry_after_s(headers):
+    """Return when to come back, in seconds: the exact time where it is told."""
+    if "Tamarackhaven-Retry-After-Ms" in headers:
+        return int(headers["Tamarackhaven-Retry-After-Ms"]) / 1000
+    return float(headers.get("Retry-After", 0))
+
+
 class Load:
     """Callers in threads until ``stop``.
 
@@ -170,7 +177,7 @@
                 # No try can have run, so this is a new booking as far as any owner
                 # is concerned, and may say so.
                 booking.first_sent_s = time.time()
-            pause_s = min(max(response.retry_after_s, PAUSE_S), LONGEST_PAUSE_S)
+            pause_s = min(response.retry_after_s or PAUSE_S, LONGEST_PAUSE_S)
             if not booking.doubtful:
                 time.sleep(pause_s)
             elif self._stopping.wait(pause_s):
--- a/tamarackhaven/_answer.py
+++ b/tamarackhaven/_answer.py
@@ -51,8 +51,11 @@
     if row.repeat is Repeat.LATER:
         retry_after_s = error.retry_after_s or DEFAULT_RETRY_AFTER_S
         content["retry_after_s"] = round(retry_after_s, 3)
-        # The header knows whole seconds only; the body has the exact time.
+        # HTTP's own header knows whole seconds only. Told alone, callers whose times
+        # were spread over a part of a second come back together.
         headers.append((names.RETRY_AFTER_HEADER, str(math.ceil(retry_after_s))))
+        retry_after_ms = math.ceil(1000 * retry_after_s)
+        headers.append((names.RETRY_AFTER_MS_HEADER, str(retry_after_ms)))
     if decision_id:
         headers.append((names.DECISION_HEADER, decision_id))
     if request_id:
--- a/tamarackhaven/_forward.py
+++ b/tamarackhaven/_forward.py
@@ -82,8 +82,8 @@
 
 
 def _retry_after_s(answer):
-    value = answer.header(names.RETRY_AFTER_HEADER)
-    return float(value) if value.isdigit() else 0.0
+    value = answer.header(names.RETRY_AFTER_MS_HEADER)
+    return int(value) / 1000 if value.isdigit() else 0.0
 
 
 # The request surely did not run, and a newer view may name another owner.
--- a/tamarackhaven/_request.py
+++ b/tamarackhaven/_request.py
@@ -18,6 +18,7 @@
 ERROR_HEADER = "Tamarackhaven-Error"
 DID_NOT_RUN_HEADER = "Tamarackhaven-Did-Not-Run"
 RETRY_AFTER_HEADER = "Retry-After"
+RETRY_AFTER_MS_HEADER = "Tamarackhaven-Retry-After-Ms"
 
 # Two of one of these are an error: a proxy and a target that pick different ones
 # would act on different requests.
--- a/tests/test_identify.py
+++ b/tests/test_identify.py
@@ -95,4 +95,5 @@
     assert answer.header("Tamarackhaven-Ran") == plain["ran"] == row.ran.value
     later = row.repeat is Repeat.LATER
     assert answer.header("Retry-After") == ("1" if later else "")
+    assert answer.header("Tamarackhaven-Retry-After-Ms") == ("300" if later else "")
     assert ("retry_after_s" in plain) == later
--- a/tests/test_path_http.py
+++ b/tests/test_path_http.py
@@ -154,7 +154,9 @@
         for node in pair:
             got = node.ask()
             assert (got.name, got.ran) == (kind, "no")
-            assert int(got.headers["retry-after"]) >= 1
+            whole_s = int(got.headers["retry-after"])
+            exact_ms = int(got.headers["tamarackhaven-retry-after-ms"])
+            assert 1 <= exact_ms <= 1000 * whole_s
         first.lease.until_s = float("inf")
         first.daemon.on_zone(ZoneState.IN)
     assert first.ask().status == 200
