Choose shared targets by own load and mean latency

**Change:** The cost is load times latency; the newest latency weighs a twentieth, up as down; requests of others, as reported, weigh a quarter of our own.

Tests of choice unchanged and green.

--- a/tamarackhaven/_choice.py
+++ b/tamarackhaven/_choice.py
@@ -19,23 +19,28 @@
 
     Parameters
     ----------
+    report_weight : float
+        Weight of one request of other daemons, as reported, against one of our own.
+        Reports lag by more than a request takes; at full weight all daemons left the
+        same target, and returned to it, together.
     report_half_life_s : float
         Age at which a reported load counts half.
     latency_half_life_s : float
         Time in which a latency seen is half forgotten, so that a target that was slow
         is tried again.
     latency_weight : float
-        Weight of the newest latency when it is lower than the mean so far; a higher
-        one counts at once.
+        Weight of the newest latency in the mean. Small, since work of mixed length
+        otherwise makes a target look slow for one long request.
     first_latency_s : float
         Latency assumed of a target not yet seen, in seconds.
     other_zone_factor : float
         Cost of a target in another availability zone, 1 or more.
     """
 
+    report_weight: float = 0.25
     report_half_life_s: float = 1.0
     latency_half_life_s: float = 2.0
-    latency_weight: float = 0.1
+    latency_weight: float = 0.05
     first_latency_s: float = 0.005
     other_zone_factor: float = 1.2
 
@@ -103,7 +108,7 @@
         factor = 1.0
         if candidate.zone != self.zone:
             factor = self.settings.other_zone_factor
-        return max(1.0, load) * self._latency(seen, now) * factor + load * 1e-6
+        return load * self._latency(seen, now) * factor
 
     def started(self, target):
         """Count a request that is sent to ``target``."""
@@ -117,8 +122,8 @@
         """
         seen = self._seen(target)
         seen.in_flight = max(0, seen.in_flight - 1)
-        mean = self._latency(seen, now)
-        if latency_s < mean:
+        if seen.latency_at is not None:
+            mean = self._latency(seen, now)
             latency_s = mean + self.settings.latency_weight * (latency_s - mean)
         seen.latency = latency_s
         seen.latency_at = now
@@ -144,10 +149,11 @@
         return self._seen_by_target.setdefault(target, _Seen())
 
     def _load(self, seen, now):
-        """Return requests at the target: what it reported by age, at least our own."""
+        """Return requests at the target: our own, and a part of others by age."""
         age = max(0.0, now - seen.reported_at)
-        reported = seen.reported * 0.5 ** (age / self.settings.report_half_life_s)
-        return max(seen.in_flight, reported)
+        kept = 0.5 ** (age / self.settings.report_half_life_s)
+        others = max(0, seen.reported - seen.in_flight)
+        return seen.in_flight + self.settings.report_weight * kept * others
 
     def _latency(self, seen, now):
         """Return the latency seen, falling towards the assumed one with age."""
