Measure choice among targets, placement, and two kinds of slow target

**Cause:** The tables of decisions lacked shared services, churn and time without an owner, and a target slow for other reasons than a jump of five times.

--- a/benches/_model_load.py
+++ b/benches/_model_load.py
@@ -141,6 +141,8 @@
         Part of the requests that are long.
     hot_part : float
         Part of the requests that are for one key.
+    booking_part : float
+        Part of the requests that are bookings.
     burst_load : float
         Load during bursts: 0.3 s at the start of each second from the second on.
     """
@@ -150,6 +152,7 @@
     long_part: float = LONG_PART
     hot_part: float = 0.0
     burst_load: float = 0.0
+    booking_part: float = BOOKING_PART
 
     def mean_work_s(self):
         """Return the mean work of a request, in seconds."""
@@ -191,7 +194,7 @@
             name=str(self._count),
             key=0 if hot else rng.randrange(1, KEYS),
             caller=str(rng.randrange(CALLERS)),
-            booking=rng.random() < BOOKING_PART,
+            booking=rng.random() < self._profile.booking_part,
             work_s=work_s * rng.uniform(0.8, 1.2),
             sent_s=self._sim.now,
             deadline_s=self._sim.now + DEADLINE_S,
--- a/benches/_model_target.py
+++ b/benches/_model_target.py
@@ -26,6 +26,8 @@
         self.zone = zone
         self.slots = slots
         self.slowdown = 1.0
+        self.true_slots = slots  # fewer if it declares more than it has
+        self.crowd_power = 1.0  # how latency grows with the work beyond its slots
         self.up = True
         self.executions = 0
         self.work_s = 0.0
@@ -76,7 +78,7 @@
         return CONNECT_S
 
     def _factor(self):
-        crowd = max(1.0, self.running / self.slots)
+        crowd = max(1.0, self.running / self.true_slots) ** self.crowd_power
         switching = 1.0 + 0.02 * max(0, self.running - self.slots)
         cold = COLD_SLOWDOWN if self.bears() < self.slots else 1.0
         return self.slowdown * crowd * switching * cold
--- a/benches/bench_decisions.py
+++ b/benches/bench_decisions.py
@@ -7,6 +7,8 @@
 
 import _bench_path  # noqa: F401
 import attrs
+import bench_placement
+from _model_choice import POLICIES, run_shared
 from _model_fleet import ServiceShape
 from _model_load import Profile
 from _model_run import VARIANTS, Figures, Scenario, run
@@ -46,6 +48,23 @@
     fleet.targets[0].slowdown = 1.0
 
 
+def _slow_a_little(fleet):
+    fleet.targets[0].slowdown = 2.5
+
+
+def _overrate(fleet):
+    """One target has half of the slots that it declares, and suffers beyond them."""
+    fleet.targets[0].true_slots = fleet.targets[0].slots // 2
+    fleet.targets[0].crowd_power = 2.0
+
+
+def _straggle(fleet):
+    """One target after the other is slow for a moment."""
+    turn = fleet.straggles = getattr(fleet, "straggles", -1) + 1
+    for number, target in enumerate(fleet.targets):
+        target.slowdown = 8.0 if number == turn % len(fleet.targets) else 1.0
+
+
 def _restart(fleet):
     fleet.targets[0].stop(1.0)
 
@@ -67,6 +86,10 @@
     Scenario("bursts of 3x", Profile(0.5, burst_load=3.0)),
     Scenario("one hot key", Profile(0.6, hot_part=0.4)),
     Scenario("one slow target", Profile(0.6), ((1.0, _slow), (2.0, _quick))),
+    Scenario(
+        "one target 2.5x slow", Profile(0.7), ((1.0, _slow_a_little), (2.0, _quick))
+    ),
+    Scenario("one target overrated", Profile(0.6), ((0.0, _overrate),)),
     Scenario("long and short", Profile(0.8, long_part=0.3)),
     Scenario("saturation 1x", Profile(1.0)),
     Scenario("saturation 1.5x", Profile(1.5)),
@@ -80,6 +103,21 @@
     ),
 )
 
+CHOICE_SCENARIOS = (
+    Scenario("steady 0.7x", Profile(0.7, booking_part=0.0)),
+    Scenario(
+        "one straggler",
+        Profile(0.7, booking_part=0.0),
+        ((1.0, _slow), (2.0, _quick)),
+    ),
+    Scenario(
+        "momentary stragglers",
+        Profile(0.5, booking_part=0.0),
+        tuple((0.25 * n, _straggle) for n in range(2, 12)),
+    ),
+)
+PLACEMENT_SEEDS = 5
+
 HEADINGS = (
     "scenario",
     "variant",
@@ -145,8 +183,40 @@
             _print_row(_row(scenario, variant, figures))
 
 
+def _print_choice(user, seeds):
+    print(f"\n### {user.name}, shared services: choice among targets\n")
+    headings = ("scenario", "choice", "in time", "p50", "p99", "p99.9", "imbalance")
+    _print_row(headings)
+    _print_row(["---"] * len(headings))
+    for scenario in CHOICE_SCENARIOS:
+        for policy in POLICIES:
+            figures = Figures()
+            for seed in seeds:
+                for shape in user.shapes():
+                    run_shared(scenario, policy, shape, seed, figures)
+            _print_row(_choice_row(scenario, policy, figures))
+
+
+def _choice_row(scenario, policy, figures):
+    return (
+        scenario.name,
+        policy,
+        _percent(figures.in_time, figures.offered),
+        f"{figures.percentile_ms(0.5):.0f}",
+        f"{figures.percentile_ms(0.99):.0f}",
+        f"{figures.percentile_ms(0.999):.0f}",
+        f"{figures.imbalance:.2f}",
+    )
+
+
+def _print_placement():
+    print("\n### Placement of shards: imbalance, churn, time without an owner")
+    for size in bench_placement.SIZES[:2]:
+        bench_placement.table(size, PLACEMENT_SEEDS)
+
+
 def main():
-    """Print one table for each user."""
+    """Print the tables of each user, of choice and of placement."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, nargs="+", default=SEEDS)
     parser.add_argument("--scenario", default="", help="part of a scenario's name")
@@ -155,6 +225,11 @@
     print(f"Seeds {list(options.seeds)}; times in ms over lookups answered in time.")
     for user in USERS:
         _print_table(user, scenarios, options.seeds)
+    if options.scenario:
+        return
+    for user in USERS:
+        _print_choice(user, options.seeds)
+    _print_placement()
 
 
 if __name__ == "__main__":
