--- a/tamarackhaven/_daemon.py
+++ b/tamarackhaven/_daemon.py
@@ -109,7 +109,7 @@
         self.ledger = Ledger(settings.bookings)
         self.ledger_lock = threading.Lock()
         self.link = TargetLink(clock)
-        self.silence = Silence(settings.target_silent_s)
+        self.silence = Silence(settings.target_silent_s, threading.Lock())
         self._lease = lease
         self._metrics = metrics
         self._log = log.part("daemon")
--- a/tamarackhaven/_silence.py
+++ b/tamarackhaven/_silence.py
@@ -6,21 +6,21 @@
 straggler that answers anything, or still reports, is not given up.
 """
 
-import threading
-
 
 class Silence:
-    """Hears the reports and answers of one target; its methods are thread-safe.
+    """Hears the reports and answers of one target.
 
     Parameters
     ----------
     silent_s : float
         Silence that is taken for a hang, in seconds; 0 for never.
+    lock : context manager
+        Held in each method, so that any thread may call them.
     """
 
-    def __init__(self, silent_s):
+    def __init__(self, silent_s, lock):
         self._silent_s = silent_s
-        self._lock = threading.Lock()
+        self._lock = lock
         self._in_flight = 0
         self._reports = False
         self._heard_s = 0.0
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -1,5 +1,6 @@
 """Tests of a target that takes requests and says nothing."""
 
+import contextlib
 import threading
 
 import pytest
@@ -36,7 +37,7 @@
 @pytest.mark.parametrize("name", SESSIONS)
 def test_only_silence_of_every_kind_is_a_hang(name):
     steps, check_s, expected = SESSIONS[name]
-    silence = Silence(3.0)
+    silence = Silence(3.0, contextlib.nullcontext())
     act_by_word = {
         "begin": silence.began,
         "answer": lambda now: silence.ended(True, now),
