--- a/tamarackhaven/_control.py
+++ b/tamarackhaven/_control.py
@@ -60,7 +60,6 @@
         self.machine = Machine(membership)
         self._zone_out_since = {}
         self._promises = LeasePromises(
-            settings.name,
             settings.lease,
             _clock.boot_s(),
             self._fences.epochs_by_target,
@@ -96,9 +95,18 @@
         self._versions = Versions(self.machine, self._loop.loop)
         self.machine.on_applied(self._applied)
         self._was_voter = self._is_voter(membership)
+        self._server = None
         self.metrics = Metrics()
         self.metrics.add_source(self._gauges)
-        self._page = metrics_server(self.metrics, settings.metrics)
+        self._page = self._open_page()
+
+    def _open_page(self):
+        try:
+            return metrics_server(self.metrics, self._settings.metrics)
+        except TamarackhavenError:
+            # Its thread would keep the process from ending.
+            self.leases.stop()
+            raise
 
     def _gauges(self):
         status = self.consensus.status()
@@ -118,7 +126,13 @@
             )
 
     def start(self):
-        """Start the member and answer calls."""
+        """Start the member and answer calls; after an error, ``stop`` it.
+
+        Raises
+        ------
+        TamarackhavenError
+            PORT_TAKEN.
+        """
         self.consensus.start()
         self.leader.start()
         self._page.start()
@@ -136,14 +150,15 @@
                 self._versions,
             ),
         ]
-        self._server = Server(services)
+        server = Server(services)
         try:
-            await self._server.start(self._member.host, self._member.port)
+            await server.start(self._member.host, self._member.port)
         except OSError as error:
             raise TamarackhavenError(
                 ErrorKind.PORT_TAKEN,
                 f"members.port: {self._member.host}:{self._member.port}: {error}",
             ) from error
+        self._server = server
 
     def _fence(self, service, target, epoch):
         fenced = self.leases.fence(service, target, epoch)
@@ -174,21 +189,21 @@
     def _is_voter(self, membership):
         return self._settings.name in membership.voters
 
-    def _lease_view(self, service, target):
-        """Return what this control VM knows of a target, for one renewal."""
+    def _lease_view(self, epoch):
+        """Return what this control VM knows of an epoch, for one renewal."""
         # The newest in the log, committed or not: by the applied one a majority could
         # go on granting by a membership whose successor is committed already.
         membership = self.consensus.status().membership
         self._note_voter(membership)
         with self.machine.lock:
-            member = self.machine.state.member(service, target)
+            member = self.machine.state.member_by_epoch(epoch)
             version = self.machine.version
             zone_out = member is not None and self._is_out(member.zone)
         return LeaseView(
             membership_version=membership.version,
             state_version=version,
             voter=self._is_voter(membership),
-            epoch=member.epoch if member else 0,
+            target=(member.service, member.target) if member else None,
             retired=member is not None and member.state is TargetState.LOST,
             zone_out=zone_out,
         )
@@ -197,10 +212,13 @@
         """Whether a zone has been out for longer than its targets may take work.
 
         Renewals go on for a moment, so that a daemon that hears can hand over its
-        shards one by one; one that can't hear stops when its lease then ends.
+        shards one by one; one that can't hear stops when its lease then ends. A lease
+        time more than the daemons' own grace, since they hear of the change later and
+        would else be refused just before they say that they only drain.
         """
         since = self._zone_out_since.get(zone)
-        grace_s = self._settings.lease.zone_grace_ms / 1000
+        lease = self._settings.lease
+        grace_s = (lease.zone_grace_ms + lease.lease_ms) / 1000
         return since is not None and _clock.boot_s() - since >= grace_s
 
     def stop(self):
@@ -217,16 +235,13 @@
         self._log.say("stopped", member=self._settings.name)
 
     async def _close(self):
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
 
 
 def _own_member(settings):
-    for member in settings.members:
-        if member.name == settings.name:
-            return member
-    raise TamarackhavenError(
-        ErrorKind.SETTINGS_OUT_OF_RANGE, f"name: {settings.name!r} is not in members"
-    )
+    by_name = {member.name: member for member in settings.members}
+    return by_name[settings.name]
 
 
 def _first_membership(settings):
--- a/tamarackhaven/_control_services.py
+++ b/tamarackhaven/_control_services.py
@@ -10,7 +10,7 @@
 from tamarackhaven._control_client import CALL_FAILURES
 from tamarackhaven._decisions import Decision
 from tamarackhaven._events import LoadReport
-from tamarackhaven._machine import encode_events
+from tamarackhaven._feed_wire import pack
 from tamarackhaven._members import Membership, Step
 from tamarackhaven._raft_wire import from_wire
 from tamarackhaven._state import encode_command
@@ -18,8 +18,6 @@
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 WAIT_MS_MAX = 30_000
-# A watcher hears at least this often that nothing changed, so silence means a loss.
-BOOKMARK_S = 5.0
 EXPLAIN_LIMIT_MAX = 500
 
 
@@ -42,9 +40,10 @@
         self._executor = executor
 
     async def Step(self, stream):  # noqa: N802
-        """Take consensus messages."""
-        request = await stream.recv_message()
-        self._consensus.deliver([from_wire(message) for message in request.messages])
+        """Take consensus messages until the sender ends the call."""
+        async for request in stream:
+            messages = [from_wire(message) for message in request.messages]
+            self._consensus.deliver(messages)
         await stream.send_message(pb.StepReply())
 
     async def Fence(self, stream):  # noqa: N802
@@ -117,6 +116,7 @@
         self._peers = peers
         self._leader = leader
         self._versions = versions
+        self._newest = None, b""
 
     async def Change(self, stream):  # noqa: N802
         """Commit a change; passed to the leader once if this is not it."""
@@ -203,24 +203,27 @@
         except (TamarackhavenError, TimeoutError) as error:
             raise GRPCError(Status.UNAVAILABLE, str(error)) from error
 
-    async def Watch(self, stream):  # noqa: N802
-        """Stream events; the stream keeps a version only, however slow its reader."""
-        request = await stream.recv_message()
-        version = request.from_version
-        while True:
-            reply = self._reply(version)
-            await stream.send_message(reply)
-            version = reply.version
-            await self._versions.newer_than(version, BOOKMARK_S)
-
     def _reply(self, from_version):
         feed = self._machine.feed(from_version)
         return pb.FetchReply(
-            version=feed.version,
-            snapshot=feed.snapshot,
-            events=encode_events(feed.events),
+            version=feed.version, snapshot=feed.snapshot, events=self._packed(feed)
         )
 
+    def _packed(self, feed):
+        """Return the feed's events as bytes, the newest ones from memory.
+
+        Load: 1,500 daemons fetch the same change within a moment. Harm: packed anew
+        for each, 4,096 changed shards take a minute of processor time. Limit: one
+        feed is kept, since nearly all of them come from the same version.
+        """
+        if not feed.events:
+            return b""
+        first, last = feed.events[0], feed.events[-1]
+        known = feed.version, feed.snapshot, len(feed.events), first, last
+        if self._newest[0] != known:
+            self._newest = known, pack(feed.events)
+        return self._newest[1]
+
     async def Explain(self, stream):  # noqa: N802
         """Answer recorded decisions; the leader also knows the moves not made."""
         request = await stream.recv_message()
@@ -285,7 +288,7 @@
 
 
 def _outcome(kind, detail):
-    return Outcome(kind.value, str(TamarackhavenError(kind, detail)), 0)
+    return Outcome(kind.value, detail)
 
 
 def _first_line(error):
--- a/tamarackhaven/_daemon_process.py
+++ b/tamarackhaven/_daemon_process.py
@@ -9,6 +9,7 @@
 from tamarackhaven._changes import JoinTarget, LeaveTarget, RetireTarget
 from tamarackhaven._control_client import ControlClient
 from tamarackhaven._daemon import Daemon
+from tamarackhaven._fetch_pace import RETRY_S as FETCH_RETRY_S, FetchPace
 from tamarackhaven._handover import ArrivedParts, Handover
 from tamarackhaven._lease_client import LeaseClient
 from tamarackhaven._load_reports import LoadReports
@@ -21,9 +22,11 @@
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 CALL_TIMEOUT_S = 3.0
-# Hints and acknowledgements say when to fetch; this only covers their loss.
-FETCH_EVERY_S = 1.0
 RETRY_S = 0.1
+JOIN_PAUSE_S = 2.0
+# A turn without a fetch passes on when the map was last confirmed, well within
+# ``stale_s``.
+TURN_S = 0.5
 POLL_S = 0.02
 
 
@@ -70,34 +73,22 @@
         self._client = ControlClient(settings.control)
         self._view = View()
         self._parts = ArrivedParts()
+        self._pace = FetchPace()
         self._fetch_wanted = threading.Event()
         self._join_wanted = threading.Event()
         self._leaving = threading.Event()
         self._stopping = threading.Event()
         self._down = threading.Event()
         self._incarnation = ""
+        self._joined_at = -JOIN_PAUSE_S
         self._zone_out_since = None
         self._lease = LeaseClient(
             settings.lease,
             _first_membership(settings),
-            settings.service,
-            settings.target,
-            self._instance,
             on_version=lambda version: self._fetch_wanted.set(),
             on_must_rejoin=self._must_rejoin,
         )
-        metrics = Metrics()
-        metrics.add_source(lambda: self._gauges(metrics))
-        self.daemon = Daemon(
-            settings,
-            self._view,
-            OwnLease(self._lease),
-            metrics,
-            self._log,
-            _clock,
-            on_target=self._target_changed,
-            take_ledger=self._parts.take,
-        )
+        self.daemon = self._open_daemon()
         self._handover = Handover(
             settings,
             self.daemon,
@@ -115,6 +106,26 @@
             threading.Thread(target=self._keep_joined, name="join", daemon=True),
         ]
 
+    def _open_daemon(self):
+        metrics = Metrics()
+        metrics.add_source(lambda: self._gauges(metrics))
+        try:
+            return Daemon(
+                self._settings,
+                self._view,
+                OwnLease(self._lease),
+                metrics,
+                self._log,
+                _clock,
+                on_target=self._target_changed,
+                take_ledger=self._parts.take,
+            )
+        except TamarackhavenError:
+            # Their threads would keep the process from ending.
+            self._lease.stop()
+            self._client.close()
+            raise
+
     def _gauges(self, metrics):
         for reason, count in self._lease.losses_by_reason.items():
             name = "tamarackhaven_lease_losses"
@@ -136,10 +147,13 @@
 
     def _keep_map(self):
         while not self._stopping.is_set():
-            self._fetch_wanted.wait(self._fetch_pause_s())
+            is_wanted = self._fetch_wanted.wait(self._turn_s())
             self._fetch_wanted.clear()
             try:
-                self._fetch()
+                if is_wanted or self._fetch_is_due():
+                    self._fetch()
+                if self._zone_out_since is not None:
+                    self._zone_changed(ZoneState.OUT)
             except TamarackhavenError as error:
                 self._log.say("map not fetched", code=error.kind.value)
             except Exception as error:
@@ -147,23 +161,34 @@
                 self._stopping.wait(RETRY_S)
             self.daemon.on_confirmed(self._lease.confirmed_at())
 
-    def _fetch_pause_s(self):
-        return FETCH_EVERY_S if self._zone_out_since is None else RETRY_S
+    def _turn_s(self):
+        is_waiting = self._is_behind() or self._zone_out_since is not None
+        return FETCH_RETRY_S if is_waiting else TURN_S
+
+    def _is_behind(self):
+        return self._view.version < self._lease.newest_version()
+
+    def _fetch_is_due(self):
+        return self._pace.is_due(
+            _clock.boot_s(),
+            self._is_behind(),
+            not self._lease.needs_epoch(),
+            self._lease.confirmed_at(),
+        )
 
     def _fetch(self):
         asked_at = _clock.boot_s()
+        self._pace.asked(asked_at)
         feed = self._client.fetch(self._view.version, CALL_TIMEOUT_S)
         if feed.version < self._view.version:
             # A control VM that lags: what it says is older than what is in force.
             return
-        if not self._lease.epoch():
+        if self._lease.needs_epoch():
             # Without a lease nobody confirms the map but the fetch itself; such a
             # daemon owns nothing and only forwards.
             self.daemon.on_confirmed(asked_at)
         if self._view.apply(feed):
             self._applied()
-        elif self._zone_out_since is not None:
-            self._zone_changed(ZoneState.OUT)
 
     def _applied(self):
         view, settings = self._view, self._settings
@@ -191,7 +216,9 @@
         elif self._zone_out_since is None:
             self._zone_out_since = _clock.boot_s()
         since = self._zone_out_since
-        if since is None or _clock.boot_s() - since >= self._grace_s:
+        settings = self._settings
+        owns = bool(self._view.owned_by(settings.service, settings.target))
+        if since is None or not owns or _clock.boot_s() - since >= self._grace_s:
             self.daemon.on_zone(state)
             self._lease.set_draining(state is ZoneState.OUT)
 
@@ -267,6 +294,9 @@
             raise TamarackhavenError(ErrorKind.TARGET_UNREACHABLE, "before joining")
         self.daemon.take_target_back()
         settings = self._settings
+        # Each join is an entry of the log. A daemon that is refused again and again
+        # would fill it, and push older decisions out of the record.
+        self._stopping.wait(self._joined_at + JOIN_PAUSE_S - _clock.boot_s())
         change = JoinTarget(
             service=settings.service,
             target=settings.target,
@@ -279,6 +309,7 @@
         outcome = self._client.change(change, CALL_TIMEOUT_S)
         if outcome.code:
             raise TamarackhavenError(ErrorKind(outcome.code), outcome.detail)
+        self._joined_at = _clock.boot_s()
         self._lease.set_grant(outcome.member.epoch)
         self._fetch_wanted.set()
         self._probe.start()
--- a/tamarackhaven/_settings.py
+++ b/tamarackhaven/_settings.py
@@ -76,8 +76,8 @@
         its shards can leave in steps.
     """
 
-    lease_ms: int = _whole(400, 50, 10_000)
-    renew_ms: int = _whole(100, 10, 2_000)
+    lease_ms: int = _whole(550, 50, 10_000)
+    renew_ms: int = _whole(180, 10, 2_000)
     drift: float = _number(0.01, 0.0, 0.2)
     zone_grace_ms: int = _whole(2000, 0, 60_000)
 
@@ -114,9 +114,11 @@
     max_connections : int
         Hard bound on connections to the target.
     queue_requests : int
-        Most requests that wait at once.
+        Most requests that wait at once: a memory bound. With 64, a dozen slots and
+        work of 67 ms a request was refused that would have started in 0.4 s.
     queue_ms : int
-        Longest wait, in milliseconds; a deadline may make it shorter.
+        Longest wait, in milliseconds; a deadline or the pace of the queue makes it
+        shorter.
     cold_requests : int
         Concurrency of a target that has just started.
     cold_s : float
@@ -127,8 +129,8 @@
     """
 
     max_connections: int = _whole(130, 1, 10_000)
-    queue_requests: int = _whole(64, 0, 100_000)
-    queue_ms: int = _whole(500, 0, 60_000)
+    queue_requests: int = _whole(256, 0, 100_000)
+    queue_ms: int = _whole(2000, 0, 60_000)
     cold_requests: int = _whole(1, 1, 1_000)
     cold_s: float = _number(10.0, 0.0, 3600.0)
     key_share: float = _number(0.5, 0.01, 1.0)
@@ -158,19 +160,24 @@
     Parameters
     ----------
     tick_ms : int
-        Time between two placement steps.
+        Time between two steps of the leader. Well below the lease, so that noticing
+        a silent target adds little to the time without an owner; a step looks at
+        members, and at shards only after a change.
     imbalance : float
         Excess over the mean load, as a part of 1, that is left alone.
     pin_share, unpin_share : float
         A key is pinned above the one and unpinned below the other.
+    pin_rate : float
+        Fewest requests a second of a key that is pinned.
     pin_hold_s : float
         Shortest life of a pin, in seconds.
     """
 
-    tick_ms: int = _whole(100, 10, 10_000)
+    tick_ms: int = _whole(20, 10, 10_000)
     imbalance: float = _number(0.1, 0.0, 10.0)
     pin_share: float = _number(0.05, 0.0, 1.0)
     unpin_share: float = _number(0.02, 0.0, 1.0)
+    pin_rate: float = _number(50.0, 0.0, 1_000_000.0)
     pin_hold_s: float = _number(60.0, 0.0, 3600.0)
 
 
--- a/tamarackhaven/_target_probe.py
+++ b/tamarackhaven/_target_probe.py
@@ -1,13 +1,16 @@
 """Notices that the target beside a daemon takes no connections any more."""
 
+import errno
 import socket
 import threading
 
-PROBE_EVERY_S = 0.1
+# A connection costs a daemon some 0.3 ms of processor time, and the target as much.
+PROBE_EVERY_S = 0.25
 CONNECT_TIMEOUT_S = 0.5
 # One refusal may be a full backlog; two in a row, a tenth of a second apart on the
 # loopback interface, mean that nothing listens.
 REFUSALS_NEEDED = 2
+REFUSED_EVERY_S = 0.1
 
 
 class TargetProbe:
@@ -36,13 +39,13 @@
 
     def is_up(self):
         """Return whether something listens at the target's address."""
-        try:
-            socket.create_connection(self._address, CONNECT_TIMEOUT_S).close()
-        except ConnectionRefusedError:
-            return False
-        except OSError:
-            return True
-        return True
+        family = socket.AF_INET6 if ":" in self._address[0] else socket.AF_INET
+        with socket.socket(family, socket.SOCK_STREAM) as probe:
+            probe.settimeout(CONNECT_TIMEOUT_S)
+            try:
+                return probe.connect_ex(self._address) != errno.ECONNREFUSED
+            except OSError:
+                return True
 
     def start(self):
         """Watch the target from now on."""
@@ -52,11 +55,12 @@
 
     def _run(self):
         refused = 0
-        while not self._stopping.wait(PROBE_EVERY_S):
+        while not self._stopping.wait(REFUSED_EVERY_S if refused else PROBE_EVERY_S):
             if not self._watching.is_set():
                 continue
             refused = 0 if self.is_up() else refused + 1
             if refused >= REFUSALS_NEEDED or self._is_hung():
+                refused = 0
                 self._watching.clear()
                 self._on_down()
 
