Name file and key of a taken port, refuse too few renewals, ask the leader to explain

Cause: a taken port was told without its file and, but for one, its key; renew_ms could be so long that one lost datagram ended a lease; a follower that was asked to explain had none of the leader's moves not made, and those stood behind all others. Change: each of the three.

--- a/tamarackhaven/_control_services.py
+++ b/tamarackhaven/_control_services.py
@@ -1,6 +1,7 @@
 """The calls that a control VM answers, over ``grpclib``."""
 
 import asyncio
+import contextlib
 
 from grpclib import GRPCError, Status
 
@@ -227,6 +228,11 @@
     async def Explain(self, stream):  # noqa: N802
         """Answer recorded decisions; the leader also knows the moves not made."""
         request = await stream.recv_message()
+        leader = self._leader_stub()
+        if leader is not None:
+            with contextlib.suppress(*CALL_FAILURES):
+                await stream.send_message(await leader.Explain(request, timeout=1))
+                return
         decisions = self._explain(request)
         await stream.send_message(
             pb.ExplainReply(decisions=_codec.dumps(decisions, list[Decision]))
@@ -242,7 +248,8 @@
         refused = self._leader.refusals.find(
             request.service, shard, request.decision_id, limit
         )
-        return (found + refused)[:limit]
+        newest_first = sorted(found + refused, key=lambda d: -d.at_unix_s)
+        return newest_first[:limit]
 
     def _shard(self, service, key):
         resource = self._machine.state.resource("Service", service)
--- a/tamarackhaven/_http_server.py
+++ b/tamarackhaven/_http_server.py
@@ -260,7 +260,7 @@
         logging.getLogger("waitress").setLevel(logging.CRITICAL)
         self._server = waitress.create_server(
             app,
-            sockets=[_bound(listen)],
+            sockets=[_bound(listen, name)],
             _dispatcher=_Dispatcher(threads),
             backlog=_LISTEN_BACKLOG,
             connection_limit=_CONNECTIONS,
@@ -351,7 +351,7 @@
         return any(channel.is_busy() for channel in channels)
 
 
-def _bound(listen):
+def _bound(listen, name):
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
@@ -359,6 +359,7 @@
     except OSError as error:
         sock.close()
         raise TamarackhavenError(
-            ErrorKind.PORT_TAKEN, f"{listen.host}:{listen.port}: {error.strerror}."
+            ErrorKind.PORT_TAKEN,
+            f"{name}.port: {listen.host}:{listen.port}: {error.strerror}.",
         ) from error
     return sock
--- a/tamarackhaven/_lease_server.py
+++ b/tamarackhaven/_lease_server.py
@@ -170,7 +170,7 @@
     except OSError as error:
         receiver.close()
         raise TamarackhavenError(
-            ErrorKind.PORT_TAKEN, f"UDP {listen.host}:{listen.port}: {error}"
+            ErrorKind.PORT_TAKEN, f"lease_port: {listen.host}:{listen.port}: {error}"
         ) from error
     receiver.settimeout(_STOP_POLL_S)
     return receiver
--- a/tamarackhaven/_settings_file.py
+++ b/tamarackhaven/_settings_file.py
@@ -9,9 +9,11 @@
 
 import attrs
 
-from tamarackhaven._settings import ControlSettings
+from tamarackhaven._settings import ControlSettings, DaemonSettings
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
+RENEWALS_IN_A_LEASE = 3
+
 _NAME_BY_TYPE = {
     str: "a text",
     int: "a whole number",
@@ -85,10 +87,24 @@
 
 @cross_problems.register
 def _(settings: ControlSettings):
-    if settings.name in [member.name for member in settings.members]:
+    problems = _lease_problems(settings.lease)
+    if settings.name not in [member.name for member in settings.members]:
+        text = f"is out of range: {settings.name!r} is not in members"
+        problems.append(Problem(ErrorKind.SETTINGS_OUT_OF_RANGE, "name", text))
+    return problems
+
+
+@cross_problems.register
+def _(settings: DaemonSettings):
+    return _lease_problems(settings.lease)
+
+
+def _lease_problems(lease):
+    """Refuse so few renewals in a lease that one lost datagram could end it."""
+    if lease.renew_ms * RENEWALS_IN_A_LEASE <= lease.lease_ms:
         return []
-    text = f"is out of range: {settings.name!r} is not in members"
-    return [Problem(ErrorKind.SETTINGS_OUT_OF_RANGE, "name", text)]
+    text = f"is out of range: it must be a third of lease_ms ({lease.lease_ms}) or less"
+    return [Problem(ErrorKind.SETTINGS_OUT_OF_RANGE, "lease.renew_ms", text)]
 
 
 def _read(path):
--- a/tamarackhaven/porcelain.py
+++ b/tamarackhaven/porcelain.py
@@ -1,5 +1,6 @@
 """The commands: a thin layer over ``plumbing`` that prints for people or programs."""
 
+import contextlib
 import json
 import signal
 import sys
@@ -31,7 +32,8 @@
     from tamarackhaven._daemon_process import DaemonProcess
 
     stop = _stop_event()
-    process = DaemonProcess(load_settings(settings, DaemonSettings))
+    with _naming(settings):
+        process = DaemonProcess(load_settings(settings, DaemonSettings))
     process.start()
     stop.wait()
     process.leave()
@@ -46,7 +48,9 @@
     """
     from tamarackhaven._control_process import run_control
 
-    run_control(load_settings(settings, ControlSettings), first_start, _stop_event())
+    loaded = load_settings(settings, ControlSettings)
+    with _naming(settings):
+        run_control(loaded, first_start, _stop_event())
 
 
 def apply(
@@ -310,6 +314,17 @@
         self.calls.close()
 
 
+@contextlib.contextmanager
+def _naming(path):
+    """Name the settings file in the error of a port that is taken."""
+    try:
+        yield
+    except TamarackhavenError as error:
+        if error.kind is not ErrorKind.PORT_TAKEN:
+            raise
+        raise TamarackhavenError(error.kind, f"{path}: {error.detail}") from error
+
+
 def _stop_event():
     stop = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -12,7 +12,7 @@
     OperatorSettings,
     PlacementSettings,
 )
-from tamarackhaven._settings_file import load_settings
+from tamarackhaven._settings_file import SettingsError, load_settings
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
@@ -111,3 +111,16 @@
         load_settings(tmp_path / "none.toml", OperatorSettings)
     assert caught.value.kind is ErrorKind.SETTINGS_MISSING
     assert "none.toml" in caught.value.detail
+
+
+def test_too_few_renewals_in_a_lease_are_refused(tmp_path):
+    """One lost datagram would end the lease, and its shards would move for nothing."""
+    path = tmp_path / "daemon.toml"
+    path.write_text(
+        (EXAMPLES / "daemon.toml")
+        .read_text()
+        .replace("renew_ms = 180", "renew_ms = 200")
+    )
+    with pytest.raises(SettingsError) as caught:
+        load_settings(path, DaemonSettings)
+    assert "lease.renew_ms: is out of range" in str(caught.value)
