--- a/tamarackhaven/_settings.py
+++ b/tamarackhaven/_settings.py
@@ -223,9 +223,9 @@
     )
     capacity: int = _whole(1, 1, 1_000)
     # Load: callers wait in the gate's queue, each on a thread. Harm: with fewer threads
-    # than slots and places in the queue the line forms before the gate, where nobody
-    # looks at deadlines, fair shares or Retry-After. Limit: a dozen slots and
-    # ``queue_requests`` fit; more threads would cost memory and wait without use.
+    # than slots and some waiting the line forms before the gate, where nobody looks at
+    # deadlines, fair shares or Retry-After. Limit: a dozen slots and 64 that wait, on
+    # each of two ports; that many keep a daemon below its 64 MB under load.
     threads: int = _whole(80, 1, 512)
     forward_wait_ms: int = _whole(300, 0, 60_000)
     stale_s: float = _number(3.0, 0.1, 60.0)
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -15,7 +15,12 @@
 from tamarackhaven._metrics import RETRIES, RETRIES_REFUSED, Metrics
 from tamarackhaven._model import Address, PolicyMode, TargetMember, ZoneState
 from tamarackhaven._retries import Retries
-from tamarackhaven._retry import RetrySettings
+from tamarackhaven._retry import (
+    LOST_KINDS,
+    REFUSED_KINDS,
+    RELOCATED_KINDS,
+    RetrySettings,
+)
 from tamarackhaven._shared_pool import RecentQuantile, SharedPool
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tests.fakes import FakeView, Node, ask, booking, running, wait_for
@@ -143,6 +148,23 @@
     assert metrics.counter(RETRIES_REFUSED, reason=reason) == 1
 
 
+RETRIED = sorted(
+    RELOCATED_KINDS | REFUSED_KINDS | LOST_KINDS, key=lambda kind: kind.value
+)
+
+
+@pytest.mark.parametrize("kind", RETRIED)
+def test_retries_are_counted_by_the_error_before_them(kind):
+    metrics = Metrics()
+    clock = SimpleNamespace(boot_s=lambda: 100.0)
+    retries = Retries(RetrySettings(), PolicyMode.SHARED, metrics, clock)
+    request = SimpleNamespace(is_booking=False, deadline_s=109.0)
+    error = TamarackhavenError(kind)
+    assert retries.allows(error, request, 1)
+    retries.started(error)
+    assert metrics.counter(RETRIES, reason=kind.name) == 1
+
+
 class SilentDaemon:
     """Takes connections and answers nothing; ``hang_up`` closes them."""
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -77,6 +77,7 @@
             thread.start()
         wait_for(lambda: first.daemon.in_flight("s", SHARD) == 2)
         wait_for(lambda: first.standin.target.report()["running"] == 2)
+        wait_for(lambda: first.daemon.link.state().report)
         first.standin.announcer.stop()
         started = _clock.boot_s()
         assert silence.check(started + 4000)
