--- a/tamarackhaven/_forward.py
+++ b/tamarackhaven/_forward.py
@@ -1,6 +1,5 @@
 """Filter: hand a request to the owner's daemon, and its answer back."""
 
-import json
 import threading
 
 from tamarackhaven import _request as names
@@ -86,12 +85,8 @@
 
 
 def _retry_after_s(answer):
-    """Return the exact time in the body; the header has whole seconds."""
-    try:
-        return float(json.loads(answer.body).get("retry_after_s", 0.0))
-    except (ValueError, TypeError, AttributeError):
-        value = answer.header(names.RETRY_AFTER_HEADER)
-        return float(value) if value.isdigit() else 0.0
+    value = answer.header(names.RETRY_AFTER_MS_HEADER)
+    return int(value) / 1000 if value.isdigit() else 0.0
 
 
 def _raised_kinds(mode):
--- a/tamarackhaven/_gate.py
+++ b/tamarackhaven/_gate.py
@@ -157,6 +157,8 @@
         return self.taken < self.limit
 
     def _admit(self, offer, queued):
+        if not self._offer_by_id:
+            self._rate.began(self._now)
         self._offer_by_id[offer.request_id] = offer
         self._queue.started(offer, queued)
         self.admitted += 1
@@ -256,14 +258,17 @@
     def _expire(self, at_once):
         """Refuse the waiting requests that are too late.
 
-        With ``at_once`` also those that will be: when the limit falls, who can't
-        start any more hears it now and not at its deadline.
+        With ``at_once`` also those that will be: when the limit falls or the target
+        is silent, who can't start any more hears it now and not at its deadline.
         """
-        pace_s = self._rate.interval_s(self.limit) if at_once else 0.0
+        limit = self.limit
         decisions = []
         place = 0
         for entry in self._queue.entries:
-            if self._now + place * pace_s >= entry.start_by_s:
+            late_at = entry.start_by_s
+            if at_once:
+                late_at = self._rate.late_at(place, limit, late_at)
+            if self._now >= late_at:
                 self._queue.remove(entry)
                 decisions.append(self._refuse(entry.offer, self._late_kind()))
             else:
@@ -329,6 +334,10 @@
             return math.inf
         if self._has_room():
             return now
-        first = min(entry.start_by_s for entry in self._queue.entries)
+        limit = self.limit
+        first = min(
+            self._rate.late_at(place, limit, entry.start_by_s)
+            for place, entry in enumerate(self._queue.entries)
+        )
         freed = min((a.until_s for a in self._abandoned), default=math.inf)
         return max(now, min(first, freed))
