Take no older promise for the silence of a new epoch

**Cause:** a daemon that joined again within moments of its loss was retired 8 ms before it heard of its epoch: the leader took the end of the promise to its older epoch, long past, as the time since which the new one was silent. It joined twice. **Change:** the leader asks for the promise to that very epoch, else the grace after a join counts; a fence still waits for promises to older epochs. **Measured:** the new test fails without the change.

--- a/tamarackhaven/_lease_promises.py
+++ b/tamarackhaven/_lease_promises.py
@@ -188,15 +188,18 @@
         }
 
     def promise_end(self, service, target, epoch):
-        """Return when the promise to this epoch or an older one ends or ended.
+        """Return when the promise to this epoch ends or ended.
+
+        One to an older epoch says nothing of how long this one has been silent: a
+        target that has just joined again would be retired before it can renew.
 
         Returns
         -------
         float or None
-            Seconds; None if this process never promised.
+            Seconds; None if this process never promised to it.
         """
         promise = self._promise_by_target.get((service, target))
-        if promise is None or promise.epoch > epoch:
+        if promise is None or promise.epoch != epoch:
             return None
         return promise.until
 
@@ -214,8 +217,10 @@
         key = (service, target)
         if epoch <= self._fenced_by_target.get(key, 0):
             return Fenced(True)
-        end = self.promise_end(service, target, epoch)
-        wait_s = max(self._unknown_until, -math.inf if end is None else end) - now
+        promise = self._promise_by_target.get(key)
+        is_covered = promise is not None and promise.epoch <= epoch
+        end = promise.until if is_covered else -math.inf
+        wait_s = max(self._unknown_until, end) - now
         if wait_s > 0:
             return Fenced(False, to_ms(wait_s))
         self._fenced_by_target[key] = epoch
--- a/tests/test_lease_promises.py
+++ b/tests/test_lease_promises.py
@@ -51,6 +51,19 @@
     assert promises.ready_for_membership_change(0.5)
 
 
+def test_older_promise_delays_a_fence_but_is_no_silence_of_a_new_epoch():
+    """A target joins again right after its loss, and its old promise has run out.
+
+    Taken for the new epoch's, the leader would retire that before its first renewal.
+    """
+    promises = LeasePromises(SETTINGS, -9.0)
+    promises.renewal(RENEWAL, 0.0, VIEW)
+    assert promises.promise_end("s", "t", 5) == 0.5
+    assert promises.promise_end("s", "t", 6) is None
+    assert promises.fence("s", "t", 6, 0.25) == Fenced(False, 250)
+    assert promises.fence("s", "t", 6, 0.5) == Fenced(True)
+
+
 def test_state_is_confirmed_by_a_majority_though_changes_never_pause():
     """The map is always a version behind, yet each version is confirmed in turn."""
     members = tuple(Member(name, "h", 1, 1) for name in "abc")
