--- a/standin/cluster.py
+++ b/standin/cluster.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -20,6 +21,7 @@
 HOST = "127.0.0.1"
 STOP_S = 15.0
 START_S = 60.0
+PORTS = (15_000, 32_000)
 GIVEN_PORTS = set()
 
 
@@ -48,18 +50,23 @@
 
 
 def free_port():
-    """Return a TCP port that is free for UDP, too, and was not given before."""
+    """Return a TCP port that is free for UDP, too, and was not given before.
+
+    It is below the range from which the system takes ports for outgoing connections:
+    one of those could take the port of a process that is down for a moment.
+    """
     while True:
+        port = random.randrange(*PORTS)
+        if port in GIVEN_PORTS:
+            continue
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((HOST, 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind((HOST, port))
                 udp.bind((HOST, port))
             except OSError:
                 continue
-        if port not in GIVEN_PORTS:
-            GIVEN_PORTS.add(port)
-            return port
+        GIVEN_PORTS.add(port)
+        return port
 
 
 def wait_until(condition, timeout_s, what):
--- a/tamarackhaven/_control_services.py
+++ b/tamarackhaven/_control_services.py
@@ -266,7 +266,9 @@
         request = await stream.recv_message()
         leader = self._leader_stub()
         if leader is not None:
-            await leader.Report(request, timeout=1)
+            # A report that is lost with its leader is followed by the next one.
+            with contextlib.suppress(*CALL_FAILURES):
+                await leader.Report(request, timeout=1)
         else:
             self._leader.report(_codec.loads(request.report, LoadReport))
         await stream.send_message(pb.ReportReply())
