--- a/tamarackhaven/_daemon.py
+++ b/tamarackhaven/_daemon.py
@@ -12,7 +12,6 @@
 from tamarackhaven._forward import Forwarder
 from tamarackhaven._gate import Gate
 from tamarackhaven._grants import Grants
-from tamarackhaven._hot_keys import HotKeys
 from tamarackhaven._http_server import MAX_HEADER_BYTES, HttpServer
 from tamarackhaven._ledger import Ledger
 from tamarackhaven._metrics import metrics_server
@@ -23,6 +22,7 @@
 from tamarackhaven._peer_app import peer_app
 from tamarackhaven._retries import Retries, owner_retries
 from tamarackhaven._retry import RetrySettings
+from tamarackhaven._seen_load import SeenLoad
 from tamarackhaven._send import Connections
 from tamarackhaven._shared_route import SharedRoute
 from tamarackhaven._silence import Silence
@@ -43,28 +43,6 @@
     connections: Connections
 
 
-@attrs.frozen
-class Load:
-    """What a daemon has seen since the last time it was asked.
-
-    Parameters
-    ----------
-    admitted : int
-        Requests that reached the gate.
-    limit : int
-        Present concurrency limit.
-    cold : bool
-        Whether the gate holds its cold-start ceiling.
-    hot_keys : list of HotKey
-        Hottest first.
-    """
-
-    admitted: int
-    limit: int
-    cold: bool
-    hot_keys: list
-
-
 class Daemon:
     """One daemon; signals are handled by whoever starts it.
 
@@ -121,9 +99,7 @@
         self._draining = False
         self._zone = ZoneState.IN
         self._confirmed_s = clock.boot_s()
-        self._hot_lock = threading.Lock()
-        self._hot_keys = HotKeys(now=clock.boot_s())
-        self._admitted = 0
+        self.seen_load = SeenLoad(clock)
         self._grants = Grants(_Locked(self.ledger, self.ledger_lock), clock)
         self._forwarder = Forwarder(2 * settings.threads)
         self._canceller = Canceller()
@@ -137,7 +113,7 @@
             self._present_target,
             self._canceller,
             clock,
-            self._note_key,
+            self.seen_load.note,
             self.silence,
         )
         self.path = self._make_path(view, owner, log.part("path"))
@@ -274,21 +250,19 @@
         with self.ledger_lock:
             return self.ledger.export(service, shard)
 
-    def load(self, hot_keys):
-        """Return a ``Load``, with at most ``hot_keys`` keys; restarts its count."""
+    def gate_state(self):
+        """Return the gate's present limit, and whether it is cold.
+
+        Returns
+        -------
+        (int, bool)
+            A target that has not announced itself counts as cold, with limit 0.
+        """
         target = self._target
-        with self._hot_lock:
-            admitted, self._admitted = self._admitted, 0
-            hottest = self._hot_keys.hottest(hot_keys)
         if target is None:
-            return Load(admitted, 0, True, hottest)
+            return 0, True
         gauges = target.admission.gauges()
-        return Load(admitted, gauges["limit"], bool(gauges["cold"]), hottest)
-
-    def _note_key(self, key_hash):
-        with self._hot_lock:
-            self._admitted += 1
-            self._hot_keys.offer(key_hash, self._clock.boot_s())
+        return gauges["limit"], bool(gauges["cold"])
 
     def stop_admitting(self, service, shard):
         """Take no new request of a shard until a newer grant, or ``resume``."""
--- a/tamarackhaven/_load_reports.py
+++ b/tamarackhaven/_load_reports.py
@@ -46,7 +46,8 @@
 
     def _send(self, epoch):
         """Send a report; return the number of its hot keys."""
-        load = self._daemon.load(HOT_KEYS_REPORTED)
+        load = self._daemon.seen_load.take(HOT_KEYS_REPORTED)
+        limit, is_cold = self._daemon.gate_state()
         now = boot_s()
         took_s, self._counted_at = now - self._counted_at, now
         report = LoadReport(
@@ -54,8 +55,8 @@
             target=self._settings.target,
             epoch=epoch,
             requests_per_s=round(load.admitted / took_s, RATE_DIGITS),
-            limit=load.limit,
-            cold=load.cold,
+            limit=limit,
+            cold=is_cold,
             hot_keys=[_rounded(hot) for hot in load.hot_keys],
         )
         # One that failed is not sent again: reports age at the leader, and the next
