Read TOML in one place

Cause: settings and resources read and refused files by two copies of the same code. Change: plumbing uses the reader of the settings. Measured: tests of settings, commands and docs pass.

--- a/tamarackhaven/_settings_file.py
+++ b/tamarackhaven/_settings_file.py
@@ -69,7 +69,7 @@
         SETTINGS_MISSING, SETTINGS_SYNTAX, SETTINGS_UNKNOWN_KEY, SETTINGS_WRONG_TYPE
         or SETTINGS_OUT_OF_RANGE; the detail names the file, each key and the cause.
     """
-    table = _read(path)
+    table = read_toml(path)
     problems = []
     settings = _build(table, settings_class, "", problems)
     if not problems:
@@ -107,7 +107,14 @@
     return [Problem(ErrorKind.SETTINGS_OUT_OF_RANGE, "lease.renew_ms", text)]
 
 
-def _read(path):
+def read_toml(path):
+    """Return the tables of a TOML file.
+
+    Raises
+    ------
+    TamarackhavenError
+        SETTINGS_MISSING or SETTINGS_SYNTAX, naming the file.
+    """
     try:
         return tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
     except OSError as error:
--- a/tamarackhaven/plumbing.py
+++ b/tamarackhaven/plumbing.py
@@ -4,7 +4,6 @@
 """
 
 import http.client
-import tomllib
 import uuid
 from urllib.parse import quote
 
@@ -16,6 +15,7 @@
 from tamarackhaven._metrics import REFUSALS_PATH
 from tamarackhaven._model import AvailabilityZone, OwnershipPolicy, Service
 from tamarackhaven._refusals import Refusal
+from tamarackhaven._settings_file import read_toml
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 HTTP_TIMEOUT_S = 5.0
@@ -83,17 +83,7 @@
     TamarackhavenError
         SETTINGS_MISSING, SETTINGS_SYNTAX or INVALID_RESOURCE, naming the file.
     """
-    try:
-        with open(path, "rb") as file:
-            tables = tomllib.load(file)
-    except OSError as error:
-        raise TamarackhavenError(
-            ErrorKind.SETTINGS_MISSING, f"{path}: {error.strerror}"
-        ) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise TamarackhavenError(
-            ErrorKind.SETTINGS_SYNTAX, f"{path}: {error}"
-        ) from error
+    tables = read_toml(path)
     unknown = set(tables) - set(KIND_BY_NAME)
     if unknown:
         raise TamarackhavenError(
