Measure how long a change takes until every daemon has it

Cause: the bound of 9 s for a change had no measurement of its own. Change: a part of bench-control; its parts can be run one by one.

--- a/benches/bench_control.py
+++ b/benches/bench_control.py
@@ -43,6 +43,7 @@
 LEASE_S = 10.0
 STANDIN_PROCESSES = 5
 COMMITS = 320
+CHANGES = 30
 SETTLE_S = 1.0
 
 
@@ -101,6 +102,7 @@
     name = f"z-{new_change_id()}"
     outcome = client.change(PutResource(name, AvailabilityZone(name)), 10)
     assert not outcome.code, outcome
+    return outcome.version
 
 
 def run_standins(rows, numbers, ready, stop, result):
@@ -257,6 +259,34 @@
     return any(row["owner"] == name for row in cluster.records("shard"))
 
 
+def bench_in_force(changes):
+    """Print how long a change takes until every daemon has it."""
+    targets = [TargetSpec("s", f"t{n}", "ab"[n % 2], cold_s=0) for n in range(8)]
+    cluster = new_cluster("force", targets)
+    times = []
+    try:
+        cluster.start(RESOURCES)
+        client = ControlClient(members(cluster))
+        for _ in range(changes):
+            start = time.monotonic()
+            version = put_zone(client)
+            for target in targets:
+                while map_version(cluster, target.name) < version:
+                    time.sleep(0.002)
+            times.append(time.monotonic() - start)
+        client.close()
+    finally:
+        cluster.stop()
+    times.sort()
+    print(f"\na change in force at {len(targets)} daemons, {changes} times: ", end="")
+    print(f"median {statistics.median(times):.3f} s, longest {times[-1]:.3f} s")
+
+
+def map_version(cluster, name):
+    """Return the version of the map that a daemon has."""
+    return gauge(cluster, f"d-{name}", "tamarackhaven_map_version")
+
+
 def burn(until):
     """Keep one core busy until a moment of ``time.monotonic``."""
     while time.monotonic() < until:
@@ -296,7 +326,21 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--kills", type=int, default=21)
     parser.add_argument("--busy-s", type=float, default=300.0)
+    parser.add_argument("--part", choices=("costs", "force", "losses", "busy", "all"))
     options = parser.parse_args()
+    part = options.part or "all"
+    if part in ("costs", "all"):
+        bench_costs()
+    if part in ("force", "all"):
+        bench_in_force(CHANGES)
+    if part in ("losses", "all"):
+        bench_losses(options.kills)
+    if part in ("busy", "all"):
+        bench_false_expiries(options.busy_s)
+
+
+def bench_costs():
+    """Print commits and leases of one control group."""
     cluster = new_cluster("control", [])
     try:
         start_controls(cluster)
@@ -305,8 +349,6 @@
         bench_leases(cluster)
     finally:
         cluster.stop()
-    bench_losses(options.kills)
-    bench_false_expiries(options.busy_s)
 
 
 if __name__ == "__main__":
