Let the owner's filter use the table of failure points

Cause: the closed table stood beside a second one in _owner.py, and the two differed: an oversized answer and one of another request counted as cut connections, three of which make a warm target cold. Change: the owner asks the table; the second one is gone.

--- a/tamarackhaven/_failure_points.py
+++ b/tamarackhaven/_failure_points.py
@@ -15,9 +15,8 @@
 
 from tamarackhaven._gate_messages import End
 from tamarackhaven._ledger import BookingEnd
-from tamarackhaven.errors import ErrorKind, Ran
+from tamarackhaven.errors import ANSWER_BY_KIND, ErrorKind, Ran
 
-DID_NOT_RUN_HEADER = "Tamarackhaven-Did-Not-Run"
 DID_NOT_RUN_VALUE = "1"
 _SERVICE_UNAVAILABLE = 503
 
@@ -133,6 +132,25 @@
 }
 
 
+_END_BY_KIND = {
+    failure.kind: failure.end
+    for failure in FAILURE_BY_POINT.values()
+    if failure.end is not None
+}
+
+
+def end_of(kind):
+    """Return how an admitted request that failed with ``kind`` ended for the gate.
+
+    One that was refused after it had been admitted, and never sent, is given up: it
+    says nothing of the target.
+    """
+    if kind in _END_BY_KIND:
+        return _END_BY_KIND[kind]
+    never_sent = ANSWER_BY_KIND[kind].ran is Ran.NO
+    return End.GIVEN_UP if never_sent else End.FAILED
+
+
 def says_not_run(status, did_not_run_values):
     """Return whether an answer is the target's word that the request did not run.
 
--- a/tamarackhaven/_owner.py
+++ b/tamarackhaven/_owner.py
@@ -5,6 +5,11 @@
 import attrs
 
 from tamarackhaven import _request as names
+from tamarackhaven._failure_points import (
+    BOOKING_END_BY_RAN,
+    end_of,
+    says_not_run,
+)
 from tamarackhaven._gate_messages import End
 from tamarackhaven._ledger import (
     BookingAnswer,
@@ -21,7 +26,6 @@
 
 IN_PROGRESS_RETRY_S = 0.5
 BODY_DROPPED_HEADER = "Tamarackhaven-Body-Dropped"
-_DID_NOT_RUN = "1"
 _OWN_ANSWER_HEADERS = frozenset(
     name.lower()
     for name in (names.RAN_HEADER, names.ERROR_HEADER, names.DID_NOT_RUN_HEADER)
@@ -120,8 +124,7 @@
             end, kept = BookingEnd.ANSWERED, _kept(answer)
             return answer
         except TamarackhavenError as error:
-            if error.answer.ran is Ran.NO:
-                end = BookingEnd.DID_NOT_RUN
+            end = BOOKING_END_BY_RAN[error.answer.ran]
             raise
         finally:
             with self._ledger_lock:
@@ -145,7 +148,7 @@
             answer = self._send(request, located, connections, gone)
             end = _end_of(answer)
         except TamarackhavenError as error:
-            end = _END_BY_KIND.get(error.kind, End.FAILED)
+            end = end_of(error.kind)
             if error.kind in _CANCELLED_BY_US:
                 self._canceller.cancel(connections, request.request_id)
             raise
@@ -217,18 +220,6 @@
 _CANCELLED_BY_US = frozenset(
     {ErrorKind.ANSWER_TIMEOUT, ErrorKind.CALLER_GONE, ErrorKind.CANCELLED}
 )
-_END_BY_KIND = {
-    ErrorKind.TARGET_UNREACHABLE: End.UNREACHABLE,
-    ErrorKind.ANSWER_TIMEOUT: End.GIVEN_UP,
-    ErrorKind.CALLER_GONE: End.GIVEN_UP,
-    ErrorKind.CANCELLED: End.GIVEN_UP,
-    ErrorKind.LEASE_LOST: End.GIVEN_UP,
-    ErrorKind.NOT_OWNER: End.GIVEN_UP,
-    ErrorKind.DRAINING: End.GIVEN_UP,
-    ErrorKind.ZONE_OUT: End.GIVEN_UP,
-    ErrorKind.STATE_STALE: End.GIVEN_UP,
-    ErrorKind.CONNECTIONS_FULL: End.GIVEN_UP,
-}
 
 
 class _HangWatch:
@@ -311,8 +302,8 @@
 
 
 def _end_of(answer):
-    did_not_run = answer.header(names.DID_NOT_RUN_HEADER) == _DID_NOT_RUN
-    return End.SHED if answer.status == 503 and did_not_run else End.ANSWERED
+    value = answer.header(names.DID_NOT_RUN_HEADER)
+    return End.SHED if says_not_run(answer.status, [value]) else End.ANSWERED
 
 
 def _shed(answer):
