Find late waiters by one pass over the queue

**Cause:** With 256 places, when each waiter is late was computed for all of them at each call of the gate.

**Change:** One threshold holds for all; next_tick converts only the earliest. A rounding allowance keeps a due tick from being due again.

--- a/tamarackhaven/_gate.py
+++ b/tamarackhaven/_gate.py
@@ -20,6 +20,9 @@
 # A request that its caller gave up on may run on at the target. Its place stays taken
 # for this many mean holding times, unless a later report shows that it has ended.
 ABANDONED_HOLDS = 4.0
+# Failure: the tick that next_tick asks for comes, and by rounding refuses nobody.
+# Symptom: it is due again at once, for ever. More than a rounding error of clock times.
+ROUNDING_S = 1e-6
 # Bounds of that time: no target that honours deadlines runs on for longer.
 ABANDONED_MIN_S = 0.05
 ABANDONED_MAX_S = 2.0
@@ -262,17 +265,17 @@
         is silent, who can't start any more hears it now and not at its deadline.
         """
         limit = self.limit
+        pace_s = self._rate.interval_s(limit) if at_once else 0.0
+        next_start = self._now + ROUNDING_S
+        if at_once:
+            next_start += self._rate.stalled_s(limit, self._now)
         decisions = []
-        place = 0
         for entry in self._queue.entries:
-            late_at = entry.start_by_s
-            if at_once:
-                late_at = self._rate.late_at(place, limit, late_at)
-            if self._now >= late_at:
+            if next_start >= entry.start_by_s:
                 self._queue.remove(entry)
                 decisions.append(self._refuse(entry.offer, self._late_kind()))
             else:
-                place += 1
+                next_start += pace_s
         return decisions
 
     def withdraw(self, request_id, now):
@@ -334,10 +337,11 @@
             return math.inf
         if self._has_room():
             return now
-        limit = self.limit
+        pace_s = self._rate.interval_s(self.limit)
         first = min(
-            self._rate.late_at(place, limit, entry.start_by_s)
+            entry.start_by_s - place * pace_s
             for place, entry in enumerate(self._queue.entries)
         )
+        first = self._rate.known_at(first)
         freed = min((a.until_s for a in self._abandoned), default=math.inf)
         return max(now, min(first, freed))
--- a/tamarackhaven/_retry_after.py
+++ b/tamarackhaven/_retry_after.py
@@ -58,17 +58,16 @@
     def _silent_from_s(self):
         return self._alive_at + STALL_HOLDS * self._hold_s
 
-    def late_at(self, place, limit, start_by_s):
-        """Return when it is known that ``place`` others start too late before it.
+    def known_at(self, start_by_s):
+        """Return when silence would show that a start by ``start_by_s`` fails.
 
-        Load: a queue behind a target that slows, or stalls. Harm prevented: callers
-        hear only near their deadlines what was known long before. Limit: the time at
-        which the pace, and a silence expected to last as long again, leave no room.
+        Load: a queue behind a target that stalls. Harm prevented: callers hear only
+        near their deadlines what was known long before. Limit: a silence is expected
+        to last as long again.
         """
-        paced_s = start_by_s - place * self.interval_s(limit)
         if not self._hold_s:
-            return paced_s
-        return (paced_s + min(paced_s, self._silent_from_s())) / 2
+            return start_by_s
+        return (start_by_s + min(start_by_s, self._silent_from_s())) / 2
 
     def wait_s(self, place, limit, now):
         """Return the expected wait behind ``place`` others, in seconds.
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -306,7 +306,8 @@
 
     A naive version keeps the mean holding time and the time of the last sign of life,
     and asks after each step, for all that wait in their order, whether their places
-    at that pace, and a silence as long again as so far, still let them start.
+    at that pace, and a silence as long again as so far, still let them start. A tick
+    that was due is not due again at once.
     """
     session = Session(gate_settings=GateSettings(queue_requests=16, queue_ms=2000))
     gate, hold_s, alive_s = session.gate, 0.0, 0.0
@@ -331,6 +332,7 @@
             session.finish(name, end, latency_s)
         if gate.next_tick(session.now) <= session.now:
             session.note_all(gate.tick(session.now))
+            assert gate.next_tick(session.now) > session.now
         silent_s = max(0.0, session.now - alive_s - 4 * hold_s) if hold_s else 0.0
         for place, entry in enumerate(gate._queue.entries):
             wait_s = place * hold_s / gate.limit + silent_s
@@ -422,3 +424,25 @@
         session.offer(f"r{number}")
         session.finish(f"r{number}", latency_s=0.001)
     assert (session.gate.limit > SETTINGS.cold_requests) == raised
+
+
+def test_a_due_tick_is_not_due_again():
+    """A target is silent and its queue runs out of time, at a thousand odd times.
+
+    Each tick that the gate asks for must refuse someone or move on. When rounding kept
+    a request that was due, the tick was due again at once, and its thread spun.
+    """
+    rng = random.Random(3)
+    for _ in range(1000):
+        session = Session()
+        session.now = rng.uniform(0.0, 1e6)
+        session.offer("first")
+        session.finish("first", latency_s=rng.uniform(0.01, 0.2))
+        for number in range(12):
+            session.offer(f"r{number}", number, f"c{number}", rng.uniform(0.1, 2.0))
+        ticks = 0
+        while session.gate.waiting:
+            session.now = session.gate.next_tick(session.now)
+            session.note_all(session.gate.tick(session.now))
+            ticks += 1
+            assert ticks <= 12
