Let replies and reports wait for the leader's next step

Cause: found by reading: replies to fences and load reports took the leader's lock on the event loop, which at the design size a plan holds for a quarter of a second. Change: they go through a queue that the leader's own thread empties; the lock is gone.

--- a/tamarackhaven/_leader.py
+++ b/tamarackhaven/_leader.py
@@ -5,11 +5,17 @@
 or grant that it was made for, so one made from an old state changes nothing.
 """
 
+import contextlib
+import queue
 import threading
+from functools import singledispatchmethod
+
+import attrs
 
 from tamarackhaven._changes import Command, MoveShards, RetireTarget
 from tamarackhaven._decisions import Decision, DecisionRecord
-from tamarackhaven._fence_round import FenceRounds
+from tamarackhaven._events import LoadReport
+from tamarackhaven._fence_round import FenceAsk, FenceRounds
 from tamarackhaven._model import TargetState, ZoneState
 from tamarackhaven._pins import PinPlanner
 from tamarackhaven._placement import plan
@@ -27,6 +33,13 @@
 REFUSALS_KEPT = 200
 
 
+@attrs.frozen
+class _FenceReply:
+    ask: FenceAsk
+    fenced: bool
+    remaining_ms: int
+
+
 class LeaderDuties:
     """Runs on every control VM, acts only where the leader is.
 
@@ -52,7 +65,10 @@
         self._urgent_after_s = settings.lease.zone_grace_ms / 1000 / 2
         self._clock = clock
         self._log = log
-        self._lock = threading.RLock()
+        # Load: replies and reports of hundreds of daemons, while a plan at the design
+        # size takes a quarter of a second. Harm: a lock around both would hold up the
+        # event loop, and with it consensus itself. So they wait here for the next step.
+        self._inbox = queue.SimpleQueue()
         self._stopping = threading.Event()
         self._wake = threading.Event()
         self._thread = threading.Thread(target=self._run, name="leader", daemon=True)
@@ -102,16 +118,25 @@
         if status.role is not Role.LEADER:
             self._term = 0
             return
-        with self._lock:
-            if status.term != self._term:
-                self._term = status.term
-                self._start_term()
-                self._leases.membership_changed()
-            self._fence(now, status.membership.voters)
-            self._retire_left()
-            # Before placement: pins on their way home must not be moved away again.
-            self._pin(now)
-            self._place(now)
+        if status.term != self._term:
+            self._term = status.term
+            self._start_term()
+            self._leases.membership_changed()
+        self._take_inbox(now)
+        self._fence(now, status.membership.voters)
+        self._retire_left()
+        # Before placement: pins on their way home must not be moved away again.
+        self._pin(now)
+        self._place(now)
+
+    def _take_inbox(self, now):
+        with contextlib.suppress(queue.Empty):
+            while True:
+                self._take(self._inbox.get_nowait(), now)
+
+    @singledispatchmethod
+    def _take(self, item, now):
+        raise TypeError(f"no input: {type(item).__name__}")
 
     # --- silent targets ---------------------------------------------------------
 
@@ -122,7 +147,7 @@
         for ask in asks:
             if ask.member == self._settings.name:
                 fenced = self._leases.fence(ask.service, ask.target, ask.epoch)
-                self._answered(ask, fenced.ok, fenced.remaining_ms)
+                self._take(_FenceReply(ask, fenced.ok, fenced.remaining_ms), now)
             else:
                 future = self._peers.fence(
                     ask.member, ask.service, ask.target, ask.epoch
@@ -133,12 +158,15 @@
         answer = None if future.cancelled() else future.result()
         if answer is not None:
             remaining_ms = int(answer.remaining_s * 1000)
-            self._answered(ask, answer.fenced, remaining_ms)
-
-    def _answered(self, ask, fenced, remaining_ms):
-        now = self._clock.boot_s()
-        with self._lock:
-            retire = self._rounds.answered(ask.member, ask, fenced, remaining_ms, now)
+            self._inbox.put(_FenceReply(ask, answer.fenced, remaining_ms))
+            self._wake.set()
+
+    @_take.register
+    def _(self, item: _FenceReply, now):
+        ask = item.ask
+        retire = self._rounds.answered(
+            ask.member, ask, item.fenced, item.remaining_ms, now
+        )
         if retire is not None:
             self._log.say(
                 "retiring a silent target",
@@ -291,10 +319,14 @@
                 )
 
     def report(self, report):
-        """Take a daemon's ``LoadReport``."""
-        with self._lock:
-            self._report_by_target[report.service, report.target] = report
-            self._pins.report(report, self._clock.boot_s())
+        """Take a daemon's ``LoadReport``; the next step looks at it."""
+        if self._consensus.status().role is Role.LEADER:
+            self._inbox.put(report)
+
+    @_take.register
+    def _(self, item: LoadReport, now):
+        self._report_by_target[item.service, item.target] = item
+        self._pins.report(item, now)
 
     # --- checks before a proposal -----------------------------------------------
 
