Prove that a zone that joins at once is filled in bounded steps

Change: 30 targets join into 270 with 1,024 shards in one instant; a test of state and placement together checks one entry a join, the batch, the share of cold targets, one move a shard, and the balance at the end.

--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -1,5 +1,8 @@
 """Tests of the replicated state: changes, versions, joins, grants."""
 
+import collections
+import math
+
 import attrs
 import pytest
 from hypothesis import given, settings, strategies as st
@@ -29,6 +32,9 @@
     TargetState,
     ZoneState,
 )
+from tamarackhaven._placement import plan
+from tamarackhaven._plan import PlacementInputs
+from tamarackhaven._settings import PlacementSettings
 from tamarackhaven._state import ClusterState, StateSnapshot
 from tamarackhaven.errors import ErrorKind
 from tests import golden
@@ -351,3 +357,64 @@
         lines += [f"   > {event}" for event in log.events]
     lines += [f"{d.decision_id} {d.result}" for d in log.state.decisions.all()]
     golden.check("state_session", "\n".join(lines) + "\n")
+
+
+def test_zone_joins_all_at_once():
+    """A zone's targets come back in one instant, all of them cold.
+
+    Callers see few shards change owner at a time, and no shard twice. Every join is
+    one entry of the log. Placement fills the newcomers a batch at a time, never more
+    than their warmth bears, and once warm up to the mean in whole shards.
+    """
+    log, batch = Log(), 32
+    log.put(AvailabilityZone("a"))
+    log.put(AvailabilityZone("b"))
+    log.put(OwnershipPolicy("sole", move_batch=batch))
+    log.put(Service("rota", "sole", shard_count=1024))
+    for n in range(270):
+        log.join(f"a{n}")
+    assert len(placement_step(log).moves) == 1024
+    newcomers = [f"b{n}" for n in range(30)]
+    before = log.index
+    epochs = [log.join(name, "b").member.epoch for name in newcomers]
+    assert epochs == list(range(before + 1, before + 31))
+
+    moved = collections.Counter()
+    for warmth in (0.3, 1.0):
+        warmth_by_target = dict.fromkeys(newcomers, warmth)
+        while moves := placement_step(log, warmth_by_target).moves:
+            assert len(moves) <= batch
+            moved.update(move.shard for move in moves)
+            owned = owned_by_target(log)
+            share = math.ceil(1024 / 300 * warmth)
+            assert max(owned[name] for name in newcomers) <= share
+    assert set(moved.values()) == {1}
+    assert {owned[name] for name in newcomers} == {math.floor(1024 / 300)}
+    assert max(owned.values()) == math.ceil(1024 / 300)
+    assert moved.total() == 30 * math.floor(1024 / 300)
+
+
+def placement_step(log, warmth_by_target=None):
+    """Plan, move, and let the owners release at once."""
+    state = log.state
+    step = plan(
+        PlacementInputs(
+            state.resource("Service", "rota"),
+            state.resource("OwnershipPolicy", "sole"),
+            {zone.name: zone for zone in state.zones},
+            state.members,
+            dict(state.grants("rota")),
+            warmth_by_target=warmth_by_target or {},
+        ),
+        PlacementSettings(),
+    )
+    for change in step.changes():
+        log.do(change)
+    for shard in [move.shard for move in step.moves]:
+        if log.grant(shard).moving_to:
+            log.release(log.grant(shard).owner, [log.grant(shard)])
+    return step
+
+
+def owned_by_target(log):
+    return collections.Counter(g.owner for g in log.state.grants("rota").values())
