--- a/tamarackhaven/_control.py
+++ b/tamarackhaven/_control.py
@@ -54,6 +54,7 @@
         membership = _first_membership(settings)
         folder = Path(settings.data_folder)
         self._storage = Storage.open(folder)
+        self._on_fatal = on_fatal
         self._fences = FenceFile.open(folder, must_exist=not self._storage.is_new)
         self._fencing = concurrent.futures.ThreadPoolExecutor(FENCE_THREADS)
         self._loop = LoopThread("control")
@@ -81,7 +82,7 @@
             settings.lease,
             self._promises,
             self._lease_view,
-            self._fences.fence,
+            self._persist_fence,
         )
         self.leader = LeaderDuties(
             settings,
@@ -160,6 +161,14 @@
             ) from error
         self._server = server
 
+    def _persist_fence(self, service, target, epoch):
+        """Sync a fence; a member that can't must stop, as after any failed sync."""
+        try:
+            self._fences.fence(service, target, epoch)
+        except TamarackhavenError as error:
+            self._on_fatal(error)
+            raise
+
     def _fence(self, service, target, epoch):
         fenced = self.leases.fence(service, target, epoch)
         return FenceAnswer(fenced.ok, fenced.remaining_ms / 1000)
--- a/tamarackhaven/_fences.py
+++ b/tamarackhaven/_fences.py
@@ -1,6 +1,7 @@
 """The epochs that this control VM refuses from now on, kept on disk."""
 
 import pathlib
+import threading
 
 import attrs
 
@@ -36,6 +37,7 @@
         self._path = path
         self._files = files
         self._failure = None
+        self._lock = threading.Lock()
         self.epochs_by_target = epochs_by_target
 
     @classmethod
@@ -73,9 +75,16 @@
         TamarackhavenError
             SYNC_FAILED or DISK_FULL, and again at every later call.
         """
+        # Failure: two targets are lost at once, and two threads replace the file at the
+        # same time. Symptom: one takes the other's new file away, or its fence gets
+        # lost though it was told as durable. One at a time, and each in the file
+        # before the next begins, is enough.
+        with self._lock:
+            self._fence((service, target), epoch)
+
+    def _fence(self, key, epoch):
         if self._failure:
             raise self._failure
-        key = (service, target)
         if epoch <= self.epochs_by_target.get(key, 0):
             return
         epochs = self.epochs_by_target | {key: epoch}
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import tempfile
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from hypothesis import given, settings, strategies as st
@@ -287,3 +288,20 @@
     assert error.kind is ErrorKind.SYNC_FAILED
     assert refusal(fences.fence, "rota", "t1", 1).kind is ErrorKind.SYNC_FAILED
     assert fences.epochs_by_target == again
+
+
+def test_fences_of_targets_lost_together_are_all_durable(tmp_path):
+    """Two targets are lost at once, and a control VM is asked for both fences.
+
+    Written by two threads at a time, one file replaced the other or was gone before
+    its turn: a fence told as durable was lost, or no further one could be given.
+    """
+    fences = FenceFile.open(tmp_path)
+    with ThreadPoolExecutor(8) as executor:
+        done = [
+            executor.submit(fences.fence, "booking", f"t{n}", n + 1) for n in range(64)
+        ]
+        for future in done:
+            future.result()
+    again = FenceFile.open(tmp_path, must_exist=True).epochs_by_target
+    assert again == {("booking", f"t{n}"): n + 1 for n in range(64)}
