Look at the map again once a join is answered

The map with its new epoch had come before the answer to its join; grants are taken for the lease's epoch only, and nothing looked at them again until the map changed. The join itself was one too many: what wanted it was met while it waited. Change: grants are taken again after the answer, under a lock; a join that is no longer needed is not sent; a daemon's own newer epoch in the map is no reason to join again.

--- a/tamarackhaven/_daemon_process.py
+++ b/tamarackhaven/_daemon_process.py
@@ -81,6 +81,7 @@
         self._down = threading.Event()
         self._incarnation = ""
         self._joined_at = -JOIN_PAUSE_S
+        self._grants_lock = threading.Lock()
         self._zone_out_since = None
         self._lease = LeaseClient(
             settings.lease,
@@ -223,6 +224,17 @@
             self._lease.set_draining(state is ZoneState.OUT)
 
     def _take_grants(self):
+        """Own what the map grants to the epoch of the lease.
+
+        Called when either changes, in whichever order they arrive. Failure: the map
+        with the new epoch comes before the answer to the join. Symptom: without a
+        second look after the answer this daemon owns nothing of it, and answers
+        MOVING for its shards until the next change of the map.
+        """
+        with self._grants_lock:
+            self._replace_grants()
+
+    def _replace_grants(self):
         settings = self._settings
         owned = self._view.owned_by(settings.service, settings.target)
         mine = [grant for grant in owned if grant.epoch == self._lease.epoch()]
@@ -241,7 +253,7 @@
         epoch = self._lease.epoch()
         if member is None or not epoch or self._leaving.is_set():
             return
-        replaced = member.instance != self._instance or member.epoch > epoch
+        replaced = member.instance != self._instance
         lost = member.epoch == epoch and member.state is TargetState.LOST
         if replaced or lost:
             self._must_rejoin("state")
@@ -297,6 +309,9 @@
         # Each join is an entry of the log. A daemon that is refused again and again
         # would fill it, and push older decisions out of the record.
         self._stopping.wait(self._joined_at + JOIN_PAUSE_S - _clock.boot_s())
+        if not self._needs_epoch():
+            # What wanted it has been met meanwhile.
+            return
         change = JoinTarget(
             service=settings.service,
             target=settings.target,
@@ -311,6 +326,8 @@
             raise TamarackhavenError(ErrorKind(outcome.code), outcome.detail)
         self._joined_at = _clock.boot_s()
         self._lease.set_grant(outcome.member.epoch)
+        self._take_grants()
+        self._handover.changed()
         self._fetch_wanted.set()
         self._probe.start()
         self._log.say("joined", epoch=outcome.member.epoch)
