Ask the view for a service's number of shards

Cause: a last read found the same three lines in the handover and in the daemon's process, and a lock in the handover that nothing took. Change: View.shard_count serves both; the lock is gone; the fake view of test_handover answers that call instead, its assertions are the same.

--- a/tamarackhaven/_daemon_process.py
+++ b/tamarackhaven/_daemon_process.py
@@ -240,11 +240,9 @@
         mine = [grant for grant in owned if grant.epoch == self._lease.epoch()]
         if self._down.is_set():
             mine = []
-        self.daemon.on_grants(mine, self._parts.pop, self._shard_count())
-
-    def _shard_count(self):
-        service = self._view.resource("Service", self._settings.service)
-        return service.shard_count if service else 0
+        self.daemon.on_grants(
+            mine, self._parts.pop, self._view.shard_count(settings.service)
+        )
 
     def _check_epoch(self):
         """Join again if the log has retired or replaced this daemon's epoch."""
--- a/tamarackhaven/_handover.py
+++ b/tamarackhaven/_handover.py
@@ -53,7 +53,6 @@
         self._stopped_by_shard = {}
         self._releasing = set()
         self._passed_on = set()
-        self._lock = threading.Lock()
         self._wake = threading.Event()
         self._stopping = threading.Event()
         self._senders = concurrent.futures.ThreadPoolExecutor(LEDGER_THREADS)
@@ -85,6 +84,7 @@
 
     def step(self):
         """Take one step for every shard on the move."""
+        shard_count = self._view.shard_count(self._settings.service)
         owned = self._view.owned_by(self._settings.service, self._settings.target)
         moving_by_shard = {g.shard: g for g in owned if g.moving_to}
         self._resume_others(moving_by_shard)
@@ -95,8 +95,7 @@
         ready = [
             grant
             for grant in moving_by_shard.values()
-            if self._holds()
-            and not self._daemon.in_flight_of(grant, self._shard_count())
+            if self._holds() and not self._daemon.in_flight_of(grant, shard_count)
         ]
         if ready:
             self._pass_ledgers_on(ready)
@@ -106,10 +105,6 @@
         """Whether the lease holds; only who holds it may give a shard away."""
         return self._lease.holds()
 
-    def _shard_count(self):
-        service = self._view.resource("Service", self._settings.service)
-        return service.shard_count if service else 0
-
     def _resume_others(self, moving_by_shard):
         """Take work again for moves that were taken back before a release was sent.
 
--- a/tamarackhaven/_view.py
+++ b/tamarackhaven/_view.py
@@ -259,6 +259,11 @@
         with self._lock:
             return [m for m in self._members_by_key.values() if m.service == service]
 
+    def shard_count(self, service):
+        """Return the number of ordinary shards of a service, 0 if there is none."""
+        resource = self.resource("Service", service)
+        return resource.shard_count if resource else 0
+
     def resource(self, kind, name):
         """Return the resource of class name ``kind``, or None."""
         with self._lock:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,7 +13,7 @@
     Replay,
 )
 from tamarackhaven._logs import Log
-from tamarackhaven._model import Address, Service, ShardGrant, TargetMember
+from tamarackhaven._model import Address, ShardGrant, TargetMember
 from tamarackhaven._settings import BookingSettings
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tests.fakes import daemon_settings
@@ -32,8 +32,8 @@
     def member(self, service, target):
         return NEXT_OWNER
 
-    def resource(self, kind, name):
-        return Service("s", "p", shard_count=8)
+    def shard_count(self, service):
+        return 8
 
 
 @attrs.define
