--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -185,6 +185,10 @@
                 shares.move(moving.move.old, moving.move.to_life)
         free = [each for each in ranges if self._is_free(each, now)]
         released = self._released(service, candidates, now)
+        # A move whose owner is gone meanwhile is a range without an owner like others.
+        released = [
+            each for each in released if not any(overlaps(each, gone) for gone in free)
+        ]
         new = _placement.share_out(free, shares) + released
         if new:
             expected = _touched(ranges, new)
--- a/tamarackhaven/fleet/_ranges.py
+++ b/tamarackhaven/fleet/_ranges.py
@@ -1,6 +1,7 @@
 """Ranges of keys that lie in order without gap or overlap. Pure."""
 
 import bisect
+import itertools
 
 import attrs
 
@@ -71,3 +72,12 @@
 def overlaps(one, other):
     """Tell whether two ranges share a key."""
     return one.first <= other.last and other.first <= one.last
+
+
+def has_overlap(ranges):
+    """Tell whether any two of several ranges share a key."""
+    ordered = sorted(ranges, key=lambda each: each.first)
+    return any(
+        following.first <= before.last
+        for before, following in itertools.pairwise(ordered)
+    )
--- a/tamarackhaven/fleet/_state.py
+++ b/tamarackhaven/fleet/_state.py
@@ -238,6 +238,10 @@
             raise TamarackhavenError(ErrorKind.UNKNOWN_SERVICE, command.service)
         if not set(command.expected) <= set(ranges):
             raise TamarackhavenError(ErrorKind.STALE_GRANT, "the ranges have changed")
+        # Failure: a leader names a key twice in one command. Symptom: two targets get
+        # it with one fencing token. Enough: no such command is carried out.
+        if _ranges.has_overlap(command.ranges):
+            raise TamarackhavenError(ErrorKind.INVALID_RESOURCE, "a key stands twice")
         # One token for all ranges of a command: it is above every earlier one.
         self._last_fence += 1
         new = [attrs.evolve(each, fence=self._last_fence) for each in command.ranges]
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -134,8 +134,10 @@
             if self._callers.busy or self.inbound.running:
                 quiet_since_s = boot_s()
             is_quiet = boot_s() - quiet_since_s >= QUIET_S
-            if is_quiet and boot_s() - started_s >= LEAVE_AT_LEAST_S:
-                break
+            if boot_s() - started_s >= LEAVE_AT_LEAST_S:
+                self.inbound.is_closing = True
+                if is_quiet:
+                    break
             await asyncio.sleep(POLL_S)
         self.log.say(
             "stopped", after_s=round(boot_s() - started_s, 3), cut=self.inbound.running
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -62,6 +62,10 @@
         self._refused_since_s = None
         self._refusals = 0
         self.on_ended = lambda: None
+        # Failure: requests for this target's keys keep coming until the process must
+        # end. Symptom: those that run then are cut. Enough: nothing new starts in the
+        # last part of the grace time; who asks waits for the next process.
+        self.is_closing = False
 
     @property
     def running(self):
@@ -140,6 +144,8 @@
 
     def _closed(self, forward):
         state = self._state
+        if self.is_closing:
+            return ErrorKind.DRAINING
         if forward.life != state.life:
             return ErrorKind.TARGET_UNREACHABLE
         if not state.takes_new(forward.key >= 0, boot_s()):
--- /dev/null
+++ b/tests/fleet/test_leadership.py
@@ -0,0 +1,198 @@
+"""What a leader grants and moves, with reports and times made by hand."""
+
+import attrs
+import pytest
+
+from tamarackhaven.fleet._leadership import SETTLE_S, Leadership
+from tamarackhaven.fleet._messages import Report
+from tamarackhaven.fleet._model import (
+    GrantId,
+    Hold,
+    Release,
+    Target,
+    TargetPhase,
+    life_of,
+)
+from tamarackhaven.fleet._ranges import has_overlap
+from tamarackhaven.fleet._state import FleetState, ReplaceConfiguration
+from tamarackhaven.routing import Configuration, ServiceSpec
+
+LEASE_S = 4.0
+SERVICE = "owned"
+
+
+def target(name, born_ms=1, host=None, phase=TargetPhase.READY, zone="a"):
+    host = host or name
+    life = life_of(name, born_ms)
+    return Target(life, name, born_ms, SERVICE, zone, host, 1, 12, phase)
+
+
+class Group:
+    """A leader, its state, and daemons that report as told."""
+
+    def __init__(self):
+        self.state = FleetState()
+        services = (ServiceSpec(SERVICE, sharded=True),)
+        first = ReplaceConfiguration(0, Configuration(1, services), "first")
+        self.state.apply(1, first)
+        self.index = 1
+        self.now = 100.0
+        self.leader = Leadership(1, LEASE_S, self.now)
+        self.grant_by_life = {}
+
+    def report(self, who, **fields):
+        report = Report(1, who, **fields)
+        self.leader.report(report, self.now)
+        grant = self.leader.grant(report, self.state, self.now)
+        self.grant_by_life[who.life] = grant
+        return grant
+
+    def tick(self):
+        commands = self.leader.tick(self.state, self.now)
+        for command in commands:
+            assert not has_overlap(command.ranges)
+            self.index += 1
+            assert self.state.apply(self.index, command).kind is None
+        return commands
+
+    def run(self, seconds, *targets, settled=None):
+        """Let time pass while targets report that they hold what they were granted."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.1
+            for who in targets:
+                self.beat(who)
+            self.tick()
+
+    def beat(self, who):
+        grant = self.grant_by_life.get(who.life)
+        if grant is None:
+            return self.report(who)
+        holds = tuple(Hold(r.first, r.last, r.fence) for r in grant.ranges)
+        return self.report(who, holds=holds, settled=grant.grant)
+
+    def owners(self):
+        return {each.owner for each in self.state.ranges_by_service[SERVICE]}
+
+    def owned(self, who):
+        ranges = self.state.ranges_by_service[SERVICE]
+        return [each for each in ranges if each.owner == who.life]
+
+
+@pytest.fixture
+def group():
+    return Group()
+
+
+def test_the_first_owners_share_all_keys_in_several_ranges(group):
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    assert group.owners() == {a.life, b.life}
+    assert len(group.owned(a)) == len(group.owned(b)) == 8
+
+
+def test_keys_of_a_silent_owner_go_on_only_after_its_lease(group):
+    # A VM loses power; its target may still run, and serves as long as it was told.
+    # Its keys must not be granted before the last thing it may have been told is over.
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    group.run(LEASE_S - 0.2, a)
+    assert b.life in group.owners()
+    group.run(0.6, a)
+    assert group.owners() == {a.life}
+
+
+def test_a_new_leader_waits_for_the_leases_of_the_former_one(group):
+    # The former leader granted something to a target that the new one never hears of.
+    # Without the wait, its keys would have two owners.
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    group.leader = Leadership(2, LEASE_S, group.now)
+    group.grant_by_life.clear()
+    group.run(LEASE_S - 0.2, a)
+    assert b.life in group.owners()
+    group.run(0.6, a)
+    assert group.owners() == {a.life}
+
+
+def test_an_ended_life_is_replaced_at_once(group):
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    group.report(attrs.evolve(a), ended_lives=(b.life,))
+    group.tick()
+    assert group.owners() == {a.life}
+
+
+def test_a_later_life_at_the_same_address_ends_the_earlier_one(group):
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    reborn = target("b", born_ms=2)
+    group.report(reborn)
+    group.tick()
+    assert b.life not in group.owners()
+    # A report of the earlier life that was held up changes nothing.
+    group.report(b)
+    assert group.leader.leases.has_ended(b.life)
+
+
+def test_a_leaving_owner_hands_its_keys_over_before_it_loses_them(group):
+    # A target drains. Its keys go on once it has released them, with the token that
+    # spares the next owner a slow start.
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    leaving = attrs.evolve(b, phase=TargetPhase.DRAINING)
+    before = group.owned(b)
+    group.beat(leaving)
+    group.tick()
+    grant = group.beat(leaving)
+    assert grant.ranges == ()
+    assert group.owned(b) == before, "still held by its last heartbeat"
+    releases = tuple(Release(r.first, r.last, "token") for r in before)
+    group.report(leaving, settled=grant.grant, releases=releases)
+    group.tick()
+    assert group.owners() == {a.life}
+    assert {r.handover for r in group.owned(a)} == {"", "token"}
+
+
+def test_a_release_is_believed_only_from_a_heartbeat_after_the_last_grant(group):
+    # The report says that the target holds nothing, but it was made before the target
+    # took the last grant. Believed, the keys would have two owners.
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    leaving = attrs.evolve(b, phase=TargetPhase.DRAINING)
+    group.beat(leaving)
+    group.tick()
+    group.report(leaving, holds=(), settled=GrantId(1, 1))
+    group.tick()
+    assert b.life in group.owners()
+
+
+def test_a_move_whose_owner_dies_gives_each_key_once(group):
+    # A target joins, keys start to move to it, and the old owner dies before it has
+    # released them. The leader finds the same keys free for two reasons at once.
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    c = target("c")
+    group.report(c)
+    group.tick()
+    assert group.leader._moving
+    group.run(LEASE_S + 1.0, c)
+    assert group.owners() == {c.life}
+
+
+def test_a_zone_that_is_out_loses_its_keys(group):
+    a, b = target("a", zone="a"), target("b", zone="b")
+    group.run(4 * SETTLE_S, a, b)
+    group.state.zones_out = frozenset({"b"})
+    group.run(1.0, a, b)
+    assert group.owners() == {a.life}
+
+
+def test_a_target_that_joins_gets_a_share(group):
+    a, b, c = target("a"), target("b"), target("c")
+    group.run(4 * SETTLE_S, a, b)
+    group.run(3.0, a, b, c)
+    shares = [
+        sum(r.last - r.first + 1 for r in group.owned(each)) for each in (a, b, c)
+    ]
+    assert min(shares) > 0.6 * 65536 / 3
--- /dev/null
+++ b/tests/fleet/test_state.py
@@ -0,0 +1,149 @@
+"""The replicated state: owners of keys, orders sent again, zones."""
+
+import attrs
+import pytest
+
+from tamarackhaven.errors import ErrorKind
+from tamarackhaven.fleet._model import KEY_COUNT, KeyRange
+from tamarackhaven.fleet._state import (
+    AssignKeys,
+    EditConfiguration,
+    FleetState,
+    ReplaceConfiguration,
+    SetZoneOut,
+    decode,
+    encode,
+)
+from tamarackhaven.routing import (
+    Configuration,
+    Edit,
+    RequestKind,
+    Route,
+    ServiceSpec,
+    WeightedService,
+)
+
+
+def route(name="r", prefix="/a/", service="owned", **fields):
+    fields = {"timeout_s": 1.0, **fields}
+    parts = (WeightedService(service, 1.0),)
+    return Route(name, "h.example", prefix, RequestKind.SAFE, parts, **fields)
+
+
+def configuration(version=1, routes=None):
+    routes = (route(),) if routes is None else routes
+    services = (ServiceSpec("owned", sharded=True), ServiceSpec("shared"))
+    return Configuration(version, services, tuple(routes))
+
+
+@pytest.fixture
+def state():
+    state = FleetState()
+    outcome = state.apply(1, ReplaceConfiguration(0, configuration(), "first"))
+    assert outcome.kind is None
+    return state
+
+
+def test_an_order_sent_again_after_a_newer_one_is_acknowledged_again(state):
+    # The operator loses an acknowledgement and sends the order again, and meanwhile
+    # the next one was accepted. The base of the first is gone by then; a conflict
+    # would tell the operator that its own change was refused.
+    edit = EditConfiguration(1, Edit(2, routes=(route("new", "/b/"),)), "second")
+    assert state.apply(2, edit).kind is None
+    again = state.apply(3, ReplaceConfiguration(0, configuration(), "first"))
+    assert again.is_repeat and again.kind is None
+    assert state.configuration.version == 2
+
+
+def test_of_two_changes_on_one_version_one_wins(state):
+    first = EditConfiguration(1, Edit(2, routes=(route("x", "/x/"),)), "x")
+    other = EditConfiguration(1, Edit(2, routes=(route("y", "/y/"),)), "y")
+    assert state.apply(2, first).kind is None
+    assert state.apply(3, other).kind is ErrorKind.VERSION_CONFLICT
+    assert "y" not in state.configuration.route_by_name
+
+
+@pytest.mark.parametrize(
+    "routes",
+    [
+        [route(service="nobody")],
+        [route(), route("r2")],  # one place twice
+        [route(), route(prefix="/b/")],  # one name twice
+        [route(timeout_s=601.0)],
+        [route(timeout_s=0.0)],
+        [route(prefix="/a")],
+        [attrs.evolve(route(), parts=(WeightedService("owned", -1.0),))],
+        [attrs.evolve(route(), parts=(WeightedService("owned", 0.0),))],
+        [attrs.evolve(route(), parts=())],
+    ],
+)
+def test_a_configuration_that_cannot_be_in_force_is_refused(state, routes):
+    order = ReplaceConfiguration(1, configuration(2, routes), "bad")
+    assert state.apply(2, order).kind is ErrorKind.INVALID_RESOURCE
+    assert state.configuration.version == 1
+
+
+def test_a_version_that_is_not_above_the_present_one_is_refused(state):
+    order = ReplaceConfiguration(1, configuration(1), "same version")
+    assert state.apply(2, order).kind is ErrorKind.INVALID_RESOURCE
+
+
+def test_each_change_of_owner_has_a_higher_fence(state):
+    (whole,) = state.ranges_by_service["owned"]
+    halves = (
+        KeyRange(0, 32767, owner="a"),
+        KeyRange(32768, KEY_COUNT - 1, owner="b"),
+    )
+    state.apply(2, AssignKeys("owned", halves, (whole,)))
+    low, high = state.ranges_by_service["owned"]
+    moved = KeyRange(0, 99, owner="b", handover="token")
+    state.apply(3, AssignKeys("owned", (moved,), (low,)))
+    ranges = state.ranges_by_service["owned"]
+    assert [(r.first, r.last, r.owner) for r in ranges] == [
+        (0, 99, "b"),
+        (100, 32767, "a"),
+        (32768, KEY_COUNT - 1, "b"),
+    ]
+    assert ranges[0].fence > low.fence == ranges[1].fence
+    assert ranges[2] == high
+
+
+def test_a_command_that_names_a_key_twice_changes_nothing(state):
+    # Two targets get the same key with the same fencing token: a leader had put a
+    # range into one command both as given up by a dead owner and as released by a
+    # planned move. Neither target can tell that the other one holds it, too.
+    (whole,) = state.ranges_by_service["owned"]
+    twice = (KeyRange(0, 10, owner="a"), KeyRange(10, KEY_COUNT - 1, owner="b"))
+    outcome = state.apply(2, AssignKeys("owned", twice, (whole,)))
+    assert outcome.kind is ErrorKind.INVALID_RESOURCE
+    assert state.ranges_by_service["owned"] == (whole,)
+
+
+def test_an_assignment_made_from_older_ranges_is_void(state):
+    (whole,) = state.ranges_by_service["owned"]
+    first = AssignKeys("owned", (attrs.evolve(whole, owner="a"),), (whole,))
+    late = AssignKeys("owned", (attrs.evolve(whole, owner="b"),), (whole,))
+    assert state.apply(2, first).kind is None
+    assert state.apply(3, late).kind is ErrorKind.STALE_GRANT
+
+
+def test_the_state_comes_back_whole_from_its_bytes(state):
+    state.apply(2, SetZoneOut("z", True))
+    copy = FleetState.restored(state.save())
+    assert copy.save() == state.save()
+    assert copy.zones_out == {"z"}
+    again = copy.apply(9, ReplaceConfiguration(0, configuration(), "first"))
+    assert again.is_repeat
+
+
+@pytest.mark.parametrize(
+    "command",
+    [
+        ReplaceConfiguration(0, configuration(), "d"),
+        EditConfiguration(1, Edit(2, removed_routes=("r",)), "d"),
+        SetZoneOut("z", True),
+        AssignKeys("s", (KeyRange(0, 1, owner="a"),), (KeyRange(0, 1),), "why"),
+    ],
+)
+def test_commands_come_back_from_the_log(command):
+    assert decode(encode(command)) == command
