Balance owned keys by the load measured on them

Change: owners count requests by bucket of 16 keys, the leader compares targets by use (rate against slots and working time) and moves the heaviest fitting run of keys, a few moves at a time.

--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -28,6 +28,10 @@
 MOST_MOVES = 4
 
 
+# Before any answer, all targets count as equally fast.
+UNKNOWN_WORK_S = 0.1
+
+
 @attrs.define
 class _Known:
     """What a daemon's newest report says."""
@@ -198,18 +202,30 @@
         return []
 
     def _candidates(self, service, state, now):
-        """Return the slots of the targets that may get keys, by life."""
-        return {
-            life: max(known.target.slots, 1)
-            for life, known in self._known_by_life.items()
-            if known.target.service == service
-            and known.target.phase is TargetPhase.READY
-            and known.target.zone not in state.zones_out
-            and now - known.heard_s < FRESH_S
-        }
+        """Return the power of the targets that may get keys, by life.
+
+        Power is in requests a second; of a cold target it is what it bears.
+        """
+        known = [
+            each
+            for each in self._known_by_life.values()
+            if each.target.service == service
+            and each.target.phase is TargetPhase.READY
+            and each.target.zone not in state.zones_out
+            and now - each.heard_s < FRESH_S
+        ]
+        times = [each.target.work_s for each in known if each.target.work_s > 0]
+        usual_s = sum(times) / len(times) if times else UNKNOWN_WORK_S
+        spec = state.configuration.service_by_name[service]
+        return {each.target.life: _power(each.target, usual_s, spec) for each in known}
 
     def _shares(self, service, ranges, candidates):
-        return _placement.Shares(ranges, candidates, _key_count)
+        rate_by_bucket = {}
+        for known in self._known_by_life.values():
+            if known.target.service == service:
+                rate_by_bucket.update(known.report.key_load)
+        weights = _placement.KeyWeights(rate_by_bucket, sum(candidates.values()))
+        return _placement.Shares(ranges, candidates, weights)
 
     def _first(self, service, ranges, candidates, now):
         """Share out a new service's keys once no more targets come."""
@@ -256,7 +272,7 @@
         ]
         moves = _placement.leave(still, leaving, shares)
         if not moves and not moving and not self._has_silent(ranges, candidates):
-            moves = _placement.fill_up(still, shares, MOST_MOVES)
+            moves = _placement.balance(still, shares, MOST_MOVES)
         since = GrantId(self.term, self._number + 1)
         for move in moves:
             free_at_s = self.leases.until_s(move.old.owner)
@@ -317,11 +333,15 @@
 
 def _news(target):
     """Return what daemons need to hear of at once; the load comes with answers."""
-    return attrs.evolve(target, load=0.0)
+    return attrs.evolve(target, load=0.0, work_s=0.0)
 
 
-def _key_count(key_range):
-    return float(key_range.last - key_range.first + 1)
+def _power(target, usual_s, spec):
+    """Return the requests a second that a target can do."""
+    power = max(target.slots, 1) / (target.work_s or usual_s)
+    if target.is_cold and spec.cold_per_s:
+        power = min(power, spec.cold_per_s)
+    return power
 
 
 def _minus(whole, piece):
--- a/tamarackhaven/fleet/_model.py
+++ b/tamarackhaven/fleet/_model.py
@@ -6,6 +6,9 @@
 
 # Keys are 16-bit numbers.
 KEY_COUNT = 1 << 16
+# Load is counted for so many neighbouring keys together: a hot run of some dozens of
+# keys can still be split, and a report stays below a few kilobytes.
+BUCKET_KEYS = 16
 
 
 class TargetPhase(enum.Enum):
@@ -78,6 +81,10 @@
         Ready or draining.
     load : float
         Requests running and waiting at its gate, for each slot.
+    work_s : float
+        Mean time that it takes for a request, in seconds; 0 before the first one.
+    is_cold : bool
+        Whether it bears only the service's cold rate for now.
     """
 
     life: str
@@ -90,6 +97,8 @@
     slots: int
     phase: TargetPhase = TargetPhase.READY
     load: float = 0.0
+    work_s: float = 0.0
+    is_cold: bool = False
 
 
 def life_of(name, born_ms):
--- a/tamarackhaven/fleet/_placement.py
+++ b/tamarackhaven/fleet/_placement.py
@@ -1,12 +1,12 @@
 """Which target owns which keys: for keys without an owner, and for planned moves.
 
-Pure. Ranges are shared out by their weight: the load seen on them where it is known,
-else the number of their keys.
+Pure. Targets are compared by their use: the work that their keys bring, as a part of
+the work that they can do.
 """
 
 import attrs
 
-from tamarackhaven.fleet._model import KEY_COUNT, KeyRange
+from tamarackhaven.fleet._model import BUCKET_KEYS, KEY_COUNT, KeyRange
 
 # Load: busy keys lie close together. Harm: one range for each target would give one of
 # them all busy keys. Limit: a target's ranges must fit one heartbeat's answer of 4 KiB
@@ -14,10 +14,17 @@
 RANGES_PER_TARGET = 8
 # More ranges than this for one target no longer fit a heartbeat's answer.
 MOST_RANGES_PER_TARGET = 56
-# Load: a target joins an otherwise balanced service. Harm: each move leaves its keys
-# unserved for a moment, so chasing exact balance costs more than it gives. Limit: a
-# target may lack this part of its fair share before keys move to it.
-TOLERATED_LACK = 0.3
+# Keys that nobody asks for count as if all of them together used this part of the
+# targets, so that they are shared out, too: their time may come.
+IDLE_USE = 0.2
+# Load: demand that varies from second to second. Harm: each move leaves its keys
+# unserved for some tenths of a second, so chasing exact balance costs more than it
+# gives. Limit: two targets' use may differ by both of these, the second as a part of
+# the mean use; counts of a second or two vary by less.
+TOLERATED_GAP = 0.15
+TOLERATED_GAP_PART = 0.3
+# A move aims at most of the difference: what was counted is a second old.
+MOVED_PART = 0.8
 
 
 @attrs.frozen
@@ -28,15 +35,15 @@
     to_life: str
 
 
-def first_ranges(slots_by_life):
+def first_ranges(power_by_life):
     """Return the ranges of a service whose keys nobody has owned yet.
 
     Parameters
     ----------
-    slots_by_life : dict of str to int
-        The targets that may own keys; at least one.
+    power_by_life : dict of str to float
+        Requests a second of the targets that may own keys; at least one.
     """
-    lives = _dealt(slots_by_life)
+    lives = _dealt(power_by_life)
     size = KEY_COUNT / len(lives)
     edges = [round(number * size) for number in range(len(lives) + 1)]
     return [
@@ -45,72 +52,114 @@
     ]
 
 
-def _dealt(slots_by_life):
-    """Return lives in turn, each as often as its part of the slots."""
-    total = sum(slots_by_life.values())
-    rounds = len(slots_by_life) * RANGES_PER_TARGET
-    credit = dict.fromkeys(sorted(slots_by_life), 0.0)
+def _dealt(power_by_life):
+    """Return lives in turn, each as often as its part of the power."""
+    total = sum(power_by_life.values())
+    rounds = len(power_by_life) * RANGES_PER_TARGET
+    credit = dict.fromkeys(sorted(power_by_life), 0.0)
     dealt = []
     for _ in range(rounds):
         for life in credit:
-            credit[life] += slots_by_life[life] / total
+            credit[life] += power_by_life[life] / total
         chosen = max(credit, key=credit.get)
         credit[chosen] -= 1.0
         dealt.append(chosen)
     return dealt
 
 
+class KeyWeights:
+    """How much work keys bring, in requests a second.
+
+    Parameters
+    ----------
+    rate_by_bucket : dict of int to float
+        Requests a second for each bucket of ``BUCKET_KEYS`` keys.
+    power : float
+        Requests a second that all targets can do.
+    """
+
+    def __init__(self, rate_by_bucket, power):
+        self._rate_by_bucket = rate_by_bucket
+        self._idle_per_key = IDLE_USE * power / KEY_COUNT
+
+    def bucket(self, number):
+        """Return the weight of a whole bucket."""
+        idle = self._idle_per_key * BUCKET_KEYS
+        return self._rate_by_bucket.get(number, 0.0) + idle
+
+    def weigh(self, key_range):
+        """Return the weight of a range; a bucket in two ranges counts by its part."""
+        first, last = key_range.first // BUCKET_KEYS, key_range.last // BUCKET_KEYS
+        weight = (key_range.last - key_range.first + 1) * self._idle_per_key
+        if last - first + 1 < len(self._rate_by_bucket):
+            buckets = range(first, last + 1)
+        else:
+            buckets = [each for each in self._rate_by_bucket if first <= each <= last]
+        for number in buckets:
+            rate = self._rate_by_bucket.get(number)
+            if rate:
+                weight += rate * _part_of_bucket(number, key_range)
+        return weight
+
+
+def _part_of_bucket(number, key_range):
+    start = number * BUCKET_KEYS
+    first = max(start, key_range.first)
+    last = min(start + BUCKET_KEYS - 1, key_range.last)
+    return (last - first + 1) / BUCKET_KEYS
+
+
 class Shares:
-    """What each target owns, for each slot that it has.
+    """What each target owns, as a part of what it can do.
 
     Parameters
     ----------
     ranges : iterable of KeyRange
         Of one service.
-    slots_by_life : dict of str to int
-        The targets that may own keys.
-    weigh : callable
-        ``weigh(key_range)``; any unit.
+    power_by_life : dict of str to float
+        Requests a second of the targets that may own keys.
+    weights : KeyWeights
+        Of the service's keys.
     """
 
-    def __init__(self, ranges, slots_by_life, weigh):
-        self._slots_by_life = slots_by_life
-        self.weigh = weigh
-        self.weight_by_life = dict.fromkeys(sorted(slots_by_life), 0.0)
-        self.count_by_life = dict.fromkeys(sorted(slots_by_life), 0)
-        self.total = 0.0
+    def __init__(self, ranges, power_by_life, weights):
+        self._power_by_life = power_by_life
+        self.weights = weights
+        self.weight_by_life = dict.fromkeys(sorted(power_by_life), 0.0)
+        self.count_by_life = dict.fromkeys(sorted(power_by_life), 0)
         for each in ranges:
-            weight = weigh(each)
-            self.total += weight
             if each.owner in self.weight_by_life:
-                self.weight_by_life[each.owner] += weight
+                self.weight_by_life[each.owner] += weights.weigh(each)
                 self.count_by_life[each.owner] += 1
 
-    def fair(self, life):
-        """Return the weight that ``life`` should own by its slots."""
-        slots = sum(self._slots_by_life.values())
-        return self.total * self._slots_by_life[life] / slots
+    def power(self, life):
+        """Return the requests a second that ``life`` can do."""
+        return self._power_by_life[life]
+
+    def use(self, life):
+        """Return the work of ``life`` as a part of what it can do."""
+        return self.weight_by_life[life] / self._power_by_life[life]
 
-    def fill(self, life):
-        """Return what ``life`` owns as a part of its fair share."""
-        return self.weight_by_life[life] / max(self.fair(life), 1e-9)
+    def mean_use(self):
+        """Return the use of all targets together."""
+        return sum(self.weight_by_life.values()) / sum(self._power_by_life.values())
 
     def least(self):
-        """Return the life with the smallest part of its fair share."""
+        """Return the life with the least use that has room for another range."""
         free = [
             life
             for life, count in self.count_by_life.items()
             if count < MOST_RANGES_PER_TARGET
         ]
-        return min(free or self.weight_by_life, key=self.fill)
+        return min(free or self.weight_by_life, key=self.use)
 
     def most(self):
-        """Return the life with the largest part of its fair share."""
-        return max(self.weight_by_life, key=self.fill)
+        """Return the life with the most use."""
+        return max(self.weight_by_life, key=self.use)
 
     def move(self, key_range, to_life):
         """Count ``key_range`` for ``to_life`` from now on."""
-        weight = self.weigh(key_range)
+        weight = self.weights.weigh(key_range)
         if key_range.owner in self.weight_by_life:
             self.weight_by_life[key_range.owner] -= weight
             self.count_by_life[key_range.owner] -= 1
@@ -119,9 +168,9 @@
 
 
 def share_out(free, shares):
-    """Return new owners for ranges that nobody holds, largest first."""
+    """Return new owners for ranges that nobody holds, heaviest first."""
     new = []
-    for each in sorted(free, key=shares.weigh, reverse=True):
+    for each in sorted(free, key=shares.weights.weigh, reverse=True):
         life = shares.least()
         shares.move(each, life)
         new.append(attrs.evolve(each, owner=life, handover=""))
@@ -140,24 +189,17 @@
     return moves
 
 
-def fill_up(ranges, shares, most_moves):
-    """Return moves towards targets that lack much of their fair share.
-
-    A range is split where the whole of it would only swap the roles of giver and
-    taker.
-    """
+def balance(ranges, shares, most_moves):
+    """Return moves from the most to the least used targets, a few at a time."""
     moves = []
     ranges = list(ranges)
     for _ in range(most_moves):
         taker, giver = shares.least(), shares.most()
-        lack = 1.0 - shares.fill(taker)
-        if taker == giver or lack < TOLERATED_LACK:
+        gap = shares.use(giver) - shares.use(taker)
+        if gap < max(TOLERATED_GAP, TOLERATED_GAP_PART * shares.mean_use()):
             break
-        wanted = min(
-            shares.fair(taker) * lack,
-            shares.weight_by_life[giver] - shares.fair(giver),
-        )
-        chosen = _best_piece(ranges, giver, wanted, shares.weigh)
+        even = gap / (1 / shares.power(giver) + 1 / shares.power(taker))
+        chosen = _best_piece(ranges, giver, MOVED_PART * even, shares.weights)
         if chosen is None:
             break
         whole, piece = chosen
@@ -167,18 +209,39 @@
     return moves
 
 
-def _best_piece(ranges, giver, wanted, weigh):
-    """Return a giver's range and the piece of it that weighs about ``wanted``."""
-    owned = [each for each in ranges if each.owner == giver]
-    fitting = [each for each in owned if weigh(each) <= wanted]
-    if fitting:
-        best = max(fitting, key=weigh)
-        return best, best
-    if not owned or wanted <= 0:
-        return None
-    whole = min(owned, key=weigh)
-    size = whole.last - whole.first + 1
-    kept = int(size * (1 - wanted / weigh(whole)))
-    if not 0 < kept < size:
-        return None
-    return whole, attrs.evolve(whole, first=whole.first + kept)
+def _best_piece(ranges, giver, wanted, weights):
+    """Return a giver's range, and the heaviest piece of it that fits ``wanted``."""
+    best = None
+    best_weight = 0.0
+    for whole in ranges:
+        if whole.owner != giver:
+            continue
+        weight, piece = _heaviest_run(whole, wanted, weights)
+        if weight > best_weight:
+            best, best_weight = (whole, piece), weight
+    return best
+
+
+def _heaviest_run(whole, wanted, weights):
+    """Return the heaviest run of whole buckets within a range, ``wanted`` at most."""
+    total = weights.weigh(whole)
+    if total <= wanted:
+        return total, whole
+    first = -(-whole.first // BUCKET_KEYS)
+    end = (whole.last + 1) // BUCKET_KEYS
+    best = (0.0, None)
+    start, sum_ = first, 0.0
+    for number in range(first, end):
+        sum_ += weights.bucket(number)
+        while sum_ > wanted and start <= number:
+            sum_ -= weights.bucket(start)
+            start += 1
+        if start <= number and sum_ > best[0]:
+            best = (sum_, (start, number))
+    if best[1] is None:
+        return 0.0, None
+    low, high = best[1]
+    piece = attrs.evolve(
+        whole, first=low * BUCKET_KEYS, last=(high + 1) * BUCKET_KEYS - 1
+    )
+    return best[0], piece
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -162,12 +162,13 @@
         fill = (load.running + load.waiting) / max(load.slots, 1)
         return Report(
             number=number,
-            target=state.target(round(fill, 2), now),
+            target=state.target(now, round(fill, 2), round(load.work_ms / 1000, 4)),
             holds=beat.holds if beat else (),
             releases=state.releases,
             settled=state.settled,
             ended_lives=tuple(state.ended_lives),
             state_index=self.view.state_index,
+            key_load=self.inbound.key_load(now),
         )
 
     def _take(self, message):
@@ -198,9 +199,9 @@
 
     def heartbeat(self, beat):
         """Take in a heartbeat of the target; return its ``HeartbeatReply``."""
-        before = self.state.target(0.0, boot_s())
+        before = self.state.target(boot_s())
         reply = self.state.take(beat, boot_s())
-        after = self.state.target(0.0, boot_s())
+        after = self.state.target(boot_s())
         if before != after:
             self.log.say(
                 "target told",
--- a/tamarackhaven/sidecar/_gate.py
+++ b/tamarackhaven/sidecar/_gate.py
@@ -115,6 +115,11 @@
         """Mean working time over all routes, in seconds."""
         return self._all_work.mean_s
 
+    @property
+    def has_worked(self):
+        """Whether the target has answered a request yet."""
+        return self._all_work.count > 0
+
     @property
     def is_cold(self):
         """Whether starts are limited by the target's cold rate."""
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -8,6 +8,7 @@
 from tamarackhaven.errors import ErrorKind
 from tamarackhaven.sidecar._dialect import Verdict
 from tamarackhaven.sidecar._gate import Gate, Offer, Refuse, Start
+from tamarackhaven.sidecar._key_load import KeyLoad
 from tamarackhaven.sidecar._messages import Answered, GateLoad, Lost, NotRun
 from tamarackhaven.sidecar._target_client import SendEnd, TargetClient
 
@@ -59,6 +60,7 @@
         self._start_by_number = {}
         self._numbers = itertools.count()
         self._sending = set()
+        self._key_load = KeyLoad()
         self._refused_since_s = None
         self._refusals = 0
         self.on_ended = lambda: None
@@ -79,10 +81,14 @@
             gate.running,
             gate.waiting,
             gate.slots,
-            gate.work_s * 1000,
+            gate.work_s * 1000 if gate.has_worked else 0.0,
             self._state.is_cold(boot_s()),
         )
 
+    def key_load(self, now):
+        """Return requests a second by bucket of keys, as pairs."""
+        return self._key_load.rates(now)
+
     def target_changed(self):
         """Follow the slots and the cold state that the target told."""
         beat = self._state.heartbeat
@@ -107,6 +113,8 @@
 
     async def run(self, forward):
         """Run a request; return ``Answered``, ``NotRun`` or ``Lost``."""
+        if forward.key >= 0:
+            self._key_load.count(forward.key, boot_s())
         deadline_s = boot_s() + forward.left_ms / 1000
         objective_s = boot_s() + forward.objective_ms / 1000
         refusal = await self._not_here(forward, deadline_s)
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -208,7 +208,7 @@
         """Whether the target is cold."""
         return now < self.cold_until_s
 
-    def target(self, load, now):
+    def target(self, now, load=0.0, work_s=0.0):
         """Return the ``Target`` for a report, None before the first heartbeat."""
         beat = self.heartbeat
         if beat is None:
@@ -225,6 +225,8 @@
             slots=beat.slots,
             phase=TargetPhase.DRAINING if leaves else TargetPhase.READY,
             load=load,
+            work_s=work_s,
+            is_cold=self.is_cold(now),
         )
 
     @property
