--- a/tamarackhaven/sidecar/_gate.py
+++ b/tamarackhaven/sidecar/_gate.py
@@ -184,14 +184,16 @@
         return wait_s
 
     def _rank(self, offer, now):
-        """Return what sorts first: in time before late, then the more urgent.
+        """Return what sorts first: in time before late, the more urgent, the shorter.
 
         Load: more work than slots. Harm: a slot goes to a request whose answer is late
-        anyway while one that could be in time becomes late, too. Limit: what is late
-        still gets what nobody else needs, as late is better than never.
+        anyway while one that could be in time becomes late, too; or a short call, on
+        which work that has begun elsewhere waits, stands behind long requests until
+        that work fails. Limit: what is late or long still gets what nobody else needs,
+        and short work is, by its nature, a small part of the slots.
         """
         work_s = self._work_by_route[offer.route].mean_s
-        return now + work_s > offer.objective_s, offer.priority
+        return now + work_s > offer.objective_s, offer.priority, work_s
 
     def finish(self, number, worked, now):
         """Take in the end of a request; ``worked`` if the target answered it."""
