--- /dev/null
+++ b/tests/net/test_http_server.py
@@ -0,0 +1,195 @@
+"""The HTTP server, by raw bytes over real connections on loopback."""
+
+import asyncio
+
+import pytest
+
+from tamarackhaven.net import HttpResponse, HttpServer
+from tamarackhaven.routing import Limits
+
+HOST = b"Host: h.example\r\n"
+
+
+class Site:
+    """A server with a handler that waits where the test says so."""
+
+    def __init__(self):
+        self.seen = []
+        self.cancelled = []
+        self.gate_by_target = {}
+        self.bad = []
+        self.server = HttpServer(
+            self.handle, lambda request, error: None, self.bad.append
+        )
+
+    async def handle(self, request):
+        self.seen.append(request)
+        gate = self.gate_by_target.get(request.target)
+        try:
+            if gate is not None:
+                await gate.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(request.target)
+            raise
+        body = f"{request.method} {request.target} ".encode() + request.body
+        return HttpResponse(200, (), body)
+
+    async def __aenter__(self):
+        await self.server.start("127.0.0.1", 0)
+        self.port = self.server._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+
+    async def open(self):
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def talk(self, data):
+        """Send bytes, return all that comes until the server closes or is silent."""
+        reader, writer = await self.open()
+        writer.write(data)
+        received = b""
+        try:
+            while piece := await asyncio.wait_for(reader.read(65536), 1.0):
+                received += piece
+        except TimeoutError:
+            pass
+        writer.close()
+        return received
+
+
+def run(test):
+    async def main():
+        async with Site() as site:
+            await test(site)
+
+    asyncio.run(main())
+
+
+def test_pipelined_requests_run_side_by_side_and_are_answered_in_order():
+    # A caller sends a slow request and a fast one behind it. If the fast one waited
+    # for the slow one it would be late; if it were answered first, the caller would
+    # take its answer for that of the slow one.
+    async def test(site):
+        site.gate_by_target["/slow"] = asyncio.Event()
+        reader, writer = await site.open()
+        for target in (b"/slow", b"/fast"):
+            writer.write(b"GET " + target + b" HTTP/1.1\r\n" + HOST + b"\r\n")
+        while len(site.seen) < 2:
+            await asyncio.sleep(0.005)
+        site.gate_by_target["/slow"].set()
+        text = await asyncio.wait_for(reader.readuntil(b"/fast "), 2)
+        assert text.index(b"GET /slow") < text.index(b"GET /fast")
+        writer.close()
+
+    run(test)
+
+
+def test_a_caller_that_leaves_cancels_its_requests():
+    async def test(site):
+        site.gate_by_target["/a"] = asyncio.Event()
+        _, writer = await site.open()
+        writer.write(b"GET /a HTTP/1.1\r\n" + HOST + b"\r\n")
+        while not site.seen:
+            await asyncio.sleep(0.005)
+        writer.close()
+        for _ in range(100):
+            if site.cancelled:
+                break
+            await asyncio.sleep(0.01)
+        assert site.cancelled == ["/a"]
+
+    run(test)
+
+
+def test_bodies_come_whole_from_a_length_and_from_chunks():
+    async def test(site):
+        head = b"POST /x HTTP/1.1\r\n" + HOST
+        sized = head + b"Content-Length: 5\r\n\r\nhello"
+        chunked = (
+            head + b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"
+        )
+        for data in (sized, chunked):
+            assert (await site.talk(data)).endswith(b"POST /x hello")
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"GET / HTTP/1.1\r\n" + HOST + b"Content-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"GET / HTTP/1.1\r\n\r\n",  # no host
+        b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: a\r\n b\r\n\r\n",  # folded
+        b"GET / HTTP/9.9\r\n" + HOST + b"\r\n",
+        b"GET / HTTP/1.1\nHost: a\n\n",  # bare line feeds
+        b"GET / HTTP/1.1\r\n" + HOST + b"X: 1\nY: 2\r\n\r\n",
+        b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: +3\r\n\r\nabc",
+        b"POST / HTTP/1.1\r\n"
+        + HOST
+        + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\n",
+        b"POST / HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\r\n\r\n",
+    ],
+)
+def test_what_two_parsers_could_read_differently_is_refused(head):
+    # What follows such a head could be served as a request of its own, under another
+    # caller's rights. It is answered 400 and the connection closes.
+    async def test(site):
+        received = await site.talk(head + b"GET /hidden HTTP/1.1\r\n" + HOST + b"\r\n")
+        assert received.startswith(b"HTTP/1.1 400 ")
+        assert received.count(b"HTTP/1.1 ") == 1
+        assert not site.seen
+        assert site.bad
+
+    run(test)
+
+
+def test_a_head_over_the_limit_is_refused():
+    async def test(site):
+        site.server.limits = Limits(max_header_bytes=500)
+        data = b"GET / HTTP/1.1\r\n" + HOST + b"X: " + b"a" * 600 + b"\r\n\r\n"
+        assert (await site.talk(data)).startswith(b"HTTP/1.1 431 ")
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"Content-Length: 11\r\n\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\nb\r\n" + b"a" * 11 + b"\r\n",
+    ],
+)
+def test_a_body_over_the_limit_is_refused(rest):
+    async def test(site):
+        site.server.limits = Limits(max_body_bytes=10)
+        received = await site.talk(b"POST / HTTP/1.1\r\n" + HOST + rest)
+        assert received.startswith(b"HTTP/1.1 413 ")
+
+    run(test)
+
+
+def test_an_unfinished_head_is_given_up():
+    async def test(site):
+        site.server.limits = Limits(header_timeout_s=0.1)
+        reader, writer = await site.open()
+        writer.write(b"GET / HTTP/1.1\r\nHost:")
+        answer = await asyncio.wait_for(reader.read(), 5)
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        writer.close()
+
+    run(test)
+
+
+def test_a_closing_server_answers_what_it_has_and_says_that_it_closes():
+    async def test(site):
+        site.server.is_closing = True
+        received = await site.talk(b"GET /last HTTP/1.1\r\n" + HOST + b"\r\n")
+        assert b"Connection: close" in received
+        assert received.endswith(b"GET /last ")
+
+    run(test)
--- /dev/null
+++ b/tests/platform_adapter/test_wire_documents.py
@@ -0,0 +1,207 @@
+"""Configuration documents and heartbeats, well formed and not."""
+
+import json
+
+import pytest
+import wire_configuration as documents
+from hypothesis import given, settings, strategies as st
+from target_registry import read_heartbeat
+
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+from tamarackhaven.fleet import Hold, Release, TargetPhase
+from tamarackhaven.routing import RequestKind, check, edited
+
+DOCUMENT = {
+    "version": "r7",
+    "services": [
+        {"name": "a", "health_path": "/health", "cold_per_s": 4.6, "sharded": True},
+        {"name": "b", "protocol": "h1", "tls": False, "later": [1]},
+    ],
+    "limits": {"max_header_bytes": 16384, "idle_timeout_s": 15},
+    "virtual_hosts": [
+        {
+            "host": "h.example",
+            "path_routes": [
+                {
+                    "name": "one",
+                    "path_prefix": "/x/",
+                    "kind": "safe",
+                    "timeout_s": 1.2,
+                    "target_latency_s": 0.6,
+                    "priority": 2,
+                    "weighted_services": [
+                        {"service": "a", "weight": 90},
+                        {"service": "b", "weight": 10},
+                    ],
+                    "max_attempts": 2,
+                },
+                {
+                    "name": "two",
+                    "path_prefix": "/y/",
+                    "kind": "unsafe",
+                    "timeout_s": 1.5,
+                    "service": "b",
+                },
+            ],
+        }
+    ],
+}
+BEAT = {
+    "address": "10.0.0.1:80",
+    "born": 1700000000000,
+    "info": {"service": "a", "version": "v1", "zone": "z", "max_concurrency": 6},
+    "status": {"state": "draining", "sequence": 4, "cold_s_time": 1.5},
+    "active_holds": [[0, 4095, 7]],
+    "released": [[4096, 8191, "token"]],
+}
+
+
+def test_a_configuration_is_read_and_written_back_as_it_was():
+    configuration = documents.read_configuration(DOCUMENT)
+    check(configuration, 0)
+    assert documents.write_configuration(configuration) == DOCUMENT
+    assert configuration.version == 7
+    one, two = configuration.routes
+    assert [part.weight for part in one.parts] == [90.0, 10.0]
+    assert two.kind is RequestKind.UNSAFE
+    assert two.objective_s == 1.5
+
+
+def test_an_edit_replaces_by_name_and_removes():
+    configuration = documents.read_configuration(DOCUMENT)
+    host = DOCUMENT["virtual_hosts"][0]
+    changed = host["path_routes"][1] | {"timeout_s": 9, "path_prefix": "/z/"}
+    edit = documents.read_edit(
+        {
+            "version": "r9",
+            "upsert": {
+                "virtual_hosts": [{"host": "h.example", "path_routes": [changed]}]
+            },
+            "remove": {"routes": ["one"]},
+        }
+    )
+    after = edited(configuration, edit)
+    assert [route.name for route in after.routes] == ["two"]
+    assert after.routes[0].timeout_s == 9.0
+    assert after.services == configuration.services
+
+
+def mutations():
+    yield "not JSON", lambda d: None
+    for path in (
+        ("version",),
+        ("services",),
+        ("virtual_hosts",),
+        ("services", 0, "name"),
+        ("virtual_hosts", 0, "host"),
+        ("virtual_hosts", 0, "path_routes", 0, "name"),
+        ("virtual_hosts", 0, "path_routes", 0, "path_prefix"),
+        ("virtual_hosts", 0, "path_routes", 0, "kind"),
+        ("virtual_hosts", 0, "path_routes", 0, "timeout_s"),
+        ("virtual_hosts", 0, "path_routes", 1, "service"),
+    ):
+        for value in (..., {}, True, "?" * 3):
+            if (
+                path[-1] in ("name", "path_prefix", "host", "service")
+                and value == "???"
+            ):
+                continue
+            yield f"{path}={value}", (path, value)
+
+
+@pytest.mark.parametrize(
+    "mutation", [m for _, m in mutations() if isinstance(m, tuple)]
+)
+def test_a_document_that_cannot_be_read_in_full_is_invalid(mutation):
+    path, value = mutation
+    document = json.loads(json.dumps(DOCUMENT))
+    place = document
+    for key in path[:-1]:
+        place = place[key]
+    if value is ...:
+        del place[path[-1]]
+    else:
+        place[path[-1]] = value
+    with pytest.raises(TamarackhavenError) as caught:
+        documents.read_configuration(document)
+    assert caught.value.kind is ErrorKind.INVALID_RESOURCE
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b'{"version": "r1"', b"\xff"])
+def test_a_body_that_is_no_document_is_invalid(body):
+    with pytest.raises(TamarackhavenError):
+        documents.read_configuration(documents.read_document(body))
+
+
+@pytest.mark.parametrize("text", ["r", "x1", "r-1", "r1.5", "", "r²"])
+def test_a_version_that_is_no_number_is_invalid(text):
+    with pytest.raises(TamarackhavenError):
+        documents.read_version(text)
+
+
+def test_a_heartbeat_is_read():
+    beat = read_heartbeat("i-1", json.dumps(BEAT).encode())
+    assert (beat.name, beat.born_ms, beat.sequence) == ("i-1", 1700000000000, 4)
+    assert beat.phase is TargetPhase.DRAINING
+    assert beat.cold_s == 1.5
+    assert beat.holds == (Hold(0, 4095, 7),)
+    assert beat.releases == (Release(4096, 8191, "token"),)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=8,
+)
+PATHS = [
+    ("born",),
+    ("info",),
+    ("status",),
+    ("info", "service"),
+    ("info", "zone"),
+    ("info", "max_concurrency"),
+    ("status", "state"),
+    ("status", "sequence"),
+    ("status", "cold_s_time"),
+    ("active_holds",),
+    ("released",),
+    ("active_holds", 0),
+    ("active_holds", 0, 1),
+    ("released", 0, 2),
+]
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(st.sampled_from(PATHS), JSON)
+def test_a_foreign_heartbeat_is_read_or_refused_with_a_code(path, value):
+    # Another writer's bytes come to the registry. Whatever they are, the daemon goes
+    # on; an exception without a code would be an internal error.
+    document = json.loads(json.dumps(BEAT))
+    place = document
+    for key in path[:-1]:
+        place = place[key]
+    place[path[-1]] = value
+    try:
+        read_heartbeat("i-1", json.dumps(document).encode())
+    except TamarackhavenError as error:
+        assert error.kind is ErrorKind.INVALID_RESOURCE
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=200))
+def test_bytes_that_are_no_heartbeat_are_refused_with_a_code(data):
+    with pytest.raises(TamarackhavenError):
+        read_heartbeat("i-1", data)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.dictionaries(st.sampled_from([*DOCUMENT, "upsert", "remove"]), JSON))
+def test_a_foreign_configuration_is_read_or_refused_with_a_code(document):
+    for read in (documents.read_configuration, documents.read_edit):
+        try:
+            read(document)
+        except TamarackhavenError as error:
+            assert error.kind is ErrorKind.INVALID_RESOURCE
--- /dev/null
+++ b/tests/platform_adapter/test_wire_headers.py
@@ -0,0 +1,93 @@
+"""Headers of the users' platform."""
+
+import pytest
+from wire_headers import PlatformDialect
+
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
+from tamarackhaven.net import HttpRequest, Reply
+from tamarackhaven.sidecar import TargetLoad, Verdict
+
+DIALECT = PlatformDialect()
+ATTEMPT = (b"Tamarackhaven-Attempt-Id", b"abc")
+SIGNED = (b"Tamarackhaven-Response-Signature", b"s")
+NOT_EXECUTED = (b"Tamarackhaven-Not-Executed", b"1")
+
+
+def request(*headers):
+    return HttpRequest("GET", "/a/b", ((b"Host", b"h"), *headers), b"", 0.0)
+
+
+def test_what_the_system_sets_is_not_passed_on_from_the_caller():
+    # A caller that could name the calling service or the target would get around
+    # what they are checked for.
+    asked = DIALECT.read_request(
+        request(
+            ATTEMPT,
+            (b"tamarackhaven-caller-service", b"forged"),
+            (b"Tamarackhaven-Expected-Instance", b"forged"),
+            (b"Tamarackhaven-Deadline-Ms", b"900"),
+            (b"X-Other", b"kept"),
+        )
+    )
+    names = [name.lower() for name, _ in asked.headers]
+    assert names == [b"host", b"tamarackhaven-attempt-id", b"x-other"]
+    assert asked.deadline_ms == 900.0
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        [],
+        [ATTEMPT, ATTEMPT],
+        [ATTEMPT, (b"Tamarackhaven-Deadline-Ms", b"soon")],
+        [ATTEMPT, (b"Tamarackhaven-Deadline-Ms", b"-1")],
+        [ATTEMPT, (b"Tamarackhaven-Deadline-Ms", b"nan")],
+        [ATTEMPT, (b"Tamarackhaven-Shard-Key", b"65536")],
+        [ATTEMPT, (b"Tamarackhaven-Shard-Key", b"x")],
+    ],
+)
+def test_a_malformed_header_is_named(headers):
+    with pytest.raises(TamarackhavenError) as caught:
+        DIALECT.read_request(request(*headers))
+    assert caught.value.kind is ErrorKind.BAD_HEADER
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "verdict"),
+    [
+        (200, [ATTEMPT, SIGNED], Verdict.ANSWERED),
+        (500, [ATTEMPT], Verdict.ANSWERED),
+        (200, [ATTEMPT], Verdict.INVALID),
+        (200, [SIGNED], Verdict.INVALID),
+        (200, [(b"Tamarackhaven-Attempt-Id", b"other"), SIGNED], Verdict.INVALID),
+        (200, [ATTEMPT, SIGNED, (b"Content-Encoding", b"gzip")], Verdict.INVALID),
+        (503, [NOT_EXECUTED], Verdict.REFUSED),
+        (429, [ATTEMPT, NOT_EXECUTED], Verdict.REFUSED),
+        (503, [ATTEMPT, SIGNED], Verdict.INVALID),  # it may have run
+        (421, [], Verdict.NOT_HERE),
+    ],
+)
+def test_verdicts(status, headers, verdict):
+    assert DIALECT.judge(Reply(status, tuple(headers), b""), "abc") is verdict
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,0,8", TargetLoad(3, 0, 8)),
+        (b"3,1,8,250", TargetLoad(3, 1, 8, 2.5)),
+        (b"3,1", None),
+        (b"many", None),
+    ],
+)
+def test_load(value, load):
+    reply = Reply(200, ((b"Tamarackhaven-Server-Load", value),), b"")
+    assert DIALECT.read_load(reply) == load
+
+
+def test_a_refusal_names_its_code_and_when_to_come_back():
+    error = TamarackhavenError(ErrorKind.QUEUE_FULL, "", 0.25)
+    response = DIALECT.refusal(error)
+    assert response.status == 503
+    assert (b"Retry-After", b"0.250") in response.headers
+    assert (b"Tamarackhaven-Code", b"TH301") in response.headers
--- /dev/null
+++ b/tests/sidecar/test_target_state.py
@@ -0,0 +1,137 @@
+"""What the daemon believes of its target, and what it tells it to hold."""
+
+import attrs
+import pytest
+
+from tamarackhaven.fleet import DaemonSettings
+from tamarackhaven.fleet._messages import LeaseGrant
+from tamarackhaven.fleet._model import GrantId, Hold, KeyRange, TargetPhase
+from tamarackhaven.sidecar._target_state import Heartbeat, TargetState
+
+ADDRESS = "10.0.0.1:80"
+SETTINGS = DaemonSettings(
+    name="vm",
+    zone="z",
+    callers=ADDRESS,
+    readiness=ADDRESS,
+    registry=ADDRESS,
+    links=ADDRESS,
+    target=ADDRESS,
+    service="s",
+)
+SLOWEST_CLOCK = 0.98
+
+
+def beat(sequence=1, born_ms=1, name="i", **fields):
+    return Heartbeat(
+        name=name,
+        born_ms=born_ms,
+        service="s",
+        zone="z",
+        slots=4,
+        phase=fields.pop("phase", TargetPhase.READY),
+        sequence=sequence,
+        **fields,
+    )
+
+
+def grant(state, number=1, ranges=((0, 99),), lease_s=4.0, term=1):
+    rows = tuple(KeyRange(a, b, 7, state.life) for a, b in ranges)
+    return LeaseGrant(1, GrantId(term, number), lease_s, state.life, rows)
+
+
+@pytest.fixture
+def state():
+    state = TargetState(SETTINGS, "10.0.0.1", 7000)
+    state.take(beat(), 10.0)
+    return state
+
+
+def test_without_a_lease_nothing_is_said_about_keys(state):
+    assert state.take(beat(2), 11.0).ranges is None
+
+
+def test_a_hold_ends_before_the_lease_even_by_the_slowest_clock(state):
+    # The control group gives the keys on when the lease is over. A target whose clock
+    # runs slow holds longer than it was told; both would run requests for them.
+    state.take_grant(grant(state), asked_s=10.0)
+    reply = state.take(beat(2), 11.5)
+    assert 11.5 + reply.hold_s / SLOWEST_CLOCK < 14.0
+
+
+def test_a_lease_that_has_run_out_renews_nothing(state):
+    state.take_grant(grant(state), asked_s=10.0)
+    assert state.take(beat(2), 14.0).ranges is None
+    assert not state.holds(5, 14.0)
+
+
+def test_an_older_grant_never_replaces_a_newer_one(state):
+    # A deposed leader's grant was held up on its way. Taken, it would give back keys
+    # that the target has released since.
+    state.take_grant(grant(state, 5, ranges=(), term=2), asked_s=10.0)
+    state.take_grant(grant(state, 9, term=1), asked_s=10.0)
+    assert state.take(beat(2), 11.0).ranges == ()
+
+
+def test_a_grant_for_another_life_is_not_passed_on(state):
+    state.take_grant(grant(state), asked_s=10.0)
+    reply = state.take(beat(1, born_ms=2), 11.0)
+    assert reply.ranges is None
+    assert state.ended_lives == ["i@1"]
+
+
+@pytest.mark.parametrize(
+    "late",
+    [beat(1), beat(9, born_ms=0), beat(9, born_ms=0, name="other")],
+    ids=["older sequence", "earlier life", "earlier life of another name"],
+)
+def test_a_heartbeat_that_comes_late_changes_nothing(state, late):
+    state.take(beat(3), 11.0)
+    late = attrs.evolve(late, phase=TargetPhase.DRAINING)
+    assert state.take(late, 12.0).ranges is None
+    assert state.heartbeat == beat(3)
+    assert state.takes_new(False, 12.0)
+
+
+def test_a_draining_target_gets_nothing_that_can_go_elsewhere(state):
+    state.take(beat(2, phase=TargetPhase.DRAINING), 11.0)
+    assert not state.takes_new(False, 11.0)
+    assert state.target(11.0).phase is TargetPhase.DRAINING
+
+
+def test_a_draining_owner_serves_its_keys_while_they_move_but_not_too_long(state):
+    state.take(beat(2, phase=TargetPhase.DRAINING), 11.0)
+    assert state.takes_new(True, 12.0)
+    assert not state.takes_new(True, 11.0 + SETTINGS.drain_s)
+
+
+def test_a_goodbye_counts_like_draining(state):
+    state.leave("someone else", 11.0)
+    assert state.takes_new(False, 11.0)
+    state.leave("i", 11.0)
+    assert not state.takes_new(False, 11.0)
+
+
+def test_a_silent_target_is_reported_as_leaving(state):
+    assert state.target(12.0).phase is TargetPhase.READY
+    assert state.target(15.0).phase is TargetPhase.DRAINING
+
+
+def test_the_settled_grant_is_the_one_told_before_the_newest_heartbeat(state):
+    state.take_grant(grant(state, 1), asked_s=10.0)
+    state.take(beat(2), 10.5)
+    assert state.settled == GrantId()
+    state.take_grant(grant(state, 2, ranges=()), asked_s=10.6)
+    state.take(beat(3, holds=(Hold(0, 99, 7),)), 11.0)
+    assert state.settled == GrantId(1, 1)
+    state.take(beat(4), 11.1)
+    assert state.settled == GrantId(1, 2)
+
+
+def test_a_restarted_daemon_knows_no_lease_until_it_has_asked(state):
+    # The daemon restarts while its target goes on. What the target says that it
+    # holds is no proof that it still may.
+    restarted = TargetState(SETTINGS, "10.0.0.1", 7000)
+    assert restarted.take(beat(7, holds=(Hold(0, 99, 7),)), 20.0).ranges is None
+    restarted.take_grant(grant(restarted, 3), asked_s=20.0)
+    assert restarted.take(beat(8), 21.0).ranges
