--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -8,7 +8,7 @@
 ROOT = Path(__file__).parents[2]
 THEIR_NAMES = re.compile(
     r"active_holds|weighted_services|virtual_hosts|heartbeat_addr|path_routes|"
-    r"[Tt]amarackhaven-(Attempt|Shard|Expected|Not-Exec|Response-S|Instance)|"
+    r"[Tt]amarackhaven-(Attempt|Shard-Key|Expected|Not-Exec|Response-S|Instance)|"
     r"TAMARACKHAVEN_BOOT"
 )
 
