Refuse at once in lasting overload, wait in bursts, let short work in

Change: while the queue has not been empty for a second, only what can be in time waits; short work may wait until its deadline.

--- a/tamarackhaven/sidecar/_budget.py
+++ b/tamarackhaven/sidecar/_budget.py
@@ -2,9 +2,9 @@
 
 import collections
 
-# The daemons don't ask each other: each takes its own part. Callers are not spread
-# evenly, so each leaves room for another one that has more to repeat.
-OWN_PART = 0.5
+# The daemons don't ask each other: each takes its own part. What a repeated run calls
+# counts as repeated there, too, so some room is left for that.
+OWN_PART = 0.6
 
 
 class RepeatBudget:
--- a/tamarackhaven/sidecar/_gate.py
+++ b/tamarackhaven/sidecar/_gate.py
@@ -16,14 +16,29 @@
 FIRST_WORK_S = 0.1
 # Load: a queue that is longer than the time left. Harm: a request waits in vain, and
 # its caller learns late that it must come back. Limit: the estimate of the wait is
-# rough, so a request is let in only if it fits with a third to spare.
-WAIT_MARGIN = 1.5
+# rough, so a request is let in only if it fits with a quarter to spare.
+WAIT_MARGIN = 1.25
+# Load: a burst, or lasting overload; they look alike at first. Harm: sent away during
+# a burst, callers come back for nothing; let in during overload, all answers are late.
+# Limit: the queue was empty within this time, so it may soon be empty again; some
+# working times of the slowest routes.
+CALM_S = 1.0
+# During a burst a request may wait for this part of the time it has: late is better
+# than never, but the estimate doesn't know who comes next.
+BURST_PART = 0.6
+# In lasting overload a request that is late anyway may still take a place that is
+# about to be free.
+LATE_PART = 0.1
 # Load: a burst of callers that all hear the same time to come back. Harm: they come
 # back as one wave. Limit: spread over twice the time after which there is room.
 SPREAD = 1.0
 SHORTEST_RETRY_S = 0.05
 LONGEST_RETRY_S = 2.0
 COLD_WINDOW_S = 1.0
+# Load: lasting overload by long requests. Harm: sent away, a short call fails the work
+# elsewhere that waits for it, and all that this has used is lost; let in, it takes a
+# place for a moment. Limit: work of less than this part of the mean counts as short.
+SHORT_PART = 0.6
 
 
 @attrs.frozen
@@ -99,6 +114,7 @@
         self._order = itertools.count()
         self._cold_rate = None
         self._cold_starts = collections.deque()
+        self._calm_s = float("-inf")
 
     @property
     def running(self):
@@ -133,15 +149,34 @@
         """Return ``Start``, ``Refuse`` or None if the request waits."""
         if now >= offer.deadline_s:
             return Refuse(offer.number, ErrorKind.DEADLINE_PAST, 0.0)
+        if not self._waiting:
+            self._calm_s = now
         if not self._waiting and self._has_room(now):
             return self._start(offer, now)
         wait_s = self._wait_s(offer, now)
-        work_s = self._work_by_route[offer.route].mean_s
-        if now + WAIT_MARGIN * wait_s + work_s > offer.deadline_s:
+        if WAIT_MARGIN * wait_s > self._longest_wait_s(offer, now):
             return self._refuse(offer, wait_s)
         self._waiting[offer.number] = (next(self._order), offer)
         return None
 
+    def _longest_wait_s(self, offer, now):
+        """Return how long a request may wait and still be worth its place."""
+        work_s = self._work_by_route[offer.route].mean_s
+        left_s = offer.deadline_s - now - work_s
+        if not self._is_overloaded(now) or self._is_short(offer):
+            return BURST_PART * left_s
+        in_time_s = offer.objective_s - now - work_s
+        return min(max(in_time_s, LATE_PART * left_s), left_s)
+
+    def _is_short(self, offer):
+        """Whether a request takes its place for a short time only."""
+        work = self._work_by_route[offer.route]
+        return work.count > 0 and work.mean_s < SHORT_PART * self._all_work.mean_s
+
+    def _is_overloaded(self, now):
+        """Whether the queue has not been empty for some time."""
+        return now - self._calm_s > CALM_S
+
     def _has_room(self, now):
         if len(self._running) >= self.slots:
             return False
@@ -193,7 +228,8 @@
         and short work is, by its nature, a small part of the slots.
         """
         work_s = self._work_by_route[offer.route].mean_s
-        return now + work_s > offer.objective_s, offer.priority, work_s
+        is_late = now + work_s > offer.objective_s and not self._is_short(offer)
+        return is_late, offer.priority, work_s
 
     def finish(self, number, worked, now):
         """Take in the end of a request; ``worked`` if the target answered it."""
@@ -213,8 +249,7 @@
         """Return the decisions on waiting requests that are due."""
         decisions = []
         for number, (_, offer) in list(self._waiting.items()):
-            work_s = self._work_by_route[offer.route].mean_s
-            if now + work_s / 2 > offer.deadline_s:
+            if self._waits_in_vain(offer, now):
                 del self._waiting[number]
                 decisions.append(self._refuse(offer, SHORTEST_RETRY_S))
         while self._waiting and self._has_room(now):
@@ -228,3 +263,15 @@
             _, offer = self._waiting.pop(number)
             decisions.append(self._start(offer, now))
         return decisions
+
+    def _waits_in_vain(self, offer, now):
+        """Whether a waiting request has no chance any more.
+
+        In lasting overload those that can still be in time go first, so one that is
+        late would wait until its deadline.
+        """
+        work_s = self._work_by_route[offer.route].mean_s
+        if now + work_s / 2 > offer.deadline_s:
+            return True
+        is_late = now + work_s > offer.objective_s and not self._is_short(offer)
+        return is_late and self._is_overloaded(now) and len(self._waiting) > self.slots
