--- a/tamarackhaven/net/_http_server.py
+++ b/tamarackhaven/net/_http_server.py
@@ -399,11 +399,15 @@
         """Number of connections on which something is read or answered."""
         return sum(1 for connection in self.connections if not connection.is_idle)
 
+    def stop_listening(self):
+        """Take no new connections; those that are open go on."""
+        if self._server is not None:
+            self._server.close()
+
     def close(self):
         """Stop listening and close the connections; answers that wait are cut."""
         if self._sweep is not None:
             self._sweep.cancel()
-        if self._server is not None:
-            self._server.close()
+        self.stop_listening()
         for connection in tuple(self.connections):
             connection.close()
--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -99,6 +99,7 @@
         self._chooser = Chooser(settings.zone, random.random)
         self._budget_by_service = {}
         self._numbers = itertools.count(1)
+        self.is_closing = False
 
     async def handle(self, request):
         """Return the ``HttpResponse`` to an ``HttpRequest``."""
@@ -139,6 +140,8 @@
     def _read(self, request):
         """Return the ``_Asked`` of a request."""
         table = self._view.table
+        if self.is_closing:
+            raise TamarackhavenError(ErrorKind.DRAINING, "", UNKNOWN_RETRY_S)
         if table is None:
             raise TamarackhavenError(
                 ErrorKind.STATE_STALE, "no configuration is known yet", UNKNOWN_RETRY_S
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -67,7 +67,7 @@
         self._links = LinkServer(
             PEER_CODEC, self._peer_server.on_message, self._peer_server.on_closed
         )
-        callers = Callers(
+        self._caller_path = Callers(
             settings,
             self.view,
             self.state,
@@ -77,7 +77,9 @@
             log.part("caller"),
             metrics,
         )
-        self._callers = HttpServer(callers.handle, self._on_error, self._on_bad)
+        self._callers = HttpServer(
+            self._caller_path.handle, self._on_error, self._on_bad
+        )
         self._readiness = HttpServer(self._answer_ready, self._on_error)
         self._registry = HttpServer(registry(self), self._on_error, self._on_bad)
         self._control = ControlLink(
@@ -135,7 +137,7 @@
                 quiet_since_s = boot_s()
             is_quiet = boot_s() - quiet_since_s >= QUIET_S
             if boot_s() - started_s >= LEAVE_AT_LEAST_S:
-                self.inbound.is_closing = True
+                self._take_nothing_new()
                 if is_quiet:
                     break
             await asyncio.sleep(POLL_S)
@@ -148,6 +150,17 @@
         self._peers.close()
         self.inbound.close()
 
+    def _take_nothing_new(self):
+        """Refuse what comes from now on.
+
+        Failure: callers that know no other daemon go on sending until the process
+        must end. Symptom: what it took last is cut without an answer. Enough: what
+        was taken by now has the rest of the grace time, longer than routes allow.
+        """
+        self.inbound.is_closing = True
+        self._caller_path.is_closing = True
+        self._callers.stop_listening()
+
     # The control group.
 
     def _seeds(self):
