Send fewer bytes between zones: lists for records, changed ranges only, busy keys only

Change: records without field names, key views as changes, the 64 busiest buckets in a report, and a target in another zone must be better by 15%.

--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -221,10 +221,13 @@
 
     def _shares(self, service, ranges, candidates):
         rate_by_bucket = {}
+        rest = 0.0
         for known in self._known_by_life.values():
             if known.target.service == service:
                 rate_by_bucket.update(known.report.key_load)
-        weights = _placement.KeyWeights(rate_by_bucket, sum(candidates.values()))
+                rest += known.report.key_rest
+        power = sum(candidates.values())
+        weights = _placement.KeyWeights(rate_by_bucket, rest, power)
         return _placement.Shares(ranges, candidates, weights)
 
     def _first(self, service, ranges, candidates, now):
--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -106,7 +106,9 @@
     state_index : int
         Index of the newest replicated state that the daemon has.
     key_load : tuple of (int, float)
-        First key of a bucket, and requests a second for it.
+        Number of a bucket of keys, and requests a second for it; the busiest ones.
+    key_rest : float
+        Requests a second for all other keys that the target owns.
     """
 
     number: int
@@ -117,6 +119,7 @@
     ended_lives: tuple[str, ...] = ()
     state_index: int = 0
     key_load: tuple[tuple[int, float], ...] = ()
+    key_rest: float = 0.0
 
 
 @attrs.frozen
@@ -162,11 +165,18 @@
 
 @attrs.frozen
 class KeysView:
-    """Owners of a service's keys as of log index ``index``."""
+    """Owners of a service's keys as of log index ``index``.
+
+    Parameters
+    ----------
+    is_whole : bool
+        Whether ``ranges`` cover all keys; else they replace what they overlap.
+    """
 
     index: int
     service: str
     ranges: tuple[KeyRange, ...]
+    is_whole: bool = True
 
 
 @attrs.frozen
--- a/tamarackhaven/fleet/_placement.py
+++ b/tamarackhaven/fleet/_placement.py
@@ -73,14 +73,16 @@
     Parameters
     ----------
     rate_by_bucket : dict of int to float
-        Requests a second for each bucket of ``BUCKET_KEYS`` keys.
+        Requests a second for each busy bucket of ``BUCKET_KEYS`` keys.
+    rest : float
+        Requests a second for all other keys, taken as spread evenly.
     power : float
         Requests a second that all targets can do.
     """
 
-    def __init__(self, rate_by_bucket, power):
+    def __init__(self, rate_by_bucket, rest, power):
         self._rate_by_bucket = rate_by_bucket
-        self._idle_per_key = IDLE_USE * power / KEY_COUNT
+        self._idle_per_key = (IDLE_USE * power + rest) / KEY_COUNT
 
     def bucket(self, number):
         """Return the weight of a whole bucket."""
--- a/tamarackhaven/fleet/_sessions.py
+++ b/tamarackhaven/fleet/_sessions.py
@@ -13,8 +13,8 @@
     ----------
     configuration_index, zones_index : int
         Log index of what was sent last, -1 before.
-    index_by_service : dict
-        The same for the owners of each service's keys.
+    index_by_service, ranges_by_service : dict
+        The same for the owners of each service's keys, and the owners sent.
     """
 
     daemon: str
@@ -22,6 +22,7 @@
     configuration_index: int = -1
     zones_index: int = -1
     index_by_service: dict = attrs.field(factory=dict)
+    ranges_by_service: dict = attrs.field(factory=dict)
 
     def catch_up(self, state):
         """Send the parts of ``state`` that are newer than what was sent."""
@@ -36,6 +37,15 @@
             self.link.send(ZonesView(state.zones_index, zones))
         for service, index in state.index_by_service.items():
             if index > self.index_by_service.get(service, -1):
-                self.index_by_service[service] = index
-                ranges = state.ranges_by_service[service]
-                self.link.send(KeysView(index, service, ranges))
+                self._send_keys(service, index, state.ranges_by_service[service])
+
+    def _send_keys(self, service, index, ranges):
+        """Send the ranges that changed; all of them the first time."""
+        sent = self.ranges_by_service.get(service)
+        changed = ranges
+        if sent is not None:
+            known = set(sent)
+            changed = tuple(each for each in ranges if each not in known)
+        self.index_by_service[service] = index
+        self.ranges_by_service[service] = ranges
+        self.link.send(KeysView(index, service, changed, sent is None))
--- a/tamarackhaven/net/_wire.py
+++ b/tamarackhaven/net/_wire.py
@@ -1,6 +1,12 @@
-"""Messages between processes as MessagePack, each tagged with its class's name."""
+"""Messages between processes as MessagePack, each tagged with its class's name.
+
+Records are written as lists of their fields, in order: bytes between availability
+zones are paid for, and names of fields were two thirds of them. All processes of a
+fleet run the same release; a new field goes to the end and has a default.
+"""
 
 import msgpack
+from cattrs import UnstructureStrategy
 from cattrs.preconf.msgpack import make_converter
 
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
@@ -16,8 +22,9 @@
     """
 
     def __init__(self, kinds):
-        # A newer process may send a field more while the others are being restarted.
-        self._converter = make_converter(forbid_extra_keys=False)
+        self._converter = make_converter(
+            unstruct_strat=UnstructureStrategy.AS_TUPLE, detailed_validation=False
+        )
         self._kind_by_name = {kind.__name__: kind for kind in kinds}
 
     def pack(self, message):
--- a/tamarackhaven/sidecar/_choice.py
+++ b/tamarackhaven/sidecar/_choice.py
@@ -12,9 +12,11 @@
 LOAD_LIFE_S = 2.0
 # Before any answer, all targets count as equal.
 UNKNOWN_WORK_MS = 100.0
-# Crossing zones takes about a millisecond and costs bytes; a target in the same zone
-# is better by more than that only if both are about equally busy.
+# Crossing zones takes about a millisecond, and its bytes are paid for: a usual answer
+# costs as much as some hundredths of what it is worth. A target in another zone has to
+# be better by that.
 OTHER_ZONE_MS = 5.0
+OTHER_ZONE_PART = 0.15
 # A target that couldn't be reached is left alone for so long, then for twice as long.
 FIRST_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 4.0
@@ -99,7 +101,7 @@
         cost_ms = work_ms * max(1.0, fill) + work_ms * 0.25 * min(fill, 1.0)
         cost_ms *= 1 + FAILURE_WEIGHT * seen.failures
         if target.zone != self._zone:
-            cost_ms += OTHER_ZONE_MS
+            cost_ms += OTHER_ZONE_MS + OTHER_ZONE_PART * cost_ms
         if seen.load is not None and seen.load.is_cold:
             cost_ms *= 2
         # Many daemons with the same news would all choose the same target.
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -172,6 +172,7 @@
         now = boot_s()
         beat = state.heartbeat
         load = self.inbound.load()
+        key_load, key_rest = self.inbound.key_load(now)
         fill = (load.running + load.waiting) / max(load.slots, 1)
         return Report(
             number=number,
@@ -181,7 +182,8 @@
             settled=state.settled,
             ended_lives=tuple(state.ended_lives),
             state_index=self.view.state_index,
-            key_load=self.inbound.key_load(now),
+            key_load=key_load,
+            key_rest=key_rest,
         )
 
     def _take(self, message):
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -86,7 +86,7 @@
         )
 
     def key_load(self, now):
-        """Return requests a second by bucket of keys, as pairs."""
+        """Return the requests a second for keys, as ``KeyLoad.rates`` does."""
         return self._key_load.rates(now)
 
     def target_changed(self):
--- a/tamarackhaven/sidecar/_key_load.py
+++ b/tamarackhaven/sidecar/_key_load.py
@@ -7,8 +7,12 @@
 # Load: busy keys change within seconds. Harm: a long memory moves keys that are no
 # longer busy, a short one follows chance. Limit: a count loses half in this time.
 HALF_LIFE_S = 1.5
-# A bucket with less than this many requests a second decides nothing.
+# A bucket with less than this many requests a second is soon forgotten.
 LEAST_RATE = 0.15
+# Load: tens of thousands of keys, each asked for now and then. Harm: all of them in
+# each report are most of the bytes between zones. Limit: the busiest decide which keys
+# move; the others count as spread evenly.
+MOST_REPORTED = 64
 
 
 class KeyLoad:
@@ -40,11 +44,24 @@
         }
 
     def rates(self, now):
-        """Return (bucket, requests a second) pairs of what is asked for."""
+        """Return what is asked for, in requests a second.
+
+        Returns
+        -------
+        tuple of (tuple of (int, float), float)
+            The busiest buckets with their rates, and the rate of all others.
+        """
         self._decay(now)
         per_s = math.log(2) / HALF_LIFE_S
-        return tuple(
-            (bucket, round(count * per_s, 3))
-            for bucket, count in self._count_by_bucket.items()
-            if count * per_s >= LEAST_RATE
+        rates = sorted(
+            (
+                (count * per_s, bucket)
+                for bucket, count in self._count_by_bucket.items()
+            ),
+            reverse=True,
+        )
+        busiest = tuple(
+            (bucket, round(rate, 2)) for rate, bucket in rates[:MOST_REPORTED]
         )
+        rest = sum(rate for rate, _ in rates[MOST_REPORTED:])
+        return busiest, round(rest, 2)
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -10,7 +10,7 @@
     ZonesView,
 )
 from tamarackhaven.fleet._model import TargetPhase
-from tamarackhaven.fleet._ranges import RangeIndex
+from tamarackhaven.fleet._ranges import RangeIndex, assigned
 from tamarackhaven.routing import RouteTable
 
 
@@ -55,7 +55,11 @@
     def _(self, message: KeysView):
         if not self._is_newer(f"keys {message.service}", message.index):
             return False
-        self._keys_by_service[message.service] = RangeIndex(message.ranges)
+        ranges = message.ranges
+        if not message.is_whole:
+            known = self._keys_by_service[message.service].ranges
+            ranges = assigned(known, ranges)
+        self._keys_by_service[message.service] = RangeIndex(ranges)
         return self._wake()
 
     @take.register
--- /dev/null
+++ b/tests/net/test_wire.py
@@ -0,0 +1,94 @@
+"""Messages between processes, and bytes that are none."""
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from tamarackhaven.errors import TamarackhavenError
+from tamarackhaven.fleet._messages import (
+    CONTROL_CODEC,
+    ConfigurationView,
+    KeysView,
+    LeaderHint,
+    LeaseGrant,
+    Report,
+    TargetsView,
+)
+from tamarackhaven.fleet._model import (
+    GrantId,
+    Hold,
+    KeyRange,
+    Release,
+    Target,
+    TargetPhase,
+)
+from tamarackhaven.routing import (
+    Configuration,
+    RequestKind,
+    Route,
+    ServiceSpec,
+    WeightedService,
+)
+from tamarackhaven.sidecar._messages import PEER_CODEC, Answered, Forward, Lost, NotRun
+
+TARGET = Target("i@1", "i", 1, "s", "z", "h", 1, 4, TargetPhase.DRAINING, 0.5, 0.1)
+ROUTE = Route(
+    "r",
+    "h",
+    "/a/",
+    RequestKind.UNSAFE,
+    (WeightedService("s", 1.0),),
+    1.0,
+    source={"x": [1]},
+)
+CONTROL = [
+    Report(1, TARGET, (Hold(0, 1, 2),), (Release(0, 1, "t"),), GrantId(1, 2), ("x@1",)),
+    Report(2),
+    LeaseGrant(1, GrantId(3, 4), 2.5, "i@1", (KeyRange(0, 9, 1, "i@1", "t"),)),
+    KeysView(4, "s", (KeyRange(0, 9),), False),
+    TargetsView(1, False, (TARGET,), ("y@2",)),
+    ConfigurationView(
+        3, Configuration(2, (ServiceSpec("s", source={"name": "s"}),), (ROUTE,))
+    ),
+    LeaderHint(True, 3, ("10.0.0.1", 7), (("10.0.0.1", 7),)),
+    LeaderHint(False, 0, None, ()),
+]
+FORWARD = Forward(
+    1,
+    "i@1",
+    "s",
+    "r",
+    5,
+    "a",
+    "GET",
+    "/a/",
+    ((b"Host", b"h"),),
+    b"\x00",
+    "c",
+    True,
+    2,
+    9.5,
+    -1.0,
+)
+PEER = [
+    FORWARD,
+    Answered(1, 200, ((b"A", b"b"),), b"\xff\x00"),
+    NotRun(1, "X", 0.5, True),
+    Lost(1, "X"),
+]
+
+
+@pytest.mark.parametrize("message", CONTROL, ids=lambda each: type(each).__name__)
+def test_control_messages_come_back_equal(message):
+    assert CONTROL_CODEC.unpack(CONTROL_CODEC.pack(message)) == message
+
+
+@pytest.mark.parametrize("message", PEER, ids=lambda each: type(each).__name__)
+def test_peer_messages_come_back_equal(message):
+    assert PEER_CODEC.unpack(PEER_CODEC.pack(message)) == message
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.binary(max_size=100))
+def test_bytes_that_are_no_message_are_refused_with_a_code(data):
+    with pytest.raises(TamarackhavenError):
+        CONTROL_CODEC.unpack(data)
