Know a replaced owner by its place; check drain, zone and key again behind the gate

Change: a life's name holds its place, so a later start there ends it at once; test with a new leader.

--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -10,7 +10,13 @@
 from tamarackhaven.fleet import _placement
 from tamarackhaven.fleet._leases import LeaseBook
 from tamarackhaven.fleet._messages import LeaseGrant, TargetsView
-from tamarackhaven.fleet._model import GrantId, Release, Target, TargetPhase
+from tamarackhaven.fleet._model import (
+    GrantId,
+    Release,
+    Target,
+    TargetPhase,
+    place_and_start,
+)
 from tamarackhaven.fleet._ranges import overlaps
 from tamarackhaven.fleet._state import AssignKeys
 
@@ -87,6 +93,7 @@
         self.leases = LeaseBook(lease_s, now)
         self._known_by_life = {}
         self._life_by_host = {}
+        self._start_ms_by_place = {}
         self._moving = []
         self._first_by_service = {}
         self._changed = {}
@@ -101,6 +108,9 @@
         target = report.target
         if target is None or self.leases.has_ended(target.life):
             return
+        place, start_ms = place_and_start(target.life)
+        known_ms = self._start_ms_by_place.get(place, 0)
+        self._start_ms_by_place[place] = max(start_ms, known_ms)
         host = target.host, target.port
         former = self._life_by_host.get(host)
         if former is not None and former != target.life:
@@ -242,7 +252,18 @@
         return [AssignKeys(service, new, tuple(ranges), "first owners")]
 
     def _is_free(self, key_range, now):
-        return not key_range.owner or self.leases.is_over(key_range.owner, now)
+        owner = key_range.owner
+        return not owner or self._is_replaced(owner) or self.leases.is_over(owner, now)
+
+    def _is_replaced(self, life):
+        """Whether a later life was heard from the place of ``life``.
+
+        Failure: all VMs lose power, and the new leader knows none of the owners.
+        Symptom: their keys wait for a lease that nobody holds. Enough: a place has one
+        target at a time, so what started there later has replaced it.
+        """
+        place, start_ms = place_and_start(life)
+        return self._start_ms_by_place.get(place, 0) > start_ms
 
     # Moves.
 
@@ -306,7 +327,8 @@
     def _handover(self, moving, now):
         """Return the handover of a finished release, empty without one, else None."""
         old = moving.move.old
-        if self.leases.is_over(old.owner, now) or now >= moving.free_at_s:
+        is_over = self._is_replaced(old.owner) or self.leases.is_over(old.owner, now)
+        if is_over or now >= moving.free_at_s:
             return ""
         known = self._known_by_life.get(old.owner)
         if known is None or known.report.settled < moving.since:
--- a/tamarackhaven/fleet/_model.py
+++ b/tamarackhaven/fleet/_model.py
@@ -66,7 +66,7 @@
     Parameters
     ----------
     life : str
-        Name and start of the target; a restart under the same name is another life.
+        Name, start and place of the target; a restart is another life.
     name : str
         What the target calls itself.
     born_ms : int
@@ -101,9 +101,25 @@
     is_cold: bool = False
 
 
-def life_of(name, born_ms):
-    """Return the name of one life of a target."""
-    return f"{name}@{born_ms}"
+def life_of(name, born_ms, place):
+    """Return the name of one life of a target.
+
+    Parameters
+    ----------
+    name : str
+        What the target calls itself.
+    born_ms : int
+        Start of the life.
+    place : str
+        Its daemon's host and port; a later life at the same place ends this one.
+    """
+    return f"{name}@{born_ms}@{place}"
+
+
+def place_and_start(life):
+    """Return the place of a life, and its start in milliseconds."""
+    _, born_ms, place = life.rsplit("@", 2)
+    return place, int(born_ms)
 
 
 @attrs.frozen(order=True)
--- a/tamarackhaven/fleet/_settings.py
+++ b/tamarackhaven/fleet/_settings.py
@@ -138,6 +138,8 @@
         Addresses for operators' orders of some control VMs.
     drain_s : float
         After a target said that it leaves, it gets nothing new from then on.
+    zone_out_s : float
+        After its availability zone was taken out, a target gets nothing from then on.
     grace_s : float
         Time from SIGTERM to SIGKILL.
     cold_overshoot, cold_slack : float
@@ -156,6 +158,7 @@
     metrics: str = _text("")
     seeds: list[str] = _addresses()
     drain_s: float = _seconds(2.0, 0, 600)
+    zone_out_s: float = _seconds(5.0, 0, 600)
     grace_s: float = _seconds(6.0, 0.5, 600)
     cold_overshoot: float = _seconds(1.5, 1, 100)
     cold_slack: float = _seconds(0, 0, 10_000)
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -15,6 +15,9 @@
 # The target answers a deadline that it keeps itself a little earlier, so that its
 # answer is still in time and its connection stays usable.
 REPLY_MARGIN_S = 0.02
+# An owner in a zone that is out serves its keys for this part of the allowed time; the
+# rest covers a daemon that hears of the change late.
+ZONE_GRACE_PART = 0.4
 # A request for a key that is about to arrive looks for it so often; the answer to the
 # target's heartbeat decides, there is nothing else to wait for.
 KEY_POLL_S = 0.02
@@ -125,6 +128,11 @@
         refuse = await self._enter(offer)
         if refuse is not None:
             return self._not_run(forward, refuse.kind, refuse.retry_after_s)
+        # While it waited, the target may have begun to leave, or lost the key.
+        refusal = self._closed(forward) or self._not_held(forward)
+        if refusal is not None:
+            self._carry_out(self._gate.finish(number, False, boot_s()))
+            return self._not_run(forward, refusal)
         worked = False
         self._sending.add(id(forward))
         try:
@@ -150,6 +158,10 @@
             await asyncio.sleep(KEY_POLL_S)
         return self._closed(forward)
 
+    def _not_held(self, forward):
+        held = forward.key < 0 or self._state.holds(forward.key, boot_s())
+        return None if held else ErrorKind.NOT_OWNER
+
     def _closed(self, forward):
         state = self._state
         if self.is_closing:
@@ -158,12 +170,22 @@
             return ErrorKind.TARGET_UNREACHABLE
         if not state.takes_new(forward.key >= 0, boot_s()):
             return ErrorKind.DRAINING
-        if self._view.is_zone_out(self._settings.zone) and (
-            forward.key < 0 or not state.holds(forward.key, boot_s())
-        ):
+        if self._is_zone_closed(forward):
             return ErrorKind.ZONE_OUT
         return None
 
+    def _is_zone_closed(self, forward):
+        """Whether the zone is out; an owner serves its keys a little longer.
+
+        Its keys move within a heartbeat or two. If they don't, since the control group
+        has other worries, nothing more may reach the target all the same.
+        """
+        since_s = self._view.zone_out_since_s(self._settings.zone)
+        if since_s is None:
+            return False
+        grace_s = ZONE_GRACE_PART * self._settings.zone_out_s
+        return forward.key < 0 or boot_s() - since_s > grace_s
+
     async def _enter(self, offer):
         """Wait for the gate; return a ``Refuse`` or None once the request starts."""
         self._follow_cold()
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -95,7 +95,9 @@
     def life(self):
         """Name of the present life, empty before the first heartbeat."""
         beat = self.heartbeat
-        return life_of(beat.name, beat.born_ms) if beat else ""
+        if beat is None:
+            return ""
+        return life_of(beat.name, beat.born_ms, f"{self._host}:{self._port}")
 
     # Heartbeats.
 
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 
+from tamarackhaven._clock import boot_s
 from tamarackhaven.fleet._messages import (
     ConfigurationView,
     KeysView,
@@ -20,6 +21,7 @@
     def __init__(self):
         self.table = None
         self.zones_out = frozenset()
+        self._zone_out_since_s = {}
         self.target_by_life = {}
         self._lives_by_service = {}
         self._keys_by_service = {}
@@ -49,6 +51,9 @@
         if not self._is_newer("zones", message.index):
             return False
         self.zones_out = frozenset(message.zones_out)
+        self._zone_out_since_s = {
+            zone: self._zone_out_since_s.get(zone, boot_s()) for zone in self.zones_out
+        }
         return self._wake()
 
     @take.register
@@ -102,9 +107,9 @@
             return None
         return self.table.service_by_name.get(heartbeat.service)
 
-    def is_zone_out(self, zone):
-        """Whether an availability zone takes nothing new."""
-        return zone in self.zones_out
+    def zone_out_since_s(self, zone):
+        """Return when this daemon heard that a zone is out, None if it is in."""
+        return self._zone_out_since_s.get(zone)
 
     def owner(self, service, key):
         """Return the ``Target`` that owns a key, None if there is none known."""
--- a/tests/fleet/test_leadership.py
+++ b/tests/fleet/test_leadership.py
@@ -23,7 +23,7 @@
 
 def target(name, born_ms=1, host=None, phase=TargetPhase.READY, zone="a"):
     host = host or name
-    life = life_of(name, born_ms)
+    life = life_of(name, born_ms, f"{host}:1")
     return Target(life, name, born_ms, SERVICE, zone, host, 1, 12, phase)
 
 
@@ -135,6 +135,19 @@
     assert group.leader.leases.has_ended(b.life)
 
 
+def test_a_new_leader_knows_a_replaced_owner_by_its_place(group):
+    # All VMs lose power at once. The targets start again as other lives, and the new
+    # leader has never heard of the old ones. Nobody holds their keys, yet callers
+    # would hear that there is no owner until a whole lease has passed.
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    group.leader = Leadership(2, LEASE_S, group.now)
+    group.grant_by_life.clear()
+    reborn = target("x", born_ms=9, host="a"), target("y", born_ms=9, host="b")
+    group.run(SETTLE_S + 0.2, *reborn)
+    assert group.owners() == {each.life for each in reborn}
+
+
 def test_a_leaving_owner_hands_its_keys_over_before_it_loses_them(group):
     # A target drains. Its keys go on once it has released them, with the token that
     # spares the next owner a slow start.
--- a/tests/sidecar/test_target_state.py
+++ b/tests/sidecar/test_target_state.py
@@ -77,7 +77,7 @@
     state.take_grant(grant(state), asked_s=10.0)
     reply = state.take(beat(1, born_ms=2), 11.0)
     assert reply.ranges is None
-    assert state.ended_lives == ["i@1"]
+    assert state.ended_lives == ["i@1@10.0.0.1:7000"]
 
 
 @pytest.mark.parametrize(
