Let nothing wait that will be late, and repeat only what can still be answered

A repeat needs 0.3 of the objective before its deadline; a failed repeat gives the first failure back.

--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -35,8 +35,9 @@
 RAFT = RaftSettings(heartbeat_ms=100, election_ms=500)
 # The leader looks at targets, keys and members so often.
 TICK_S = 0.1
-# Reports that come within this time share one round of heartbeats.
-CONFIRM_PAUSE_S = 0.03
+# Reports that come within this time share one round of heartbeats; it delays a lease
+# by a small part of its length.
+CONFIRM_PAUSE_S = 0.08
 # Without a leader for so long, a member asks the others to be let in again.
 LONELY_S = 1.0
 JOIN_PAUSE_S = 0.5
--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -26,6 +26,9 @@
 # An owner that refused since its keys move is asked again after this time, or when the
 # view changes.
 OWNER_POLL_S = 0.1
+# A request is sent again only if this part of its objective is left until its deadline:
+# less than half of them are answered in less.
+REPEAT_LEFT_PART = 0.3
 # Targets of a shared service that a request is offered to before it is refused.
 MOST_REFUSALS = 3
 # Kinds after which a caller's request may find room at another target.
@@ -205,6 +208,7 @@
         """Run a request at one of the service's targets."""
         avoid = set()
         refusals = 0
+        failed = None
         waits_until_s = boot_s() + UNKNOWN_RETRY_S
         while True:
             targets = [
@@ -214,6 +218,8 @@
             ]
             target = self._chooser.pick(targets, boot_s(), avoid)
             if target is None:
+                if failed is not None:
+                    return failed
                 if avoid or boot_s() > min(waits_until_s, asked.deadline_s):
                     raise TamarackhavenError(
                         ErrorKind.NO_OWNER,
@@ -225,21 +231,20 @@
             end = await self._forward(asked, target)
             avoid.add(target.life)
             if isinstance(end, Answered):
-                if end.status < 500 or not self._may_repeat(asked, end):
+                is_failure = end.status >= 500
+                if not is_failure or not self._may_repeat(asked, end):
                     return end
-                last = end
-                if self._chooser.pick(targets, boot_s(), avoid) is None:
-                    return last
+                failed = end
                 continue
             if not isinstance(end, NotRun) or end.was_offered:
                 if not self._may_repeat(asked, end):
-                    raise self._error(end)
+                    return failed or self._raise(end)
                 continue
             refusals += 1
             if end.kind in _FULL:
                 self._chooser.pause(target.life, end.retry_after_s, boot_s())
             if refusals >= MOST_REFUSALS or len(avoid) >= len(targets):
-                raise self._error(end)
+                return failed or self._raise(end)
 
     def _may_repeat(self, asked, end):
         """Whether a request that a target got may be sent to a target again.
@@ -252,7 +257,9 @@
             return False
         if asked.sends >= asked.route.max_attempts:
             return False
-        if boot_s() >= asked.deadline_s:
+        # A repeat that can't be answered any more would only add to the load.
+        least_s = REPEAT_LEFT_PART * asked.route.objective_s
+        if boot_s() + least_s >= asked.deadline_s:
             return False
         allowed = self._budget(asked.spec.name).take(
             self._view.daemon_count(), boot_s()
@@ -349,6 +356,9 @@
             load=[end.load.running, end.load.waiting, end.load.slots],
         )
 
+    def _raise(self, end):
+        raise self._error(end)
+
     def _error(self, end):
         """Return the error for a caller whose request ended like this."""
         return TamarackhavenError(
--- a/tamarackhaven/sidecar/_gate.py
+++ b/tamarackhaven/sidecar/_gate.py
@@ -18,17 +18,15 @@
 # its caller learns late that it must come back. Limit: the estimate of the wait is
 # rough, so a request is let in only if it fits with a quarter to spare.
 WAIT_MARGIN = 1.25
-# Load: a burst, or lasting overload; they look alike at first. Harm: sent away during
-# a burst, callers come back for nothing; let in during overload, all answers are late.
-# Limit: the queue was empty within this time, so it may soon be empty again; some
-# working times of the slowest routes.
-CALM_S = 1.0
-# During a burst a request may wait for this part of the time it has: late is better
-# than never, but the estimate doesn't know who comes next.
-BURST_PART = 0.6
-# In lasting overload a request that is late anyway may still take a place that is
-# about to be free.
+# Load: demand about as high as the slots, or higher. Harm: one request that waits until
+# it is late makes those behind it late, too, and so on. Limit: what can't be in time
+# is sent away at once, unless a place is about to be free: a tenth of its time.
 LATE_PART = 0.1
+# Short requests may wait for this part of the time they have.
+SHORT_WAIT_PART = 0.6
+# The queue counts as overloaded if it has not been empty for so long; some working
+# times of the slowest routes.
+CALM_S = 1.0
 # Load: a burst of callers that all hear the same time to come back. Harm: they come
 # back as one wave. Limit: spread over twice the time after which there is room.
 SPREAD = 1.0
@@ -163,8 +161,8 @@
         """Return how long a request may wait and still be worth its place."""
         work_s = self._work_by_route[offer.route].mean_s
         left_s = offer.deadline_s - now - work_s
-        if not self._is_overloaded(now) or self._is_short(offer):
-            return BURST_PART * left_s
+        if self._is_short(offer):
+            return SHORT_WAIT_PART * left_s
         in_time_s = offer.objective_s - now - work_s
         return min(max(in_time_s, LATE_PART * left_s), left_s)
 
