--- a/tamarackhaven/fleet/_placement.py
+++ b/tamarackhaven/fleet/_placement.py
@@ -23,6 +23,10 @@
 # the mean use; counts of a second or two vary by less.
 TOLERATED_GAP = 0.15
 TOLERATED_GAP_PART = 0.3
+# A target with use to spare answers about as fast as any other: its keys move only to
+# one that has next to nothing, as one that has just joined.
+FULL_USE = 0.8
+NEXT_TO_NOTHING = 0.3
 # A move aims at most of the difference: what was counted is a second old.
 MOVED_PART = 0.8
 
@@ -198,7 +202,7 @@
     for _ in range(most_moves):
         taker, giver = shares.least(), shares.most()
         gap = shares.use(giver) - shares.use(taker)
-        if gap < max(TOLERATED_GAP, TOLERATED_GAP_PART * shares.mean_use()):
+        if not _is_worth_a_move(shares, giver, taker, gap):
             break
         even = gap / (1 / shares.power(giver) + 1 / shares.power(taker))
         chosen = _best_piece(ranges, giver, MOVED_PART * even, shares.weights)
@@ -211,6 +215,14 @@
     return moves
 
 
+def _is_worth_a_move(shares, giver, taker, gap):
+    mean_use = shares.mean_use()
+    if gap < max(TOLERATED_GAP, TOLERATED_GAP_PART * mean_use):
+        return False
+    is_full = shares.use(giver) >= FULL_USE
+    return is_full or shares.use(taker) < NEXT_TO_NOTHING * mean_use
+
+
 def _best_piece(ranges, giver, wanted, weights):
     """Return a giver's range, and the heaviest piece of it that fits ``wanted``."""
     best = None
--- /dev/null
+++ b/tests/fleet/test_placement.py
@@ -0,0 +1,108 @@
+"""Who owns which keys, by the load on them."""
+
+import attrs
+import pytest
+
+from tamarackhaven.fleet import _placement as placement
+from tamarackhaven.fleet._model import BUCKET_KEYS, KEY_COUNT, KeyRange
+from tamarackhaven.fleet._ranges import assigned, has_overlap
+
+
+def spread(*lives):
+    return placement.first_ranges(dict.fromkeys(lives, 100.0))
+
+
+def shares_of(ranges, power_by_life, rate_by_bucket, rest=0.0):
+    weights = placement.KeyWeights(rate_by_bucket, rest, sum(power_by_life.values()))
+    return placement.Shares(ranges, power_by_life, weights)
+
+
+def settle(ranges, power_by_life, rate_by_bucket, rest=0.0, rounds=30):
+    """Balance until nothing moves; return the ranges and the number of rounds."""
+    ranges = tuple(ranges)
+    for count in range(rounds):
+        shares = shares_of(ranges, power_by_life, rate_by_bucket, rest)
+        moves = placement.balance(ranges, shares, 4)
+        if not moves:
+            return ranges, count
+        new = [attrs.evolve(m.old, owner=m.to_life, fence=count + 1) for m in moves]
+        assert not has_overlap(new)
+        ranges = assigned(ranges, new)
+    raise AssertionError("never settles")
+
+
+def uses(ranges, power_by_life, rate_by_bucket, rest=0.0):
+    shares = shares_of(ranges, power_by_life, rate_by_bucket, rest)
+    return {life: shares.use(life) for life in power_by_life}
+
+
+def test_first_ranges_cover_all_keys_by_power():
+    ranges = placement.first_ranges({"a": 100.0, "b": 300.0})
+    assert ranges[0].first == 0 and ranges[-1].last == KEY_COUNT - 1
+    size = sum(r.last - r.first + 1 for r in ranges if r.owner == "b")
+    assert size == pytest.approx(0.75 * KEY_COUNT, rel=0.01)
+
+
+def test_a_hot_run_of_keys_is_split_among_all():
+    # Two hundred neighbouring keys get most of the traffic. Whole, they make one
+    # target's queue overflow while the others idle.
+    power = dict.fromkeys("abcd", 50.0)
+    hot = {1000 + number: 9.0 for number in range(200 // BUCKET_KEYS)}
+    before = uses(spread(*"abcd"), power, hot)
+    assert max(before.values()) > 2
+    ranges, rounds = settle(spread(*"abcd"), power, hot)
+    after = uses(ranges, power, hot)
+    assert max(after.values()) < 1.0
+    assert rounds < 10
+
+
+def test_one_hot_bucket_is_not_passed_around():
+    # A single key that is too hot for anybody: wherever it is, that target is full.
+    # Moved from one to the next it would be unserved each time for nothing.
+    power = dict.fromkeys("ab", 50.0)
+    settle(spread("a", "b"), power, {77: 80.0})
+
+
+def test_balanced_load_moves_nothing():
+    power = dict.fromkeys("abc", 100.0)
+    shares = shares_of(spread(*"abc"), power, {}, rest=120.0)
+    assert placement.balance(spread(*"abc"), shares, 4) == []
+
+
+def test_targets_with_room_keep_their_keys():
+    # Demand varies by chance. Moved about for it, keys are unserved for a heartbeat
+    # each time, and nobody is faster for it.
+    power = dict.fromkeys("ab", 100.0)
+    shares = shares_of(spread("a", "b"), power, {3: 30.0})
+    assert shares.use("a") > shares.use("b") + 0.2
+    assert placement.balance(spread("a", "b"), shares, 4) == []
+
+
+def test_a_target_that_joins_gets_its_part():
+    power = dict.fromkeys("abc", 100.0)
+    ranges, _ = settle(spread("a", "b"), power, {}, rest=90.0)
+    joined = sum(r.last - r.first + 1 for r in ranges if r.owner == "c")
+    assert joined > 0.5 * KEY_COUNT / 3
+
+
+def test_a_slow_target_gives_keys_away():
+    power = {"a": 100.0, "b": 20.0}
+    ranges, _ = settle(spread("a", "b"), power, {}, rest=60.0)
+    after = uses(ranges, power, {}, 60.0)
+    assert after["b"] < 1.6 * after["a"]
+
+
+def test_ownerless_ranges_go_where_there_is_most_room():
+    ranges = [KeyRange(0, 99, 1, "a"), KeyRange(100, 199, 1, "gone")]
+    shares = shares_of(ranges, {"a": 10.0, "b": 10.0}, {})
+    (new,) = placement.share_out([ranges[1]], shares)
+    assert new.owner == "b" and new.handover == ""
+
+
+def test_no_owner_gets_more_ranges_than_a_heartbeat_can_tell():
+    many = [
+        KeyRange(n * 100, n * 100 + 99, n, "ab"[n % 2])
+        for n in range(2 * placement.MOST_RANGES_PER_TARGET)
+    ]
+    shares = shares_of(many, {"a": 10.0, "b": 10.0, "c": 1.0}, {})
+    assert shares.least() == "c"
