--- /dev/null
+++ b/standin/fleet.py
@@ -0,0 +1,410 @@
+"""A fleet of real processes on loopback, with stand-ins for the users' platform.
+
+The platform's side is played here: targets that send heartbeats and hold keys, an
+operator, and callers. Each VM has a loopback address of its own.
+"""
+
+import asyncio
+import itertools
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import attrs
+
+ROOT = Path(__file__).resolve().parent.parent
+HEARTBEAT_S = 0.3
+PORTS = {"operators": 18620, "links": 17600, "callers": 18629, "readiness": 18625}
+TARGET_PORT = 18628
+SERVICE_BY_ROUTE = {"/owned/": "owned", "/shared/": "shared"}
+CONFIGURATION = {
+    "version": "r1",
+    "services": [
+        {"name": "owned", "sharded": True, "warmup_s": 0.1},
+        {"name": "shared"},
+    ],
+    "limits": {"max_header_bytes": 16384, "idle_timeout_s": 15},
+    "virtual_hosts": [
+        {
+            "host": "h.example",
+            "path_routes": [
+                {
+                    "name": service,
+                    "path_prefix": prefix,
+                    "kind": "safe" if service == "owned" else "unsafe",
+                    "timeout_s": 2.0,
+                    "target_latency_s": 1.0,
+                    "service": service,
+                    "max_attempts": 2,
+                }
+                for prefix, service in SERVICE_BY_ROUTE.items()
+            ],
+        }
+    ],
+}
+
+
+@attrs.frozen
+class Answer:
+    """What an HTTP call gave; status 0 if there was no answer."""
+
+    status: int
+    headers: dict = attrs.field(factory=dict)
+    body: bytes = b""
+
+
+async def call(host, port, method, path, headers=(), body=b"", timeout_s=3.0):
+    """Make one HTTP call on a connection of its own; return its ``Answer``."""
+    try:
+        return await asyncio.wait_for(
+            _call(host, port, method, path, headers, body), timeout_s
+        )
+    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        return Answer(0)
+
+
+async def _call(host, port, method, path, headers, body):
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        lines = [f"{method} {path} HTTP/1.1", "Connection: close"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        lines += [f"Content-Length: {len(body)}", "", ""]
+        writer.write("\r\n".join(lines).encode() + body)
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        found = {}
+        for line in head[1:]:
+            name, _, value = line.partition(":")
+            found[name.strip().lower()] = value.strip()
+        length = int(found.get("content-length", 0))
+        return Answer(int(head[0].split()[1]), found, await reader.readexactly(length))
+    finally:
+        writer.close()
+
+
+class Target:
+    """A target that announces itself, holds keys as told, and records each run.
+
+    Parameters
+    ----------
+    host : str
+        Address of its VM.
+    service : str
+        ``owned`` or ``shared``.
+    """
+
+    _births = itertools.count(1_700_000_000_000)
+
+    def __init__(self, host, service):
+        self.host = host
+        self.service = service
+        self.name = f"i-{host}"
+        self.born_ms = next(self._births)
+        self.state = "ready"
+        self.work_s = 0.01
+        self.ran = []
+        self.begun = []
+        self.held_by_range = {}
+        self.fence_by_key_range = {}
+        self._held_until = 0.0
+        self._sequence = 0
+        self._released = []
+        self._server = None
+        self._beats = None
+        self._writers = set()
+
+    async def start(self):
+        """Listen and begin to send heartbeats."""
+        self._server = await asyncio.start_server(self._serve, self.host, TARGET_PORT)
+        self._beats = asyncio.create_task(self._beat_forever())
+
+    async def stop(self):
+        """Crash: no goodbye, and nothing is held any more."""
+        self.held_by_range = {}
+        self._beats.cancel()
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def holds(self, key):
+        """Whether it may run requests for ``key`` now."""
+        return time.monotonic() < self._held_until and any(
+            first <= key <= last for first, last in self.held_by_range
+        )
+
+    async def _beat_forever(self):
+        while True:
+            more = await self._beat()
+            await asyncio.sleep(0.05 if more else HEARTBEAT_S)
+
+    async def _beat(self):
+        self._sequence += 1
+        sent = time.monotonic()
+        if sent >= self._held_until:
+            self.held_by_range = {}
+        rows = [[*keys, fence] for keys, fence in self.held_by_range.items()]
+        document = {
+            "address": f"{self.host}:{TARGET_PORT}",
+            "born": self.born_ms,
+            "info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": "z",
+                "max_concurrency": 8,
+            },
+            "status": {
+                "state": self.state,
+                "sequence": self._sequence,
+                "cold_s_time": 0,
+            },
+            "active_holds": rows,
+            "released": self._released,
+        }
+        answer = await call(
+            self.host,
+            PORTS["operators"],
+            "POST",
+            f"/api/instances/{self.name}/heartbeat",
+            [("Host", "x")],
+            json.dumps(document).encode(),
+            1.0,
+        )
+        if answer.status != 200:
+            return False
+        self._released = []
+        return self._take(json.loads(answer.body), sent)
+
+    def _take(self, told, sent):
+        if "active_holds" not in told:
+            return False
+        new = {(first, last): fence for first, last, fence, _ in told["active_holds"]}
+        gone = [keys for keys in self.held_by_range if keys not in new]
+        self._released = [[*keys, f"t{keys[0]}"] for keys in gone]
+        self.held_by_range = new
+        self._held_until = sent + told["hold_s"]
+        return bool(gone)
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                lines = head.split("\r\n")
+                headers = {
+                    n.lower(): v.strip()
+                    for n, _, v in (line.partition(":") for line in lines[1:] if line)
+                }
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                writer.write(await self._answer(lines[0], headers, body))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+        finally:
+            self._writers.discard(writer)
+
+    async def _answer(self, line, headers, body):
+        attempt = headers.get("tamarackhaven-attempt-id", "")
+        key = int(headers.get("tamarackhaven-shard-key", -1))
+        misdirected = headers.get("tamarackhaven-expected-instance") != self.name
+        if misdirected or (self.service == "owned" and not self.holds(key)):
+            return (
+                b"HTTP/1.1 421 Misdirected\r\nTamarackhaven-Not-Executed: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+        self.begun.append(attempt)
+        await asyncio.sleep(self.work_s)
+        self.ran.append((attempt, key, time.monotonic()))
+        text = f"{self.name} {line.split()[1]} ".encode() + body
+        return (
+            b"HTTP/1.1 200 OK\r\nTamarackhaven-Attempt-Id: %s\r\n"
+            b"Tamarackhaven-Response-Signature: s\r\nContent-Length: %d\r\n\r\n%s"
+        ) % (attempt.encode(), len(text), text)
+
+
+class Process:
+    """One program of the system under its settings file."""
+
+    def __init__(self, role, name, text, folder):
+        self.role = role
+        self._folder = folder
+        self._path = folder / f"{name}.toml"
+        self._path.write_text(text)
+        self._log = folder / f"{name}.log"
+        self._process = None
+
+    def start(self):
+        """Start it."""
+        environment = {**os.environ, "TAMARACKHAVEN_BOOT": str(self._path)}
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "platform", self.role],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number):
+        """Send a signal to it."""
+        self._process.send_signal(number)
+
+    def kill(self):
+        """End it at once and wait for that."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+        if self._process is not None:
+            self._process.wait()
+
+    def terminate(self, timeout_s=10.0):
+        """Stop it in order; return its exit code."""
+        self.send(signal.SIGTERM)
+        return self._process.wait(timeout_s)
+
+    @property
+    def lines(self):
+        """What it has logged, one dict a line; lines that are no JSON as text."""
+        return [
+            json.loads(line) if line.startswith("{") else {"text": line}
+            for line in self._log.read_text().splitlines()
+        ]
+
+
+class Fleet:
+    """Control VMs, daemons and their targets.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings, logs and data.
+    services : sequence of str
+        One target each.
+    net : int
+        Part of the loopback addresses, so that two fleets don't meet.
+    """
+
+    def __init__(self, folder, services, net, controls=3):
+        self.folder = folder
+        self.net = net
+        self.control_hosts = [f"127.{net}.1.{n + 1}" for n in range(controls)]
+        self.target_hosts = [f"127.{net}.2.{n + 1}" for n in range(len(services))]
+        self.targets = [
+            Target(host, service)
+            for host, service in zip(self.target_hosts, services, strict=True)
+        ]
+        seeds = [f"{host}:{PORTS['operators']}" for host in self.control_hosts[:3]]
+        self.controls = [self._control(host, seeds) for host in self.control_hosts]
+        self.daemons = [self._daemon(target, seeds) for target in self.targets]
+        self._attempts = itertools.count()
+
+    def _control(self, host, seeds, is_first=True):
+        text = f"""
+name = "{host}"
+operators = "{host}:{PORTS["operators"]}"
+links = "{host}:{PORTS["links"]}"
+data_folder = "{self.folder / host}"
+seeds = {json.dumps(seeds)}
+is_first_start = {json.dumps(is_first)}
+tolerated_losses = 1
+[lease]
+heartbeat_s = {HEARTBEAT_S}
+"""
+        return Process("control", host, text, self.folder)
+
+    def _daemon(self, target, seeds):
+        host = target.host
+        text = f"""
+name = "{host}"
+zone = "z"
+service = "{target.service}"
+target = "{host}:{TARGET_PORT}"
+callers = "{host}:{PORTS["callers"]}"
+readiness = "{host}:{PORTS["readiness"]}"
+registry = "{host}:{PORTS["operators"]}"
+links = "{host}:{PORTS["links"]}"
+seeds = {json.dumps(seeds)}
+[lease]
+heartbeat_s = {HEARTBEAT_S}
+[budget]
+slack = 100
+"""
+        return Process("daemon", host, text, self.folder)
+
+    async def start(self):
+        """Start all, put the configuration, wait until every target serves."""
+        for process in (*self.controls, *self.daemons):
+            process.start()
+        for target in self.targets:
+            await target.start()
+        await self.order("/api/config/replace", CONFIGURATION, "r0")
+        await self.until(self._serves, 20.0)
+
+    async def stop(self):
+        """Kill all processes that this fleet started."""
+        for process in (*self.daemons, *self.controls):
+            process.kill()
+        for target in self.targets:
+            await target.stop()
+
+    async def _serves(self):
+        answers = [await self.ask("/owned/", key, 0) for key in range(0, 65536, 9001)]
+        answers += [await self.ask("/shared/", None, n) for n in range(2)]
+        return all(answer.status == 200 for answer in answers)
+
+    async def until(self, condition, timeout_s=10.0):
+        """Wait until an awaitable condition holds; ``AssertionError`` if it doesn't."""
+        end = time.monotonic() + timeout_s
+        while not await condition():
+            assert time.monotonic() < end, "did not come in time"
+            await asyncio.sleep(0.1)
+
+    async def ask(self, prefix, key, at, attempt=None):
+        """Send one caller's request to the daemon number ``at``."""
+        attempt = attempt or f"a{next(self._attempts)}"
+        headers = [
+            ("Host", "h.example"),
+            ("Tamarackhaven-Attempt-Id", attempt),
+            ("Tamarackhaven-Deadline-Ms", "2000"),
+        ]
+        if key is not None:
+            headers.append(("Tamarackhaven-Shard-Key", str(key)))
+        host = self.target_hosts[at]
+        return await call(host, PORTS["callers"], "POST", f"{prefix}x", headers, b"b")
+
+    async def order(self, path, document=None, base=None, timeout_s=20.0):
+        """Send an operator's order to one control VM after the other until it is taken.
+
+        Returns
+        -------
+        Answer
+            The first one that is no 5xx.
+        """
+        headers = [("Host", "x")]
+        if base is not None:
+            headers.append(("Tamarackhaven-Base-Version", base))
+        body = json.dumps(document).encode() if document is not None else b""
+        method = "POST" if path != "/api/config/read" else "GET"
+        end = time.monotonic() + timeout_s
+        for host in itertools.cycle(self.control_hosts):
+            answer = await call(host, PORTS["operators"], method, path, headers, body)
+            if answer.status == 307:
+                other = answer.headers["location"].split("/")[2].split(":")[0]
+                answer = await call(
+                    other, PORTS["operators"], method, path, headers, body
+                )
+            if answer.status and answer.status not in (307,) and answer.status < 500:
+                return answer
+            assert time.monotonic() < end, "no control VM takes the order"
+            await asyncio.sleep(0.1)
+        return None
+
+    async def leader(self):
+        """Return the number of the control VM that leads."""
+        for number, host in enumerate(self.control_hosts):
+            answer = await call(
+                host, PORTS["operators"], "GET", "/api/config/read", [("Host", "x")]
+            )
+            if answer.status == 200:
+                return number
+        return None
--- /dev/null
+++ b/tests/fleet/test_fleet_processes.py
@@ -0,0 +1,162 @@
+"""Real processes on loopback: founding, keys, restarts, kills.
+
+Each test starts three control VMs and a daemon beside each stand-in target.
+"""
+
+import asyncio
+import itertools
+import signal
+
+import pytest
+
+from standin.fleet import Fleet, call
+
+NETS = itertools.count(41)
+
+
+def run(test, tmp_path, services=("owned", "owned", "shared")):
+    async def main():
+        fleet = Fleet(tmp_path, services, next(NETS))
+        try:
+            await fleet.start()
+            await test(fleet)
+        finally:
+            await fleet.stop()
+
+    asyncio.run(main())
+
+
+def owners(fleet, key):
+    return [target for target in fleet.targets if target.holds(key)]
+
+
+def test_requests_reach_the_owner_of_their_key_from_any_daemon(tmp_path):
+    async def test(fleet):
+        for key in range(0, 65536, 4099):
+            (owner,) = owners(fleet, key)
+            for at in range(3):
+                answer = await fleet.ask("/owned/", key, at)
+                assert answer.body.decode() == f"{owner.name} /owned/x b"
+
+    run(test, tmp_path)
+
+
+def test_a_killed_leader_costs_no_key_its_owner(tmp_path):
+    # The leading control VM is killed. Targets keep what they hold, another one leads
+    # within a second, and orders are taken again.
+    async def test(fleet):
+        before = {key: owners(fleet, key)[0] for key in range(0, 65536, 4099)}
+        leader = await fleet.leader()
+        fleet.controls[leader].kill()
+        for _ in range(20):
+            for key, owner in before.items():
+                answer = await fleet.ask("/owned/", key, 2)
+                assert answer.status == 200
+                assert answer.body.startswith(owner.name.encode())
+            await asyncio.sleep(0.05)
+        answer = await fleet.order("/api/evacuation/elsewhere/start")
+        assert answer.status == 200
+        fleet.controls[leader].start()
+
+    run(test, tmp_path)
+
+
+def test_a_daemons_restart_moves_no_key(tmp_path):
+    async def test(fleet):
+        key = next(k for k in range(65536) if owners(fleet, k)[0] is fleet.targets[0])
+        fences = dict(fleet.targets[0].held_by_range)
+        fleet.daemons[0].kill()
+        fleet.daemons[0].start()
+
+        async def serves():
+            return (await fleet.ask("/owned/", key, 1)).status == 200
+
+        await fleet.until(serves)
+        assert fleet.targets[0].held_by_range == fences
+
+    run(test, tmp_path)
+
+
+def test_keys_of_a_crashed_target_go_to_the_other_one(tmp_path):
+    # A target crashes and its port refuses. Its keys are served by the other one
+    # long before the lease is over, and never by both.
+    async def test(fleet):
+        key = next(k for k in range(65536) if owners(fleet, k)[0] is fleet.targets[0])
+        await fleet.targets[0].stop()
+
+        async def serves():
+            return (await fleet.ask("/owned/", key, 2)).status == 200
+
+        await fleet.until(serves, 8.0)
+        assert owners(fleet, key) == [fleet.targets[1]]
+
+    run(test, tmp_path)
+
+
+def test_a_draining_target_hands_its_keys_over_without_a_refusal(tmp_path):
+    async def test(fleet):
+        key = next(k for k in range(65536) if owners(fleet, k)[0] is fleet.targets[0])
+        fleet.targets[0].state = "draining"
+        statuses = []
+        for _ in range(40):
+            statuses.append((await fleet.ask("/owned/", key, 2)).status)
+            await asyncio.sleep(0.05)
+        assert set(statuses) == {200}
+        assert owners(fleet, key) == [fleet.targets[1]]
+
+    run(test, tmp_path)
+
+
+def test_a_stop_cuts_nothing_that_runs(tmp_path):
+    async def test(fleet):
+        fleet.targets[2].work_s = 1.0
+        waiting = [asyncio.ensure_future(fleet.ask("/shared/", None, 2)) for _ in "abc"]
+        await asyncio.sleep(0.3)
+        fleet.daemons[2].send(signal.SIGTERM)
+        answers = await asyncio.gather(*waiting)
+        assert [answer.status for answer in answers] == [200, 200, 200]
+
+    run(test, tmp_path)
+
+
+def test_a_booking_whose_daemon_is_killed_runs_once_and_is_not_called_not_run(tmp_path):
+    # The daemon beside the target is killed while the target works on a booking. The
+    # caller must not hear that it did not run, since it may have.
+    async def test(fleet):
+        fleet.targets[2].work_s = 0.5
+        waiting = asyncio.ensure_future(fleet.ask("/shared/", None, 0, "booking"))
+        while "booking" not in fleet.targets[2].begun:
+            await asyncio.sleep(0.01)
+        fleet.daemons[2].kill()
+        answer = await waiting
+        assert answer.status in (502, 504)
+        fleet.daemons[2].start()
+        await asyncio.sleep(1.0)
+        assert fleet.targets[2].begun.count("booking") == 1
+
+    run(test, tmp_path)
+
+
+def test_what_was_accepted_outlives_the_death_of_all(tmp_path):
+    # All control VMs are killed right after an order was accepted, and start again.
+    async def test(fleet):
+        answer = await fleet.order("/api/evacuation/zone-x/start")
+        assert answer.status == 200
+        for control in fleet.controls:
+            control.kill()
+        for control in fleet.controls:
+            control.start()
+        answer = await fleet.order("/api/config/read")
+        assert b'"version":"r1"' in answer.body
+
+    run(test, tmp_path)
+
+
+@pytest.mark.parametrize("method", ["GET", "DELETE"])
+def test_unknown_calls_are_refused(tmp_path, method):
+    async def test(fleet):
+        host = fleet.control_hosts[0]
+        answer = await call(host, 18620, method, "/api/none", [("Host", "x")])
+        assert answer.status == 404
+
+    run(test, tmp_path, services=("owned", "shared"))
