--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -171,7 +171,7 @@
 
     def tick(self, state, now):
         """Return the changes that are due, as a list of ``AssignKeys``."""
-        if now - self._started_s < SETTLE_S:
+        if not self._has_heard_all(state, now):
             return []
         self._forget_silent(now)
         commands = []
@@ -180,6 +180,22 @@
                 commands += self._place(service, ranges, state, now)
         return commands
 
+    def _has_heard_all(self, state, now):
+        """Whether no more daemons are to be expected.
+
+        All of them are known to come within a second or so; after a loss of power
+        there is nothing to wait for once the place of each owner was heard.
+        """
+        if now - self._started_s >= SETTLE_S:
+            return True
+        owners = {
+            each.owner for ranges in state.ranges_by_service.values() for each in ranges
+        }
+        return owners != {""} and all(
+            owner and place_and_start(owner)[0] in self._start_ms_by_place
+            for owner in owners
+        )
+
     def _forget_silent(self, now):
         for life, known in list(self._known_by_life.items()):
             silent_s = now - known.heard_s
--- a/tests/fleet/test_leadership.py
+++ b/tests/fleet/test_leadership.py
@@ -148,6 +148,18 @@
     assert group.owners() == {each.life for each in reborn}
 
 
+def test_a_new_leader_that_has_heard_every_place_waits_for_nobody(group):
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    group.leader = Leadership(2, LEASE_S, group.now)
+    group.grant_by_life.clear()
+    first, second = target("x", born_ms=9, host="a"), target("y", born_ms=9, host="b")
+    group.run(0.2, first)
+    assert group.owners() == {a.life, b.life}, "the second place may still come"
+    group.run(0.2, first, second)
+    assert group.owners() == {first.life, second.life}
+
+
 def test_a_leaving_owner_hands_its_keys_over_before_it_loses_them(group):
     # A target drains. Its keys go on once it has released them, with the token that
     # spares the next owner a slow start.
