Compare targets by the route of the request

Cause: a target's mean over all routes falls with each short call that it gets, so a slow one with many calls looked fast and got more. Change: daemons tell the mean for the request's own route, and what was heard of a target fades towards the others.

--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -12,7 +12,7 @@
 from tamarackhaven.routing import RequestKind, Splitter
 from tamarackhaven.sidecar._budget import RepeatBudget
 from tamarackhaven.sidecar._choice import Chooser
-from tamarackhaven.sidecar._messages import Answered, Forward, Lost, NotRun
+from tamarackhaven.sidecar._messages import Answered, Forward, GateLoad, Lost, NotRun
 
 # The answer to a caller leaves this long before its time is over.
 ANSWER_MARGIN_S = 0.015
@@ -193,9 +193,9 @@
                 kind = ErrorKind[end.kind]
                 if not isinstance(end, NotRun) or end.was_offered:
                     if not self._may_repeat(asked, end):
-                        raise self._error(end)
+                        raise _error(end)
                 elif end.kind in _FULL:
-                    raise self._error(end)
+                    raise _error(end)
             if boot_s() >= patience_s:
                 raise TamarackhavenError(
                     _for_caller(kind), f"key {asked.request.key}", OWNER_RETRY_S
@@ -216,7 +216,7 @@
                 for target in self._view.choices(asked.spec.name)
                 if not self._peers.is_leaving((target.host, target.port))
             ]
-            target = self._chooser.pick(targets, boot_s(), avoid)
+            target = self._chooser.pick(targets, asked.route.name, boot_s(), avoid)
             if target is None:
                 if failed is not None:
                     return failed
@@ -238,13 +238,13 @@
                 continue
             if not isinstance(end, NotRun) or end.was_offered:
                 if not self._may_repeat(asked, end):
-                    return failed or self._raise(end)
+                    return _failed_or_error(failed, end)
                 continue
             refusals += 1
             if end.kind in _FULL:
                 self._chooser.pause(target.life, end.retry_after_s, boot_s())
             if refusals >= MOST_REFUSALS or len(avoid) >= len(targets):
-                return failed or self._raise(end)
+                return _failed_or_error(failed, end)
 
     def _may_repeat(self, asked, end):
         """Whether a request that a target got may be sent to a target again.
@@ -332,7 +332,7 @@
         """Learn from the end of a send; None if its caller left."""
         now = boot_s()
         if end is None:
-            self._chooser.ended(target.life, None, None, now)
+            self._chooser.ended(target.life, asked.route.name, None, None, now)
             return
         is_away = end.kind in _AWAY if isinstance(end, NotRun) else False
         failed = None
@@ -342,8 +342,9 @@
             failed = True
         if isinstance(end, Answered) or not isinstance(end, NotRun) or end.was_offered:
             asked.sends += 1
-        is_known = end.load.work_ms > 0
-        self._chooser.ended(target.life, end.load if is_known else None, failed, now)
+        # An end that this daemon concluded by itself says nothing of the load there.
+        load = end.load if end.load != GateLoad() else None
+        self._chooser.ended(target.life, asked.route.name, load, failed, now)
         if is_away:
             self._chooser.unreachable(target.life, now)
         self._log.say(
@@ -356,16 +357,21 @@
             load=[end.load.running, end.load.waiting, end.load.slots],
         )
 
-    def _raise(self, end):
-        raise self._error(end)
 
-    def _error(self, end):
-        """Return the error for a caller whose request ended like this."""
-        return TamarackhavenError(
-            _for_caller(ErrorKind[end.kind]),
-            "",
-            getattr(end, "retry_after_s", 0.0) or OWNER_RETRY_S,
-        )
+def _error(end):
+    """Return the error for a caller whose request ended like this."""
+    return TamarackhavenError(
+        _for_caller(ErrorKind[end.kind]),
+        "",
+        getattr(end, "retry_after_s", 0.0) or OWNER_RETRY_S,
+    )
+
+
+def _failed_or_error(failed, end):
+    """Return the target's own failure of an earlier try, or raise what came last."""
+    if failed is None:
+        raise _error(end)
+    return failed
 
 
 def _for_caller(kind):
--- a/tamarackhaven/sidecar/_choice.py
+++ b/tamarackhaven/sidecar/_choice.py
@@ -12,6 +12,9 @@
 LOAD_LIFE_S = 2.0
 # Before any answer, all targets count as equal.
 UNKNOWN_WORK_MS = 100.0
+# A target that is slow isn't chosen, and so nothing new is heard of it. What was heard
+# loses half of its difference to the others in this time, so that it is tried again.
+WORK_HALF_LIFE_S = 4.0
 # Crossing zones takes about a millisecond, and its bytes are paid for: a usual answer
 # costs as much as some hundredths of what it is worth. A target in another zone has to
 # be better by that.
@@ -33,6 +36,7 @@
 
     load: object = None
     load_s: float = float("-inf")
+    work_by_route: dict = attrs.field(factory=dict)
     open: int = 0
     sent_since: int = 0
     failures: float = 0.0
@@ -62,13 +66,16 @@
             seen = self._seen_by_life[life] = _Seen()
         return seen
 
-    def pick(self, targets, now, avoid=()):
+    def pick(self, targets, route, now, avoid=()):
         """Return a target, or None if all are to be avoided.
 
         Parameters
         ----------
         targets : sequence of Target
             Those that take new requests.
+        route : str
+            Of the request: a target's means differ by route, and two targets are
+            compared by the same one.
         now : float
             Seconds of the boot clock.
         avoid : collection of str
@@ -82,12 +89,29 @@
         ]
         if not rested:
             return min(free, key=lambda each: self._seen(each.life).paused_until_s)
-        return min(rested, key=lambda target: self._cost_ms(target, now))
-
-    def _cost_ms(self, target, now):
+        usual_ms = self._usual_ms(rested, route, now)
+        return min(
+            rested, key=lambda target: self._cost_ms(target, route, usual_ms, now)
+        )
+
+    def _usual_ms(self, targets, route, now):
+        """Return the mean working time of a route; what is older counts less."""
+        total = weight = 0.0
+        for target in targets:
+            known = self._seen(target.life).work_by_route.get(route)
+            if known is not None:
+                work_ms, heard_s = known
+                kept = _kept(now - heard_s)
+                total += kept * work_ms
+                weight += kept
+        return total / weight if weight else UNKNOWN_WORK_MS
+
+    def _cost_ms(self, target, route, usual_ms, now):
         """Return about how long a request would take at ``target``."""
         seen = self._seen(target.life)
-        work_ms, busy, slots = UNKNOWN_WORK_MS, target.load * target.slots, target.slots
+        work_ms, heard_s = seen.work_by_route.get(route, (usual_ms, now))
+        work_ms = usual_ms + _kept(now - heard_s) * (work_ms - usual_ms)
+        busy, slots = target.load * target.slots, target.slots
         if seen.load is not None and now - seen.load_s < LOAD_LIFE_S:
             busy = max(
                 seen.load.running + seen.load.waiting + seen.sent_since, seen.open
@@ -95,7 +119,6 @@
         elif seen.load is not None:
             busy = max(busy, seen.open)
         if seen.load is not None:
-            work_ms = seen.load.work_ms or UNKNOWN_WORK_MS
             slots = seen.load.slots
         fill = (busy + 1) / max(slots, 1)
         cost_ms = work_ms * max(1.0, fill) + work_ms * 0.25 * min(fill, 1.0)
@@ -113,13 +136,15 @@
         seen.open += 1
         seen.sent_since += 1
 
-    def ended(self, life, load, failed, now):
+    def ended(self, life, route, load, failed, now):
         """Take in the end of a request.
 
         Parameters
         ----------
         life : str
             Of the target.
+        route : str
+            Of the request.
         load : GateLoad or None
             What the target's daemon said with it.
         failed : bool or None
@@ -132,6 +157,8 @@
         if load is not None:
             seen.load = load
             seen.load_s = now
+            if load.work_ms:
+                seen.work_by_route[route] = (load.work_ms, now)
             seen.sent_since = 0
             seen.pause_s = 0.0
             seen.paused_until_s = float("-inf")
@@ -154,3 +181,8 @@
         for life in list(self._seen_by_life):
             if life not in lives and not self._seen_by_life[life].open:
                 del self._seen_by_life[life]
+
+
+def _kept(age_s):
+    """Return the part of something heard that still counts at this age."""
+    return 0.5 ** (age_s / WORK_HALF_LIFE_S)
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -176,7 +176,7 @@
         fill = (load.running + load.waiting) / max(load.slots, 1)
         return Report(
             number=number,
-            target=state.target(now, round(fill, 2), round(load.work_ms / 1000, 4)),
+            target=state.target(now, round(fill, 2), round(self.inbound.work_s, 4)),
             holds=beat.holds if beat else (),
             releases=state.releases,
             settled=state.settled,
--- a/tamarackhaven/sidecar/_gate.py
+++ b/tamarackhaven/sidecar/_gate.py
@@ -134,6 +134,11 @@
         """Whether the target has answered a request yet."""
         return self._all_work.count > 0
 
+    def route_work_s(self, route):
+        """Return the mean working time of a route's requests, 0 before the first."""
+        work = self._work_by_route.get(route)
+        return work.mean_s if work is not None and work.count else 0.0
+
     @property
     def is_cold(self):
         """Whether starts are limited by the target's cold rate."""
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -77,14 +77,19 @@
         """Requests that wait or run at the target."""
         return self._gate.running + self._gate.waiting
 
-    def load(self):
-        """Return the ``GateLoad`` for callers' daemons."""
+    @property
+    def work_s(self):
+        """Mean time of all the target's answers of late, 0 before the first one."""
+        return self._gate.work_s if self._gate.has_worked else 0.0
+
+    def load(self, route=""):
+        """Return the ``GateLoad`` for callers' daemons, for requests of ``route``."""
         gate = self._gate
         return GateLoad(
             gate.running,
             gate.waiting,
             gate.slots,
-            gate.work_s * 1000 if gate.has_worked else 0.0,
+            gate.route_work_s(route) * 1000,
             self._state.is_cold(boot_s()),
         )
 
@@ -260,7 +265,11 @@
                 boot_s() - started_s, service=forward.service, part="target"
             )
             return Answered(
-                forward.number, reply.status, reply.headers, reply.body, self.load()
+                forward.number,
+                reply.status,
+                reply.headers,
+                reply.body,
+                self.load(forward.route),
             )
         if verdict is Verdict.REFUSED:
             return self._not_run(forward, ErrorKind.TARGET_REFUSED, offered=True)
@@ -306,7 +315,9 @@
             detail=detail,
             **self._inputs(),
         )
-        return NotRun(forward.number, kind.name, retry_after_s, offered, self.load())
+        return NotRun(
+            forward.number, kind.name, retry_after_s, offered, self.load(forward.route)
+        )
 
     def _lost(self, forward, kind, started_s, detail=""):
         self._metrics.count(
@@ -320,7 +331,7 @@
             detail=detail,
             **self._inputs(),
         )
-        return Lost(forward.number, kind.name, self.load())
+        return Lost(forward.number, kind.name, self.load(forward.route))
 
     def _inputs(self):
         """Return what decides about a request, for its log line."""
--- a/tamarackhaven/sidecar/_messages.py
+++ b/tamarackhaven/sidecar/_messages.py
@@ -72,7 +72,8 @@
     running, waiting, slots : int
         At the gate.
     work_ms : float
-        Mean time of the target's answers of late, in milliseconds.
+        Mean time of the target's answers to requests of the same route, in
+        milliseconds; 0 before the first one.
     is_cold : bool
         Whether the target takes little for now.
     """
--- /dev/null
+++ b/tests/sidecar/test_choice.py
@@ -0,0 +1,99 @@
+"""Which target of a shared service gets a request."""
+
+import pytest
+
+from tamarackhaven.fleet._model import Target
+from tamarackhaven.sidecar._choice import FIRST_PAUSE_S, Chooser
+from tamarackhaven.sidecar._messages import GateLoad
+
+
+def target(name, zone="a", slots=10):
+    return Target(f"{name}@1@{name}:1", name, 1, "s", zone, name, 1, slots)
+
+
+A, B, C = target("a"), target("b"), target("c", zone="c")
+
+
+@pytest.fixture
+def chooser():
+    return Chooser("a", lambda: 0.0)
+
+
+def tell(chooser, who, route="r", now=0.0, failed=False, **load):
+    load = {"running": 0, "waiting": 0, "slots": 10, "work_ms": 100.0, **load}
+    chooser.sent(who.life)
+    chooser.ended(who.life, route, GateLoad(**load), failed, now)
+
+
+def test_the_faster_one_is_chosen(chooser):
+    tell(chooser, A, work_ms=200.0)
+    tell(chooser, B, work_ms=100.0)
+    assert chooser.pick([A, B], "r", 0.1) is B
+
+
+def test_a_full_one_is_left_for_a_slower_one_with_room(chooser):
+    tell(chooser, A, running=10, waiting=15, work_ms=100.0)
+    tell(chooser, B, running=2, work_ms=180.0)
+    assert chooser.pick([A, B], "r", 0.1) is B
+
+
+def test_targets_are_compared_by_the_requests_own_route(chooser):
+    # One target got many short calls of late, the other long requests. By the mean of
+    # all, the first looks faster and gets ever more, though it is the slower one.
+    tell(chooser, A, "call", work_ms=80.0)
+    tell(chooser, A, "long", work_ms=900.0)
+    tell(chooser, B, "long", work_ms=400.0)
+    tell(chooser, B, "call", work_ms=40.0)
+    assert chooser.pick([A, B], "call", 0.1) is B
+    assert chooser.pick([A, B], "long", 0.1) is B
+
+
+def test_what_was_sent_since_the_last_news_counts(chooser):
+    tell(chooser, A)
+    tell(chooser, B)
+    for _ in range(10):
+        chooser.sent(A.life)
+    assert chooser.pick([A, B], "r", 0.1) is B
+
+
+def test_the_own_zone_is_preferred_unless_it_is_much_busier(chooser):
+    tell(chooser, A, work_ms=105.0)
+    tell(chooser, C, work_ms=100.0)
+    assert chooser.pick([A, C], "r", 0.1) is A
+    tell(chooser, A, running=10, waiting=10)
+    assert chooser.pick([A, C], "r", 0.1) is C
+
+
+def test_a_slow_target_is_tried_again_after_a_while(chooser):
+    # A target was slow for some seconds. It gets nothing, so nothing is heard of it;
+    # remembered for ever, it would stay idle after it has recovered.
+    tell(chooser, A, work_ms=1000.0)
+    tell(chooser, B, running=5, work_ms=100.0, now=20.0)
+    assert chooser.pick([A, B], "r", 0.1) is B
+    tell(chooser, B, running=9, waiting=6, work_ms=100.0, now=20.0)
+    assert chooser.pick([A, B], "r", 20.1) is A
+
+
+def test_an_unreachable_one_is_left_alone_for_a_while(chooser):
+    tell(chooser, A, work_ms=10.0)
+    tell(chooser, B)
+    chooser.unreachable(A.life, 0.1)
+    assert chooser.pick([A, B], "r", 0.2) is B
+    assert chooser.pick([A, B], "r", 0.2 + FIRST_PAUSE_S) is A
+
+
+def test_with_all_unreachable_the_next_to_return_is_tried(chooser):
+    chooser.unreachable(A.life, 0.0)
+    chooser.unreachable(B.life, 0.1)
+    assert chooser.pick([A, B], "r", 0.2) is A
+
+
+def test_one_that_fails_requests_is_avoided(chooser):
+    for _ in range(10):
+        tell(chooser, A, failed=True)
+        tell(chooser, B, work_ms=200.0)
+    assert chooser.pick([A, B], "r", 0.1) is B
+
+
+def test_those_tried_already_are_avoided(chooser):
+    assert chooser.pick([A], "r", 0.0, {A.life}) is None
