--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -14,6 +14,7 @@
 from tamarackhaven._storage import Storage
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.fleet import _growth
+from tamarackhaven.fleet._group_keeper import GroupKeeper
 from tamarackhaven.fleet._group_links import GroupLinks
 from tamarackhaven.fleet._leadership import Leadership
 from tamarackhaven.fleet._machine import FleetMachine
@@ -38,9 +39,6 @@
 # Reports that come within this time share one round of heartbeats; it delays a lease
 # by a small part of its length.
 CONFIRM_PAUSE_S = 0.08
-# Without a leader for so long, a member asks the others to be let in again.
-LONELY_S = 1.0
-JOIN_PAUSE_S = 0.5
 # An order waits so long for the voters that the tolerated losses need. After that the
 # group accepts with those that there are: a control VM may be missing for good.
 FOUNDING_PATIENCE_S = 20.0
@@ -80,15 +78,12 @@
         self._on_fatal = on_fatal
         self._host, self._port = split(settings.links)
         self._wanted = _growth.voters_wanted(settings.tolerated_losses)
-        self._newcomer_by_name = {}
         self._session_by_link = {}
         self._reports = []
         self._confirming = None
         self._leadership = None
         self._preparing_term = None
         self._last_role = (None, "")
-        self._asked_s = 0.0
-        self._lonely_since_s = boot_s()
         self._started_s = boot_s()
         self._is_founded = False
         self._tasks = []
@@ -96,6 +91,7 @@
         self.consensus = None
         self.machine = FleetMachine(self._applied)
         self._links = None
+        self._keeper = None
         self._server = LinkServer(CONTROL_CODEC, self._on_message, self._on_closed)
 
     # Start and stop.
@@ -112,7 +108,7 @@
         storage = Storage.open(Path(self._settings.data_folder) / "group")
         name, membership = self._identity(storage)
         hello = MemberHello(name, self._host, self._port)
-        self._links = GroupLinks(hello, self._deliver)
+        self._links = GroupLinks(hello)
         for member in membership.members:
             self._links.know(member.name, member.host, member.port)
         self.consensus = Consensus(
@@ -124,7 +120,7 @@
             self.machine,
             boot_s,
             random.Random(os.urandom(16)),
-            self._fatal,
+            self._on_fatal,
         )
         try:
             await self._server.start(self._host, self._port)
@@ -132,6 +128,9 @@
             raise TamarackhavenError(
                 ErrorKind.PORT_TAKEN, f"links: {self._settings.links}: {error}"
             ) from error
+        self._keeper = GroupKeeper(
+            self._settings, self._wanted, self.consensus, self._links, self._log
+        )
         self.consensus.start()
         self._tasks.append(self._loop.create_task(self._tick_forever()))
         self._log.say(
@@ -164,17 +163,11 @@
             await self._loop.run_in_executor(None, self.consensus.stop)
         self._log.say("stopped")
 
-    def _fatal(self, error):
-        self._on_fatal(error)
-
     # Consensus.
 
     def _send_consensus(self, messages):
         self._loop.call_soon_threadsafe(self._links.send, messages)
 
-    def _deliver(self, messages):
-        self.consensus.deliver(messages)
-
     def _applied(self, index, command, outcome):
         if self._loop is not None:
             self._loop.call_soon_threadsafe(self._after_apply, index, command, outcome)
@@ -208,9 +201,7 @@
         elif isinstance(message, MemberHello):
             self._links.know(message.name, message.host, message.port)
         elif isinstance(message, JoinGroup):
-            newcomer = _growth.Newcomer(message.name, message.host, message.port)
-            self._links.know(message.name, message.host, message.port)
-            self._newcomer_by_name[message.name] = (newcomer, boot_s())
+            self._keeper.asked(message, boot_s())
         elif isinstance(message, DaemonHello):
             self._greet(link, message)
         elif isinstance(message, Report):
@@ -324,18 +315,16 @@
         status = self.consensus.status()
         self._note_role(status)
         now = boot_s()
-        if status.leader:
-            self._lonely_since_s = now
         for member in status.membership.members:
             self._links.know(member.name, member.host, member.port)
         if status.role is not Role.LEADER:
-            self._ask_to_join(status, now)
+            self._keeper.ask_to_join(status, now)
             return
         if self._leadership is None or self._leadership.term != status.term:
             self._take_lead(status.term)
             return
         self._decide()
-        await self._grow(status, now)
+        await self._keeper.grow(status, now)
 
     def _note_role(self, status):
         role = (status.role, status.leader)
@@ -380,59 +369,6 @@
                 # Refused or lost: the next tick decides anew from the state then.
                 self.consensus.propose(encode(command))
 
-    async def _grow(self, status, now):
-        """Carry out the membership change that is due."""
-        self._newcomer_by_name = {
-            name: (newcomer, asked_s)
-            for name, (newcomer, asked_s) in self._newcomer_by_name.items()
-            if now - asked_s < 4 * JOIN_PAUSE_S
-        }
-        silent_s = {
-            name: 0.0
-            if name == status.name
-            else now - max(self._links.heard_s_by_name.get(name, 0), self._started_s)
-            for name in status.membership.by_name
-        }
-        due = _growth.next_step(
-            status.membership,
-            [newcomer for newcomer, _ in self._newcomer_by_name.values()],
-            silent_s,
-            self._wanted,
-        )
-        if due is None or (
-            due.step.action == "remove" and due.step.member.name == status.name
-        ):
-            return
-        future = self.consensus.change_membership(due.step)
-        try:
-            await asyncio.wait_for(asyncio.wrap_future(future), READ_TIMEOUT_S)
-        except (TamarackhavenError, TimeoutError) as error:
-            self._log.say(
-                "membership change waits",
-                action=due.step.action,
-                member=due.step.member.name,
-                cause=due.cause,
-                error=str(error),
-            )
-            return
-        self._log.say(
-            "membership changed",
-            action=due.step.action,
-            member=due.step.member.name,
-            cause=due.cause,
-        )
-
-    def _ask_to_join(self, status, now):
-        is_member = status.name in status.membership.by_name
-        if is_member and now - self._lonely_since_s < LONELY_S:
-            return
-        if now - self._asked_s < JOIN_PAUSE_S:
-            return
-        self._asked_s = now
-        addresses = {(split(seed)[0], self._port) for seed in self._settings.seeds}
-        addresses |= {(m.host, m.port) for m in status.membership.members}
-        self._links.ask_to_join(addresses)
-
     # Orders of operators.
 
     async def order(self, command):
--- a/tamarackhaven/fleet/_group_links.py
+++ b/tamarackhaven/fleet/_group_links.py
@@ -28,13 +28,10 @@
     ----------
     hello : MemberHello
         Who this VM is.
-    deliver : callable
-        Takes a list of consensus messages that came back on an outgoing link.
     """
 
-    def __init__(self, hello, deliver):
+    def __init__(self, hello):
         self._hello = hello
-        self._deliver = deliver
         self._address_by_name = {}
         self._outgoing_by_address = {}
         self.heard_s_by_name = {}
--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -66,11 +66,11 @@
 
 
 @attrs.define
-class _Shared:
-    """Until when the first grant of a service's keys waits for more targets."""
+class _Gathering:
+    """Targets of a new service, and since when there have been so many."""
 
-    seen_s: float
     count: int
+    since_s: float
 
 
 class Leadership:
@@ -95,7 +95,7 @@
         self._life_by_host = {}
         self._start_ms_by_place = {}
         self._moving = []
-        self._first_by_service = {}
+        self._gathering_by_service = {}
         self._changed = {}
         self._gone = []
 
@@ -258,11 +258,11 @@
 
     def _first(self, service, ranges, candidates, now):
         """Share out a new service's keys once no more targets come."""
-        first = self._first_by_service.get(service)
-        if first is None or first.count != len(candidates):
-            self._first_by_service[service] = _Shared(now, len(candidates))
+        gathering = self._gathering_by_service.get(service)
+        if gathering is None or gathering.count != len(candidates):
+            self._gathering_by_service[service] = _Gathering(len(candidates), now)
             return []
-        if now - first.seen_s < SETTLE_S:
+        if now - gathering.since_s < SETTLE_S:
             return []
         new = tuple(_placement.first_ranges(candidates))
         return [AssignKeys(service, new, tuple(ranges), "first owners")]
@@ -358,15 +358,13 @@
     def targets_view(self):
         """Return all targets, for a daemon that has just come."""
         targets = tuple(known.target for known in self._known_by_life.values())
-        return TargetsView(self.term, False, targets)
+        return TargetsView(self.term, targets)
 
     def take_news(self):
         """Return a ``TargetsView`` of what changed since the last call, or None."""
         if not self._changed and not self._gone:
             return None
-        view = TargetsView(
-            self.term, False, tuple(self._changed.values()), tuple(self._gone)
-        )
+        view = TargetsView(self.term, tuple(self._changed.values()), tuple(self._gone))
         self._changed = {}
         self._gone = []
         return view
--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -40,13 +40,6 @@
     port: int
 
 
-@attrs.frozen
-class GroupPeers:
-    """Addresses (host, port) of the control VMs that the sender knows."""
-
-    addresses: tuple[tuple[str, int], ...]
-
-
 @attrs.frozen
 class DaemonHello:
     """A daemon asks who leads, and says who it is.
@@ -199,12 +192,9 @@
     ----------
     term : int
         Of the leader.
-    is_whole : bool
-        Whether ``targets`` are all that there are.
     """
 
     term: int
-    is_whole: bool
     targets: tuple[Target, ...]
     gone: tuple[str, ...] = ()
 
@@ -214,7 +204,6 @@
         MemberHello,
         ConsensusBatch,
         JoinGroup,
-        GroupPeers,
         DaemonHello,
         LeaderHint,
         Report,
--- a/tamarackhaven/fleet/_settings.py
+++ b/tamarackhaven/fleet/_settings.py
@@ -142,9 +142,6 @@
         After its availability zone was taken out, a target gets nothing from then on.
     grace_s : float
         Time from SIGTERM to SIGKILL.
-    cold_overshoot, cold_slack : float
-        A cold target gets at most ``cold_per_s`` times the first, plus the second,
-        in any second.
     """
 
     name: str = _text()
@@ -160,7 +157,5 @@
     drain_s: float = _seconds(2.0, 0, 600)
     zone_out_s: float = _seconds(5.0, 0, 600)
     grace_s: float = _seconds(6.0, 0.5, 600)
-    cold_overshoot: float = _seconds(1.5, 1, 100)
-    cold_slack: float = _seconds(0, 0, 10_000)
     lease: FleetLeaseSettings = attrs.field(factory=FleetLeaseSettings)
     budget: BudgetSettings = attrs.field(factory=BudgetSettings)
--- a/tamarackhaven/sidecar/__init__.py
+++ b/tamarackhaven/sidecar/__init__.py
@@ -1,13 +1,7 @@
 """The daemon beside a target: callers' requests, the gate, the target's keys."""
 
 from tamarackhaven.sidecar._daemon import Daemon
-from tamarackhaven.sidecar._dialect import (
-    CallerRequest,
-    Dialect,
-    TargetHealth,
-    TargetLoad,
-    Verdict,
-)
+from tamarackhaven.sidecar._dialect import CallerRequest, Dialect, Verdict
 from tamarackhaven.sidecar._target_state import Heartbeat, HeartbeatReply
 
 __all__ = [
@@ -16,7 +10,5 @@
     "Dialect",
     "Heartbeat",
     "HeartbeatReply",
-    "TargetHealth",
-    "TargetLoad",
     "Verdict",
 ]
--- a/tamarackhaven/sidecar/_dialect.py
+++ b/tamarackhaven/sidecar/_dialect.py
@@ -48,34 +48,6 @@
     INVALID = "invalid"  # nothing is certain; the reply can't be passed on
 
 
-@attrs.frozen
-class TargetLoad:
-    """What a target says of its load.
-
-    Parameters
-    ----------
-    running, waiting, slots : int
-        Requests, and room for them.
-    pace : float
-        How long work takes at the moment, 1.0 as usual.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    pace: float = 1.0
-
-
-@attrs.frozen
-class TargetHealth:
-    """A target's answer to a health check; ``cold_s`` is how long it stays cold."""
-
-    is_healthy: bool
-    name: str
-    cold_s: float
-    load: TargetLoad | None = None
-
-
 class Dialect(abc.ABC):
     """Reads and writes the headers of one deployment."""
 
@@ -101,14 +73,6 @@
     def judge(self, reply, attempt_id):
         """Return the ``Verdict`` on a ``Reply``."""
 
-    @abc.abstractmethod
-    def read_load(self, reply):
-        """Return the ``TargetLoad`` that a reply states, or None."""
-
-    @abc.abstractmethod
-    def read_health(self, reply):
-        """Return the ``TargetHealth`` that a reply to a health check states."""
-
     @abc.abstractmethod
     def refusal(self, error):
         """Return the ``HttpResponse`` for a ``TamarackhavenError``."""
--- a/tamarackhaven/sidecar/_peers.py
+++ b/tamarackhaven/sidecar/_peers.py
@@ -123,20 +123,20 @@
             )
         except ConnectionRefusedError:
             # No process listens: what was sent to it is lost with it.
-            self._lose_all(only_unsent_unsafe=False)
+            self._give_up(keeps_unsafe=False)
             await asyncio.sleep(REDIAL_S)
             return
         except OSError:
-            self._lose_all(only_unsent_unsafe=True)
+            self._give_up(keeps_unsafe=True)
             await asyncio.sleep(REDIAL_S)
             return
         self._link.send(PeerHello(self._boot))
 
-    def _lose_all(self, only_unsent_unsafe):
-        """End what waits; a sent unsafe request may still be answered later."""
+    def _give_up(self, keeps_unsafe):
+        """End what waits; a sent unsafe request may be kept for a later answer."""
         for entry in tuple(self._open_by_number.values()):
             is_running = entry.was_sent and not entry.forward.is_safe
-            if only_unsent_unsafe and is_running and boot_s() < entry.deadline_s:
+            if keeps_unsafe and is_running and boot_s() < entry.deadline_s:
                 continue
             kind = (
                 ErrorKind.FORWARD_LOST
--- a/tests/net/test_wire.py
+++ b/tests/net/test_wire.py
@@ -45,7 +45,7 @@
     Report(2),
     LeaseGrant(1, GrantId(3, 4), 2.5, "i@1", (KeyRange(0, 9, 1, "i@1", "t"),)),
     KeysView(4, "s", (KeyRange(0, 9),), False),
-    TargetsView(1, False, (TARGET,), ("y@2",)),
+    TargetsView(1, (TARGET,), ("y@2",)),
     ConfigurationView(
         3, Configuration(2, (ServiceSpec("s", source={"name": "s"}),), (ROUTE,))
     ),
--- a/tests/platform_adapter/test_wire_headers.py
+++ b/tests/platform_adapter/test_wire_headers.py
@@ -5,7 +5,7 @@
 
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.net import HttpRequest, Reply
-from tamarackhaven.sidecar import TargetLoad, Verdict
+from tamarackhaven.sidecar import Verdict
 
 DIALECT = PlatformDialect()
 ATTEMPT = (b"Tamarackhaven-Attempt-Id", b"abc")
@@ -71,20 +71,6 @@
     assert DIALECT.judge(Reply(status, tuple(headers), b""), "abc") is verdict
 
 
-@pytest.mark.parametrize(
-    ("value", "load"),
-    [
-        (b"3,0,8", TargetLoad(3, 0, 8)),
-        (b"3,1,8,250", TargetLoad(3, 1, 8, 2.5)),
-        (b"3,1", None),
-        (b"many", None),
-    ],
-)
-def test_load(value, load):
-    reply = Reply(200, ((b"Tamarackhaven-Server-Load", value),), b"")
-    assert DIALECT.read_load(reply) == load
-
-
 def test_a_refusal_names_its_code_and_when_to_come_back():
     error = TamarackhavenError(ErrorKind.QUEUE_FULL, "", 0.25)
     response = DIALECT.refusal(error)
