--- /dev/null
+++ b/tests/fleet/test_purity.py
@@ -0,0 +1,47 @@
+"""Decision modules of a fleet do no input or output and read no clock.
+
+A decision that reads a clock can't be tested at the moment that matters.
+"""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+from tests.test_purity import FORBIDDEN
+
+ROOT = Path(__file__).parents[2] / "tamarackhaven"
+PURE = [
+    *(f"routing/{name}" for name in ("_model", "_edit", "_match")),
+    *(
+        f"fleet/{name}"
+        for name in (
+            "_growth",
+            "_leadership",
+            "_leases",
+            "_model",
+            "_placement",
+            "_ranges",
+            "_state",
+        )
+    ),
+    *(
+        f"sidecar/{name}"
+        for name in ("_budget", "_choice", "_gate", "_key_load", "_target_state")
+    ),
+]
+NO_INPUT_EITHER = {"tamarackhaven._clock", "tamarackhaven._files", "tamarackhaven._loop"}
+
+
+@pytest.mark.parametrize("name", PURE)
+def test_a_decision_module_of_a_fleet_is_pure(name):
+    tree = ast.parse((ROOT / f"{name}.py").read_text())
+    for node in ast.walk(tree):
+        modules = []
+        if isinstance(node, ast.Import):
+            modules = [alias.name for alias in node.names]
+        elif isinstance(node, ast.ImportFrom):
+            modules = [node.module]
+        for module in modules:
+            assert module.partition(".")[0] not in FORBIDDEN, module
+            assert module not in NO_INPUT_EITHER, module
