Move no keys for a daemon's restart; remember a booking as long as it can be asked for

Found by reading. First: an owner that was silent for 1.5 s counted as leaving, so a daemon that took longer to restart lost its target's keys although the lease held. Second: what had run was forgotten 4 s after its end; a route that allows longer and a link that comes back late would have run a booking twice. Both tests fail before.

--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -224,7 +224,7 @@
             expected = _touched(ranges, new)
             cause = "owner gone" if free else "released"
             return [AssignKeys(service, tuple(new), expected, cause)]
-        self._start_moves(service, ranges, candidates, shares, now)
+        self._start_moves(service, ranges, candidates, shares, state)
         return []
 
     def _candidates(self, service, state, now):
@@ -300,11 +300,11 @@
                 kept.append(moving)
         self._moving = kept
 
-    def _start_moves(self, service, ranges, candidates, shares, now):
+    def _start_moves(self, service, ranges, candidates, shares, state):
         leaving = {
             each.owner
             for each in ranges
-            if each.owner not in candidates and self._is_leaving(each.owner)
+            if each.owner not in candidates and self._is_leaving(each.owner, state)
         }
         moving = [m.move.old for m in self._moving_of(service)]
         still = [
@@ -322,9 +322,17 @@
         """Whether an owner's fate is open; its keys may need the room soon."""
         return any(each.owner not in candidates for each in ranges)
 
-    def _is_leaving(self, life):
-        """Whether an owner was heard and may keep its keys for a short time only."""
-        return life in self._known_by_life
+    def _is_leaving(self, life, state):
+        """Whether an owner said that it leaves, or its zone is out.
+
+        One that is silent may only have a daemon that restarts: it keeps its keys
+        until its lease is over.
+        """
+        known = self._known_by_life.get(life)
+        if known is None:
+            return False
+        is_draining = known.target.phase is TargetPhase.DRAINING
+        return is_draining or known.target.zone in state.zones_out
 
     def _released(self, service, candidates, now):
         """Return the new ranges of moves whose old owner has let go."""
--- a/tamarackhaven/sidecar/_runs.py
+++ b/tamarackhaven/sidecar/_runs.py
@@ -4,8 +4,12 @@
 
 from tamarackhaven._clock import boot_s
 
-# A daemon that lost its link asks again on a new one; after this time nobody does.
-KEPT_S = 4.0
+# A daemon that lost its link asks again on a new one, until the request's time is over;
+# this long after that nobody does.
+KEPT_S = 2.0
+SAFE_KEPT_S = 4.0
+# How often what has ended is looked through.
+LOOK_S = 0.5
 # A link that breaks is dialled again within this time, if its daemon still runs.
 REATTACH_S = 0.4
 
@@ -22,28 +26,39 @@
     def __init__(self, inbound):
         self._inbound = inbound
         self._task_by_key = {}
+        self._next_look_s = 0.0
         self._forward_by_key = {}
-        self._ended_by_key = {}
+        self._kept_until_s_by_key = {}
 
     def start(self, key, forward):
         """Return the task of a request; the same one for the same key."""
         task = self._task_by_key.get(key)
         if task is None:
             task = asyncio.get_running_loop().create_task(self._inbound.run(forward))
+            # Failure: what ended is forgotten while its sender may still ask for it.
+            # Symptom: a booking runs a second time. Enough: no request is sent again
+            # after its own time.
+            left_s = max(forward.left_ms, 0.0) / 1000
+            if forward.is_safe:
+                # It may run again; kept for minutes, answers would fill the memory.
+                left_s = min(left_s, SAFE_KEPT_S)
+            self._kept_until_s_by_key[key] = boot_s() + left_s + KEPT_S
             self._task_by_key[key] = task
             self._forward_by_key[key] = forward
-            task.add_done_callback(lambda _: self._done(key))
+            self._forget_old()
         return task
 
-    def _done(self, key):
+    def _forget_old(self):
+        """Forget what ended and can't be asked for any more."""
         now = boot_s()
-        self._ended_by_key[key] = now
-        for old, ended_s in list(self._ended_by_key.items()):
-            if now - ended_s < KEPT_S:
-                break
-            del self._ended_by_key[old]
-            self._task_by_key.pop(old, None)
-            self._forward_by_key.pop(old, None)
+        if now < self._next_look_s:
+            return
+        self._next_look_s = now + LOOK_S
+        for key, until_s in list(self._kept_until_s_by_key.items()):
+            if until_s < now and self._task_by_key[key].done():
+                del self._kept_until_s_by_key[key]
+                del self._task_by_key[key]
+                del self._forward_by_key[key]
 
     def cancel(self, key):
         """Stop a request that nobody waits for any more.
--- a/tests/fleet/test_leadership.py
+++ b/tests/fleet/test_leadership.py
@@ -102,6 +102,20 @@
     assert group.owners() == {a.life}
 
 
+def test_a_daemon_that_restarts_within_the_lease_loses_no_key(group):
+    # A daemon is silent for two seconds while its process is replaced. Its target
+    # holds its keys all the while; moved away, they would be cold elsewhere.
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    before = group.owned(b)
+    group.run(2.0, a)
+    group.run(2.0, a, b)
+    assert group.owned(b) == before
+    assert [r.fence for r in group.grant_by_life[b.life].ranges] == [
+        r.fence for r in before
+    ]
+
+
 def test_a_new_leader_waits_for_the_leases_of_the_former_one(group):
     # The former leader granted something to a target that the new one never hears of.
     # Without the wait, its keys would have two owners.
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -30,7 +30,11 @@
         for name in ("_budget", "_choice", "_gate", "_key_load", "_target_state")
     ),
 ]
-NO_INPUT_EITHER = {"tamarackhaven._clock", "tamarackhaven._files", "tamarackhaven._loop"}
+NO_INPUT_EITHER = {
+    "tamarackhaven._clock",
+    "tamarackhaven._files",
+    "tamarackhaven._loop",
+}
 
 
 @pytest.mark.parametrize("name", PURE)
--- /dev/null
+++ b/tests/sidecar/test_runs.py
@@ -0,0 +1,48 @@
+"""Each forward runs once, for as long as it can be asked for again."""
+
+import asyncio
+
+import attrs
+
+from tamarackhaven.sidecar import _runs
+from tamarackhaven.sidecar._runs import Runs
+from tests.sidecar.test_peers import FORWARD, Target
+
+
+def run(test, monkeypatch):
+    clock = [100.0]
+    monkeypatch.setattr(_runs, "boot_s", lambda: clock[0])
+
+    async def main():
+        target = Target()
+        target.may_end.set()
+        await test(Runs(target), target, clock)
+
+    asyncio.run(main())
+
+
+def test_a_long_booking_asked_for_again_late_runs_once(monkeypatch):
+    # A route allows a minute. The booking runs at once, its answer is lost with the
+    # link, and the link comes back half a minute later: the same number is asked for
+    # again, and must not run again.
+    async def test(runs, target, clock):
+        booking = attrs.evolve(FORWARD, is_safe=False, left_ms=60_000.0)
+        await runs.start(("one", 1), booking)
+        clock[0] += 30.0
+        runs.start(("one", 2), attrs.evolve(FORWARD, number=2))
+        again = await runs.start(("one", 1), booking)
+        assert again.body == b"done"
+        assert target.ran.count(1) == 1
+
+    run(test, monkeypatch)
+
+
+def test_what_nobody_can_ask_for_any_more_is_forgotten(monkeypatch):
+    async def test(runs, target, clock):
+        for number in range(100):
+            await runs.start(("one", number), attrs.evolve(FORWARD, number=number))
+        clock[0] += 10.0
+        runs.start(("one", 1000), FORWARD)
+        assert len(runs._task_by_key) == 1
+
+    run(test, monkeypatch)
