Let one piece of code listen and find headers; take out what nothing calls

Cause: reading the change once more. The error for a taken port stood three times, the look-up of a header and the metrics path twice, an unused sleep and a suppress around a call that doesn't raise were left. Change: net.listen, _http_head.find and the metrics page's own path serve all; behaviour stays.

--- a/tamarackhaven/_process.py
+++ b/tamarackhaven/_process.py
@@ -7,7 +7,7 @@
 from tamarackhaven._clock import boot_s
 from tamarackhaven._json_lines import JsonLines
 from tamarackhaven._logs import Log
-from tamarackhaven._metrics import CONTENT_TYPE
+from tamarackhaven._metrics import CONTENT_TYPE, METRICS_PATH
 from tamarackhaven.errors import TamarackhavenError
 from tamarackhaven.net import HttpResponse, HttpServer
 
@@ -50,11 +50,11 @@
         lines.flush()
 
 
-async def serve_metrics(metrics, host, port, path):
+async def serve_metrics(metrics, host, port):
     """Serve the metrics page; return its server."""
 
     async def handle(request):
-        if request.path != path:
+        if request.path != METRICS_PATH:
             return HttpResponse(404)
         headers = ((b"Content-Type", CONTENT_TYPE.encode()),)
         return HttpResponse(200, headers, metrics.page().encode())
--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -1,7 +1,6 @@
 """One control VM of a fleet: consensus, orders of operators, daemons' leases."""
 
 import asyncio
-import contextlib
 import os
 import random
 from pathlib import Path
@@ -30,7 +29,7 @@
 from tamarackhaven.fleet._sessions import Session
 from tamarackhaven.fleet._settings import split
 from tamarackhaven.fleet._state import encode
-from tamarackhaven.net import LinkServer
+from tamarackhaven.net import LinkServer, listen
 
 # Heartbeats cross zones in a millisecond; a leader is missed after five of them.
 RAFT = RaftSettings(heartbeat_ms=100, election_ms=500)
@@ -122,12 +121,7 @@
             random.Random(os.urandom(16)),
             self._on_fatal,
         )
-        try:
-            await self._server.start(self._host, self._port)
-        except OSError as error:
-            raise TamarackhavenError(
-                ErrorKind.PORT_TAKEN, f"links: {self._settings.links}: {error}"
-            ) from error
+        await listen(self._server, "links", self._host, self._port)
         self._keeper = GroupKeeper(
             self._settings, self._wanted, self.consensus, self._links, self._log
         )
@@ -174,16 +168,17 @@
 
     def _after_apply(self, index, command, outcome):
         if command is not None and outcome is not None:
+            kind = outcome.kind.name if outcome.kind else "APPLIED"
             self._metrics.count(
                 "tamarackhaven_fleet_commands_total",
                 command=type(command).__name__,
-                outcome=outcome.kind.name if outcome.kind else "APPLIED",
+                outcome=kind,
             )
             self._log.say(
                 "command applied",
                 index=index,
                 command=type(command).__name__,
-                outcome=outcome.kind.name if outcome.kind else "APPLIED",
+                outcome=kind,
                 detail=outcome.detail or getattr(command, "cause", ""),
             )
         self._push()
@@ -365,9 +360,8 @@
         with self.machine.lock:
             commands = self._leadership.tick(self.machine.state, boot_s())
         for command in commands:
-            with contextlib.suppress(TamarackhavenError):
-                # Refused or lost: the next tick decides anew from the state then.
-                self.consensus.propose(encode(command))
+            # Nobody waits for the outcome: the next tick decides from the state then.
+            self.consensus.propose(encode(command))
 
     # Orders of operators.
 
--- a/tamarackhaven/fleet/process.py
+++ b/tamarackhaven/fleet/process.py
@@ -12,12 +12,10 @@
     serve_metrics,
 )
 from tamarackhaven._settings_file import load_settings
-from tamarackhaven.errors import ErrorKind, TamarackhavenError
+from tamarackhaven.errors import TamarackhavenError
 from tamarackhaven.fleet._control import FleetControl
 from tamarackhaven.fleet._settings import FleetControlSettings, split
-from tamarackhaven.net import HttpServer
-
-METRICS_PATH = "/metrics"
+from tamarackhaven.net import HttpServer, listen
 
 
 def run_control(path, make_api):
@@ -51,14 +49,9 @@
     await control.start()
     api = make_api(control, split(settings.operators)[1], log.part("orders"))
     server = HttpServer(api.handle, lambda request, error: _note(log, error))
-    try:
-        await server.start(*split(settings.operators))
-    except OSError as error:
-        raise TamarackhavenError(
-            ErrorKind.PORT_TAKEN, f"operators: {settings.operators}: {error}"
-        ) from error
+    await listen(server, "operators", *split(settings.operators))
     if settings.metrics:
-        await serve_metrics(metrics, *split(settings.metrics), METRICS_PATH)
+        await serve_metrics(metrics, *split(settings.metrics))
     flushing = asyncio.create_task(keep_flushing(lines))
     await stopped.wait()
     server.close()
--- a/tamarackhaven/net/__init__.py
+++ b/tamarackhaven/net/__init__.py
@@ -8,6 +8,7 @@
 )
 from tamarackhaven.net._http_server import HttpRequest, HttpResponse, HttpServer
 from tamarackhaven.net._link import Link, LinkServer, dial
+from tamarackhaven.net._listen import listen
 from tamarackhaven.net._wire import Codec
 
 __all__ = [
@@ -22,4 +23,5 @@
     "RequestNotSentError",
     "RequestUnansweredError",
     "dial",
+    "listen",
 ]
--- a/tamarackhaven/net/_http_client.py
+++ b/tamarackhaven/net/_http_client.py
@@ -11,6 +11,7 @@
 import h11
 
 from tamarackhaven._clock import boot_s
+from tamarackhaven.net._http_head import find
 
 MAX_REPLY_HEAD_BYTES = 64 << 10
 MAX_REPLY_BYTES = 70 << 20
@@ -45,10 +46,7 @@
 
     def header(self, name):
         """Return the value of the header ``name`` (lower case) or None."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
+        return find(self.headers, name)
 
 
 class ClientConnection(asyncio.Protocol):
--- a/tamarackhaven/net/_http_head.py
+++ b/tamarackhaven/net/_http_head.py
@@ -1,4 +1,4 @@
-"""Refuses request heads that two parsers could read differently."""
+"""Heads of HTTP messages: refuses what two parsers could read differently."""
 
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
@@ -6,6 +6,14 @@
 _VERSIONS = (b"HTTP/1.1", b"HTTP/1.0")
 
 
+def find(headers, name):
+    """Return the first value of the header ``name`` (lower case), None without one."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
 def head_length(buffer, limit):
     """Return the length of the head that ``buffer`` starts with, None if unfinished.
 
--- a/tamarackhaven/net/_http_server.py
+++ b/tamarackhaven/net/_http_server.py
@@ -14,6 +14,7 @@
 from tamarackhaven._clock import boot_s
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.net import _http_head
+from tamarackhaven.net._http_head import find
 from tamarackhaven.routing import Limits
 
 # Load: a caller that sends without reading. Harm: its requests and answers fill the
@@ -56,10 +57,7 @@
 
     def header(self, name):
         """Return the value of the header ``name`` (lower case) or None."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
+        return find(self.headers, name)
 
     @property
     def path(self):
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -4,10 +4,9 @@
 import os
 
 from tamarackhaven._clock import boot_s
-from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.fleet import split
 from tamarackhaven.fleet._messages import DaemonHello, Report
-from tamarackhaven.net import HttpResponse, HttpServer, LinkServer
+from tamarackhaven.net import HttpResponse, HttpServer, LinkServer, listen
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._control_link import ControlLink
 from tamarackhaven.sidecar._inbound import Inbound
@@ -103,21 +102,13 @@
             PORT_TAKEN, naming the setting.
         """
         settings = self.settings
-        await self._listen("links", self._links, settings.links)
-        await self._listen("registry", self._registry, settings.registry)
-        await self._listen("readiness", self._readiness, settings.readiness)
-        await self._listen("callers", self._callers, settings.callers)
+        await listen(self._links, "links", *split(settings.links))
+        await listen(self._registry, "registry", *split(settings.registry))
+        await listen(self._readiness, "readiness", *split(settings.readiness))
+        await listen(self._callers, "callers", *split(settings.callers))
         self._control_task = asyncio.create_task(self._control.run())
         self.log.say("started", zone=settings.zone, service=settings.service)
 
-    async def _listen(self, name, server, address):
-        try:
-            await server.start(*split(address))
-        except OSError as error:
-            raise TamarackhavenError(
-                ErrorKind.PORT_TAKEN, f"{name}: {address}: {error}"
-            ) from error
-
     def reload(self, settings):
         """Take the settings that may change while the process runs."""
         self.settings = settings
--- a/tamarackhaven/sidecar/_target_client.py
+++ b/tamarackhaven/sidecar/_target_client.py
@@ -1,6 +1,5 @@
 """Sends requests to the target over kept connections."""
 
-import asyncio
 import enum
 
 import attrs
@@ -109,8 +108,3 @@
         for connection in self._idle:
             connection.close()
         self._idle.clear()
-
-
-async def sleep_until(deadline_s):
-    """Sleep until a time of the boot clock."""
-    await asyncio.sleep(max(deadline_s - boot_s(), 0.0))
--- a/tamarackhaven/sidecar/process.py
+++ b/tamarackhaven/sidecar/process.py
@@ -17,7 +17,6 @@
 
 # The file may also change without a signal.
 REREAD_S = 2.0
-METRICS_PATH = "/metrics"
 
 
 def run_daemon(path, dialect, registry):
@@ -44,7 +43,7 @@
     on_signals(stopped.set, lambda: _reload(path, daemon, log))
     await daemon.start()
     if settings.metrics:
-        await serve_metrics(metrics, *split(settings.metrics), METRICS_PATH)
+        await serve_metrics(metrics, *split(settings.metrics))
     background = [
         asyncio.create_task(keep_flushing(lines)),
         asyncio.create_task(_reread(path, daemon, log)),
