Ask targets of a shared service for their wait before a request queues

What waits for a call holds a slot of its own for as long. **Change:** a request is first offered for a place at once; if there is none, three more targets are asked for their wait by small messages, side by side, and it waits where that is shortest. The decision is pure (`_offers`).

--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -12,7 +12,15 @@
 from tamarackhaven.routing import RequestKind, Splitter
 from tamarackhaven.sidecar._budget import RepeatBudget
 from tamarackhaven.sidecar._choice import Chooser
-from tamarackhaven.sidecar._messages import Answered, Forward, GateLoad, Lost, NotRun
+from tamarackhaven.sidecar._messages import (
+    Answered,
+    Forward,
+    GateLoad,
+    Lost,
+    NotRun,
+    WaitQuery,
+)
+from tamarackhaven.sidecar._offers import Ask, Offers
 
 # The answer to a caller leaves this long before its time is over.
 ANSWER_MARGIN_S = 0.015
@@ -108,13 +116,15 @@
         """Return the ``HttpResponse`` to an ``HttpRequest``."""
         attempt_id = ""
         service = ""
+        route = ""
         try:
             asked = self._read(request)
             attempt_id = asked.request.attempt_id
             service = asked.spec.name
+            route = asked.route.name
             answer = await self._serve(asked)
         except TamarackhavenError as error:
-            self._note_refusal(request, attempt_id, service, error)
+            self._note_refusal(request, attempt_id, service, route, error)
             return self._dialect.refusal(error)
         self._metrics.count("tamarackhaven_answers_total", status=answer.status)
         self._metrics.observe(
@@ -122,7 +132,7 @@
         )
         return HttpResponse(answer.status, answer.headers, answer.body)
 
-    def _note_refusal(self, request, attempt_id, service, error):
+    def _note_refusal(self, request, attempt_id, service, route, error):
         self._metrics.count("tamarackhaven_refusals_total", kind=error.kind.name)
         self._log.say(
             "refused",
@@ -130,6 +140,7 @@
             kind=error.kind.name,
             detail=error.detail,
             service=service,
+            route=route,
             retry_after_s=round(error.retry_after_s, 3),
             after_s=round(boot_s() - request.arrived_s, 3),
             configuration=self._version(),
@@ -206,9 +217,10 @@
 
     async def _serve_shared(self, asked):
         """Run a request at one of the service's targets."""
-        avoid = set()
+        offers = Offers(self._chooser, asked.route.name)
         refusals = 0
         failed = None
+        end = None
         waits_until_s = boot_s() + UNKNOWN_RETRY_S
         while True:
             targets = [
@@ -216,11 +228,11 @@
                 for target in self._view.choices(asked.spec.name)
                 if not self._peers.is_leaving((target.host, target.port))
             ]
-            target = self._chooser.pick(targets, asked.route.name, boot_s(), avoid)
-            if target is None:
-                if failed is not None:
-                    return failed
-                if avoid or boot_s() > min(waits_until_s, asked.deadline_s):
+            offer = offers.next(targets, boot_s())
+            if offer is None:
+                if end is not None:
+                    return _failed_or_error(failed, end)
+                if boot_s() > min(waits_until_s, asked.deadline_s):
                     raise TamarackhavenError(
                         ErrorKind.NO_OWNER,
                         f"no target of {asked.spec.name} takes requests",
@@ -228,8 +240,15 @@
                     )
                 await self._view.changed(OWNER_POLL_S)
                 continue
-            end = await self._forward(asked, target)
-            avoid.add(target.life)
+            if isinstance(offer, Ask):
+                await self._ask(asked, offers, offer.targets)
+                continue
+            target = offer.target
+            end = await self._forward(asked, target, offer.waits)
+            if not offer.waits and isinstance(end, NotRun) and end.kind in _FULL:
+                offers.busy(target, end.retry_after_s)
+                continue
+            offers.close(target)
             if isinstance(end, Answered):
                 is_failure = end.status >= 500
                 if not is_failure or not self._may_repeat(asked, end):
@@ -243,9 +262,27 @@
             refusals += 1
             if end.kind in _FULL:
                 self._chooser.pause(target.life, end.retry_after_s, boot_s())
-            if refusals >= MOST_REFUSALS or len(avoid) >= len(targets):
+            if refusals >= MOST_REFUSALS:
                 return _failed_or_error(failed, end)
 
+    async def _ask(self, asked, offers, targets):
+        """Ask targets for their waits, side by side; leave out those without one."""
+        objective_ms = (asked.objective_s - boot_s()) * 1000
+        query = WaitQuery(
+            next(self._numbers), asked.route.name, asked.route.priority, objective_ms
+        )
+        waits_s = await asyncio.gather(
+            *(self._wait_at(each, query) for each in targets)
+        )
+        for target, wait_s in zip(targets, waits_s, strict=True):
+            if wait_s is not None:
+                offers.busy(target, wait_s)
+
+    async def _wait_at(self, target, query):
+        if target.life == self._state.life:
+            return self._runs.expected_wait_s(query)
+        return await self._peers.ask((target.host, target.port), query)
+
     def _may_repeat(self, asked, end):
         """Whether a request that a target got may be sent to a target again.
 
@@ -281,12 +318,12 @@
 
     # One send.
 
-    async def _forward(self, asked, target):
+    async def _forward(self, asked, target, waits=True):
         """Run the request at ``target``; return how it ended there."""
         now = boot_s()
         if now >= asked.deadline_s:
             return NotRun(0, ErrorKind.QUEUE_TIMEOUT.name, OWNER_RETRY_S)
-        forward = self._make_forward(asked, target, now)
+        forward = self._make_forward(asked, target, now, waits)
         self._chooser.sent(target.life)
         end = None
         try:
@@ -308,7 +345,7 @@
         except TimeoutError:
             return Lost(forward.number, ErrorKind.ANSWER_TIMEOUT.name)
 
-    def _make_forward(self, asked, target, now):
+    def _make_forward(self, asked, target, now, waits):
         request = asked.request
         return Forward(
             number=next(self._numbers),
@@ -326,6 +363,7 @@
             priority=asked.route.priority,
             left_ms=(asked.deadline_s - now) * 1000,
             objective_ms=(asked.objective_s - now) * 1000,
+            waits=waits,
         )
 
     def _note_end(self, asked, target, end):
@@ -350,6 +388,7 @@
         self._log.say(
             "ended",
             request_id=asked.request.attempt_id,
+            route=asked.route.name,
             life=target.life,
             end=type(end).__name__,
             kind=getattr(end, "kind", str(getattr(end, "status", ""))),
--- a/tamarackhaven/sidecar/_gate.py
+++ b/tamarackhaven/sidecar/_gate.py
@@ -53,6 +53,8 @@
         0 starts first.
     objective_s, deadline_s : float
         Until when an answer is in time, and of any use.
+    waits : bool
+        Whether it may wait here; else it starts at once or goes elsewhere.
     """
 
     number: int
@@ -60,6 +62,7 @@
     priority: int
     objective_s: float
     deadline_s: float
+    waits: bool = True
 
 
 @attrs.frozen
@@ -157,11 +160,19 @@
         if not self._waiting and self._has_room(now):
             return self._start(offer, now)
         wait_s = self._wait_s(offer, now)
+        if not offer.waits:
+            return Refuse(offer.number, self._full_kind, wait_s)
         if WAIT_MARGIN * wait_s > self._longest_wait_s(offer, now):
             return self._refuse(offer, wait_s)
         self._waiting[offer.number] = (next(self._order), offer)
         return None
 
+    def expected_wait_s(self, offer, now):
+        """Return about how long a request would wait here, in seconds."""
+        if not self._waiting and self._has_room(now):
+            return 0.0
+        return self._wait_s(offer, now)
+
     def _longest_wait_s(self, offer, now):
         """Return how long a request may wait and still be worth its place."""
         work_s = self._work_by_route[offer.route].mean_s
@@ -197,11 +208,14 @@
             self._cold_starts.popleft()
         return Start(offer.number)
 
+    @property
+    def _full_kind(self):
+        return ErrorKind.TARGET_COLD if self.is_cold else ErrorKind.QUEUE_FULL
+
     def _refuse(self, offer, wait_s):
-        kind = ErrorKind.TARGET_COLD if self.is_cold else ErrorKind.QUEUE_FULL
         after_s = wait_s * (1 + SPREAD * self._random())
         after_s = min(max(after_s, SHORTEST_RETRY_S), LONGEST_RETRY_S)
-        return Refuse(offer.number, kind, after_s)
+        return Refuse(offer.number, self._full_kind, after_s)
 
     def _wait_s(self, offer, now):
         """Return about how long ``offer`` would wait for its start."""
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -113,6 +113,17 @@
         # A slack in the allowance covers what crosses a second's border, no more.
         self._gate.set_cold(max(int(service.cold_per_s), 1))
 
+    def expected_wait_s(self, query):
+        """Return about how long a request would wait, None if none is taken."""
+        is_open = self._state.takes_new(False, boot_s()) and not self.is_closing
+        if not is_open or self._view.zone_out_since_s(self._settings.zone) is not None:
+            return None
+        self._follow_cold()
+        now = boot_s()
+        objective_s = now + query.objective_ms / 1000
+        offer = Offer(0, query.route, query.priority, objective_s, objective_s)
+        return self._gate.expected_wait_s(offer, now)
+
     def is_sending(self, forward):
         """Whether the target has a request, as far as this daemon knows."""
         return id(forward) in self._sending
@@ -129,8 +140,17 @@
         if refusal is not None:
             return self._not_run(forward, refusal)
         number = next(self._numbers)
-        offer = Offer(number, forward.route, forward.priority, objective_s, deadline_s)
+        offer = Offer(
+            number,
+            forward.route,
+            forward.priority,
+            objective_s,
+            deadline_s,
+            forward.waits,
+        )
         refuse = await self._enter(offer)
+        if refuse is not None and not forward.waits:
+            return self._busy(forward, refuse)
         if refuse is not None:
             return self._not_run(forward, refuse.kind, refuse.retry_after_s)
         # While it waited, the target may have begun to leave, or lost the key.
@@ -298,6 +318,16 @@
 
     # Ends.
 
+    def _busy(self, forward, refuse):
+        """Tell the caller's daemon how long a wait would be; it logs its decision."""
+        self._metrics.count("tamarackhaven_gate_busy_total", service=forward.service)
+        return NotRun(
+            forward.number,
+            refuse.kind.name,
+            refuse.retry_after_s,
+            load=self.load(forward.route),
+        )
+
     def _not_run(self, forward, kind, retry_after_s=0.0, offered=False, detail=""):
         self._metrics.count(
             "tamarackhaven_gate_refusals_total",
@@ -308,6 +338,7 @@
             "not run",
             request_id=forward.attempt_id,
             kind=kind.name,
+            route=forward.route,
             retry_after_s=round(retry_after_s, 3),
             key=forward.key,
             left_ms=round(forward.left_ms),
@@ -327,6 +358,7 @@
             "may have run",
             request_id=forward.attempt_id,
             kind=kind.name,
+            route=forward.route,
             after_s=round(boot_s() - started_s, 3),
             detail=detail,
             **self._inputs(),
--- a/tamarackhaven/sidecar/_messages.py
+++ b/tamarackhaven/sidecar/_messages.py
@@ -44,6 +44,8 @@
     left_ms, objective_ms : float
         Time left when it was sent, until it must be answered and until an answer is
         no longer in time, in milliseconds; the second may be below 0.
+    waits : bool
+        Whether it may wait at the gate; else ``NotRun`` says how long it would have to.
     """
 
     number: int
@@ -61,6 +63,7 @@
     priority: int
     left_ms: float
     objective_ms: float
+    waits: bool = True
 
 
 @attrs.frozen
@@ -126,6 +129,40 @@
     load: GateLoad = GateLoad()
 
 
+@attrs.frozen
+class WaitQuery:
+    """Asks how long a request would wait at the gate.
+
+    Parameters
+    ----------
+    number : int
+        Unique within the sender's run.
+    route, priority, objective_ms
+        As in ``Forward``.
+    """
+
+    number: int
+    route: str
+    priority: int
+    objective_ms: float
+
+
+@attrs.frozen
+class WaitReply:
+    """Answers ``WaitQuery``.
+
+    Parameters
+    ----------
+    number : int
+        Of the query.
+    wait_s : float or None
+        None if nothing new is taken at all.
+    """
+
+    number: int
+    wait_s: float | None
+
+
 @attrs.frozen
 class Cancel:
     """Nobody waits for this request any more."""
@@ -139,5 +176,16 @@
 
 
 PEER_CODEC = Codec(
-    (PeerHello, PeerWelcome, Forward, Answered, NotRun, Lost, Cancel, Leaving)
+    (
+        PeerHello,
+        PeerWelcome,
+        Forward,
+        Answered,
+        NotRun,
+        Lost,
+        WaitQuery,
+        WaitReply,
+        Cancel,
+        Leaving,
+    )
 )
--- a/tamarackhaven/sidecar/_peers.py
+++ b/tamarackhaven/sidecar/_peers.py
@@ -21,6 +21,8 @@
     NotRun,
     PeerHello,
     PeerWelcome,
+    WaitQuery,
+    WaitReply,
 )
 from tamarackhaven.sidecar._runs import REATTACH_S
 
@@ -29,6 +31,9 @@
 PROBE_S = 0.25
 SILENT_S = 0.75
 REDIAL_S = 0.05
+# A question for a place takes some milliseconds; a daemon that is busier than that is
+# no better than the others.
+ASK_TIMEOUT_S = 0.04
 # A daemon that leaves is gone after its grace time; a link that breaks silently must
 # not mark it for longer.
 LEAVING_S = 8.0
@@ -67,6 +72,7 @@
         self._boot = boot
         self._peer_boot = None
         self._open_by_number = {}
+        self._asked_by_number = {}
         self._link = None
         self._welcomed = False
         self._task = None
@@ -94,9 +100,27 @@
         finally:
             del self._open_by_number[forward.number]
 
+    async def ask(self, query):
+        """Return how long a request would wait there; None if it can't be known."""
+        if not self._is_ready:
+            return None
+        future = asyncio.get_running_loop().create_future()
+        self._asked_by_number[query.number] = future
+        try:
+            self._link.send(query)
+            return await asyncio.wait_for(future, ASK_TIMEOUT_S)
+        except TimeoutError:
+            return None
+        finally:
+            del self._asked_by_number[query.number]
+
+    @property
+    def _is_ready(self):
+        return self._welcomed and self._link is not None and self._link.is_open
+
     def _send(self, entry):
         link = self._link
-        if self._welcomed and link is not None and link.is_open:
+        if self._is_ready:
             entry.was_sent = link.send(entry.current(boot_s())) or entry.was_sent
 
     async def _keep(self):
@@ -152,6 +176,10 @@
             self._on_welcome(message)
         elif isinstance(message, Leaving):
             self._leaving_until_s = boot_s() + LEAVING_S
+        elif isinstance(message, WaitReply):
+            future = self._asked_by_number.get(message.number)
+            if future is not None and not future.done():
+                future.set_result(message.wait_s)
         elif isinstance(message, Answered | NotRun | Lost):
             entry = self._open_by_number.get(message.number)
             if entry is not None and not entry.future.done():
@@ -198,6 +226,10 @@
             peer = self._peer_by_address[address] = _Peer(address, self._boot)
         return peer
 
+    async def ask(self, address, query):
+        """Return the wait at the daemon at ``address`` in seconds, None if unknown."""
+        return await self._peer(address).ask(query)
+
     async def run(self, address, forward, deadline_s, objective_s):
         """Run a request at the daemon at ``address``; return its end."""
         return await self._peer(address).run(forward, deadline_s, objective_s)
@@ -246,6 +278,9 @@
             link.abort()
         elif isinstance(message, Forward):
             self._start(boot, message)
+        elif isinstance(message, WaitQuery):
+            wait_s = self._runs.expected_wait_s(message)
+            link.send(WaitReply(message.number, wait_s))
         elif isinstance(message, Cancel):
             self._runs.cancel((boot, message.number))
 
--- a/tamarackhaven/sidecar/_runs.py
+++ b/tamarackhaven/sidecar/_runs.py
@@ -30,6 +30,10 @@
         self._forward_by_key = {}
         self._kept_until_s_by_key = {}
 
+    def expected_wait_s(self, query):
+        """Return how long a request would wait here, None if none is taken."""
+        return self._inbound.expected_wait_s(query)
+
     def start(self, key, forward):
         """Return the task of a request; the same one for the same key."""
         task = self._task_by_key.get(key)
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -16,6 +16,7 @@
     *(
         f"fleet/{name}"
         for name in (
+            "_feed",
             "_growth",
             "_leadership",
             "_leases",
@@ -27,7 +28,14 @@
     ),
     *(
         f"sidecar/{name}"
-        for name in ("_budget", "_choice", "_gate", "_key_load", "_target_state")
+        for name in (
+            "_budget",
+            "_choice",
+            "_gate",
+            "_key_load",
+            "_offers",
+            "_target_state",
+        )
     ),
 ]
 NO_INPUT_EITHER = {
