Let one stuck key or one silent target of many hold up no moves

**Cause:** balancing stopped as soon as the most used target had nothing to give, as with a single key that is too hot for anybody, and while any owner was silent, which in a service of 30 targets is often the case. **Change:** who has nothing to give is passed over; moves wait only while more than a fifth of the targets is silent, as before with a handful of targets. **Measured:** both new tests fail without the change.

--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -32,6 +32,10 @@
 # Load: a target joins, or load shifts. Harm: keys are unserved for about a heartbeat
 # while they move. Limit: few at a time in one service.
 MOST_MOVES = 4
+# Load: some owners are silent. Harm: keys that moved meanwhile fill the targets that
+# have to take over those of the silent ones. Limit: nothing moves while more than this
+# part of the targets is silent; one of a handful counts, one of dozens doesn't.
+SILENT_PART = 0.2
 
 
 # Before any answer, all targets count as equally fast.
@@ -319,8 +323,9 @@
             self._moving.append(_Moving(service, move, since, free_at_s))
 
     def _has_silent(self, ranges, candidates):
-        """Whether an owner's fate is open; its keys may need the room soon."""
-        return any(each.owner not in candidates for each in ranges)
+        """Whether the fate of too many owners is open; their keys need the room."""
+        silent = {each.owner for each in ranges} - candidates.keys()
+        return len(silent) > SILENT_PART * len(candidates)
 
     def _is_leaving(self, life, state):
         """Whether an owner said that it leaves, or its zone is out.
--- a/tamarackhaven/fleet/_placement.py
+++ b/tamarackhaven/fleet/_placement.py
@@ -159,9 +159,10 @@
         ]
         return min(free or self.weight_by_life, key=self.use)
 
-    def most(self):
-        """Return the life with the most use."""
-        return max(self.weight_by_life, key=self.use)
+    def most(self, but=()):
+        """Return the life with the most use that is not in ``but``, None without."""
+        lives = [life for life in self.weight_by_life if life not in but]
+        return max(lives, key=self.use, default=None)
 
     def move(self, key_range, to_life):
         """Count ``key_range`` for ``to_life`` from now on."""
@@ -201,8 +202,14 @@
     ranges = list(ranges)
     nothing = NEXT_TO_NOTHING * shares.mean_use()
     joined = {life for life in shares.weight_by_life if shares.use(life) < nothing}
-    for _ in range(most_moves):
-        taker, giver = shares.least(), shares.most()
+    # Failure: one key is too hot for any target. Symptom: its owner stays the most used
+    # one, nothing of it can move, and nobody else's keys move either. Enough: who has
+    # nothing to give is passed over.
+    stuck = set()
+    while len(moves) < most_moves:
+        taker, giver = shares.least(), shares.most(but=stuck)
+        if giver is None:
+            break
         gap = shares.use(giver) - shares.use(taker)
         if gap < max(TOLERATED_GAP, TOLERATED_GAP_PART * shares.mean_use()):
             break
@@ -211,7 +218,8 @@
         even = gap / (1 / shares.power(giver) + 1 / shares.power(taker))
         chosen = _best_piece(ranges, giver, MOVED_PART * even, shares.weights)
         if chosen is None:
-            break
+            stuck.add(giver)
+            continue
         whole, piece = chosen
         ranges.remove(whole)
         shares.move(piece, taker)
--- a/tests/fleet/test_leadership.py
+++ b/tests/fleet/test_leadership.py
@@ -235,3 +235,14 @@
         sum(r.last - r.first + 1 for r in group.owned(each)) for each in (a, b, c)
     ]
     assert min(shares) > 0.6 * 65536 / 3
+
+
+def test_one_silent_target_of_many_holds_up_nobody(group):
+    # One of ten targets is silent; its keys wait for its lease. Meanwhile a target
+    # joins: the others' keys must go on to it, it has nothing else to do.
+    many = [target(f"t{number}") for number in range(10)]
+    group.run(4 * SETTLE_S, *many)
+    joined = target("joined")
+    group.run(LEASE_S - 0.5, *many[1:], joined)
+    assert many[0].life in group.owners()
+    assert group.owned(joined)
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -106,3 +106,20 @@
     ]
     shares = shares_of(many, {"a": 10.0, "b": 10.0, "c": 1.0}, {})
     assert shares.least() == "c"
+
+
+def test_one_key_that_is_too_hot_does_not_hold_up_the_others():
+    # One key is too hot for any target, and its owner has nothing else to give. The
+    # second most used target's keys must move all the same.
+    power = dict.fromkeys("abc", 50.0)
+    ranges = (
+        KeyRange(0, BUCKET_KEYS - 1, owner="a"),
+        KeyRange(BUCKET_KEYS, KEY_COUNT // 2, owner="b"),
+        KeyRange(KEY_COUNT // 2 + 1, KEY_COUNT - 1, owner="c"),
+    )
+    hot = {0: 500.0, **dict.fromkeys(range(10, 20), 8.0)}
+    ranges, _ = settle(ranges, power, hot)
+    after = uses(ranges, power, hot)
+    assert after["b"] < 1.5
+    assert after["c"] < 1.5
+    assert after["a"] > 9
