--- a/tests/fleet/test_leadership.py
+++ b/tests/fleet/test_leadership.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from tamarackhaven.fleet._leadership import SETTLE_S, Leadership
+from tamarackhaven.fleet._leadership import FRESH_S, SETTLE_S, Leadership
 from tamarackhaven.fleet._messages import Report
 from tamarackhaven.fleet._model import (
     GrantId,
@@ -243,6 +243,7 @@
     many = [target(f"t{number}") for number in range(10)]
     group.run(4 * SETTLE_S, *many)
     joined = target("joined")
-    group.run(LEASE_S - 0.5, *many[1:], joined)
+    group.run(FRESH_S + 0.1, *many[1:])
+    group.run(LEASE_S - FRESH_S - 0.6, *many[1:], joined)
     assert many[0].life in group.owners()
     assert group.owned(joined)
