--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -268,9 +268,7 @@
     async def _ask(self, asked, offers, targets):
         """Ask targets for their waits, side by side; leave out those without one."""
         objective_ms = (asked.objective_s - boot_s()) * 1000
-        query = WaitQuery(
-            next(self._numbers), asked.route.name, asked.route.priority, objective_ms
-        )
+        query = WaitQuery(0, asked.route.name, asked.route.priority, objective_ms)
         waits_s = await asyncio.gather(
             *(self._wait_at(each, query) for each in targets)
         )
--- a/tamarackhaven/sidecar/_messages.py
+++ b/tamarackhaven/sidecar/_messages.py
@@ -136,7 +136,7 @@
     Parameters
     ----------
     number : int
-        Unique within the sender's run.
+        Unique on its link.
     route, priority, objective_ms
         As in ``Forward``.
     """
--- a/tamarackhaven/sidecar/_peers.py
+++ b/tamarackhaven/sidecar/_peers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 
 import attrs
 
@@ -73,6 +74,7 @@
         self._peer_boot = None
         self._open_by_number = {}
         self._asked_by_number = {}
+        self._query_numbers = itertools.count(1)
         self._link = None
         self._welcomed = False
         self._task = None
@@ -104,6 +106,8 @@
         """Return how long a request would wait there; None if it can't be known."""
         if not self._is_ready:
             return None
+        # Two lives at one place are asked at the same time; each has its own answer.
+        query = attrs.evolve(query, number=next(self._query_numbers))
         future = asyncio.get_running_loop().create_future()
         self._asked_by_number[query.number] = future
         try:
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -25,6 +25,7 @@
         self._configuration = Configuration()
         self.zones_out = frozenset()
         self._zone_out_since_s = {}
+        self._has_heard_zones = False
         self.target_by_life = {}
         self._lives_by_service = {}
         self._keys_by_service = {}
@@ -75,9 +76,14 @@
     def _(self, message: ZonesView):
         if not self._is_newer("zones", message.index):
             return False
+        # Failure: a daemon restarts while its zone is out. Symptom: counted from when
+        # it hears of that, its target goes on for longer than operators were told.
+        # Enough: what was out before it heard anything counts as out for long.
+        now = boot_s() if self._has_heard_zones else float("-inf")
+        self._has_heard_zones = True
         self.zones_out = frozenset(message.zones_out)
         self._zone_out_since_s = {
-            zone: self._zone_out_since_s.get(zone, boot_s()) for zone in self.zones_out
+            zone: self._zone_out_since_s.get(zone, now) for zone in self.zones_out
         }
         return self._wake()
 
--- a/tests/fleet/test_sessions.py
+++ b/tests/fleet/test_sessions.py
@@ -203,3 +203,16 @@
         assert link.bytes - before < 200
 
     run(test)
+
+
+def test_a_daemon_that_starts_while_its_zone_is_out_grants_no_time():
+    # A zone is taken out, and a daemon there restarts some seconds later. Counted from
+    # when it hears of it, its target would serve its keys for seconds more than the
+    # operator was promised.
+    def test(state, view, link, session):
+        state.apply(2, SetZoneOut("z", True))
+        restarted = View()
+        Session("d", Link(restarted)).catch_up(state)
+        assert restarted.zone_out_since_s("z") == float("-inf")
+
+    run(test)
--- a/tests/sidecar/test_peers.py
+++ b/tests/sidecar/test_peers.py
@@ -7,7 +7,14 @@
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven.net import LinkServer
-from tamarackhaven.sidecar._messages import PEER_CODEC, Answered, Forward, Lost, NotRun
+from tamarackhaven.sidecar._messages import (
+    PEER_CODEC,
+    Answered,
+    Forward,
+    Lost,
+    NotRun,
+    WaitQuery,
+)
 from tamarackhaven.sidecar._peers import Peers, PeerServer
 from tamarackhaven.sidecar._runs import Runs
 
@@ -51,6 +58,9 @@
     def is_sending(self, _forward):
         return self.is_sent
 
+    def expected_wait_s(self, query):
+        return query.objective_ms / 1000
+
 
 class Pair:
     """A daemon that forwards, and the one beside the target."""
@@ -189,3 +199,26 @@
         await pair.until(lambda: not pair.peers.is_leaving(pair.address))
 
     run(test)
+
+
+def test_two_questions_at_once_get_their_own_answers():
+    # Two lives of a target at one place are both known for a moment, and both are asked
+    # on the same link at the same time.
+    async def test(pair):
+        pair.target.may_end.set()
+        await pair.forward()
+        asked = [WaitQuery(0, "r", 1, left_ms) for left_ms in (100.0, 200.0)]
+        waits = await asyncio.gather(
+            *(pair.peers.ask(pair.address, query) for query in asked)
+        )
+        assert waits == [0.1, 0.2]
+
+    run(test)
+
+
+def test_without_a_link_no_wait_is_known():
+    async def test(pair):
+        query = WaitQuery(0, "r", 1, 100.0)
+        assert await pair.peers.ask(pair.address, query) is None
+
+    run(test)
