Add a randomized soak of real processes with faults from outside

**Cause:** faults that overlap between real processes were shown by a few tests only; cuts between real processes not at all. **Change:** `python -m soak` (`make soak`) draws faults from a seed: kills, pauses, stops, reloads, lost and torn disks, delayed, reset, one-way and silent connections through proxies, targets that crash or leave, zones taken out, racing operators. It checks at-most-once, true refusals, whole answers, one owner, rising tokens, drains, zones, configurations that never revert, answers at once, recovery, planned stops.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format dist generate bench-path bench-control bench-decisions bench-capacity
+.PHONY: soak demo test lint format dist generate bench-path bench-control bench-decisions bench-capacity
 
 $(STAMP): requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -22,6 +22,11 @@
 test: dist/tamarackhaven
 	$(BIN)/python scripts/run_tests.py
 
+# Fresh seeds each time; SEEDS=50 takes about seven minutes.
+SEEDS ?= 50
+soak: $(STAMP)
+	$(BIN)/python -m soak --seeds $(SEEDS) --regressions
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real programs, with faults brought in from outside."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,143 @@
+"""Plays runs of the soak: ``python -m soak --seeds 50 --jobs 4``."""
+
+import asyncio
+import concurrent.futures
+import os
+import secrets
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+
+import attrs
+import defopt
+
+from soak._faults import bring, draw
+from soak._fleet import SoakFleet
+from soak._load import Caller, Operator, describe
+
+REGRESSIONS = Path(__file__).with_name("regressions.toml")
+CALLERS = 24
+# Loopback networks of runs; tests use lower ones. Soaks side by side, one by hand and
+# one in tests, take theirs by their process's id, so that they rarely meet.
+FIRST_NET = 100
+NETS = 16
+NET_BLOCKS = 9
+MOST_JOBS = NETS // 2
+
+
+@attrs.frozen
+class Outcome:
+    """What one run showed."""
+
+    seed: int
+    broken: tuple[str, ...]
+    summary: str
+
+
+async def _play(seed, seconds, folder, net):
+    fleet = SoakFleet(folder, net)
+    callers = [Caller(fleet, number, seed) for number in range(CALLERS)]
+    operator = Operator(fleet, seed)
+    try:
+        await fleet.start()
+        tasks = [asyncio.create_task(each.run()) for each in (*callers, operator)]
+        await _bring_all(fleet, draw(seed, seconds))
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await fleet.check_whole()
+        await _check_read(fleet, operator)
+        await fleet.settle()
+        fleet.records.check_end()
+    finally:
+        await fleet.stop()
+    return Outcome(seed, tuple(fleet.records.broken), describe(fleet.records))
+
+
+async def _bring_all(fleet, faults):
+    """Bring all faults about at their times, side by side."""
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    tasks = []
+    for fault in faults:
+        await asyncio.sleep(max(started_s + fault.at_s - loop.time(), 0))
+        tasks.append(asyncio.create_task(bring(fault, fleet)))
+    await asyncio.gather(*tasks)
+
+
+async def _check_read(fleet, operator):
+    versions = [await operator.read(host) for host in fleet.control_hosts]
+    if not any(versions):
+        fleet.records.breaks("never reverts", "no control VM reads it back")
+
+
+def play(seed, seconds, net, folder=None):
+    """Play one run in this process; return its ``Outcome``."""
+    if folder is not None:
+        return asyncio.run(_play(seed, seconds, Path(folder), net))
+    with tempfile.TemporaryDirectory() as made:
+        return asyncio.run(_play(seed, seconds, Path(made), net))
+
+
+def regression_seeds():
+    """Return the seeds that once failed."""
+    return [each["seed"] for each in tomllib.loads(REGRESSIONS.read_text())["run"]]
+
+
+def main(
+    *,
+    seeds: int = 4,
+    first: int = -1,
+    seconds: float = 12.0,
+    jobs: int = 4,
+    keep: str = "",
+    regressions: bool = False,
+) -> int:
+    """Play runs of the soak and print what they break.
+
+    Parameters
+    ----------
+    seeds
+        Number of runs.
+    first
+        First seed; a fresh one is drawn if it is below 0.
+    seconds
+        Length of the faults in each run.
+    jobs
+        Runs side by side.
+    keep
+        Folder for the logs of the processes; none are kept if it is empty.
+    regressions
+        Play the seeds that once failed before the others.
+    """
+    first = secrets.randbelow(1 << 31) if first < 0 else first
+    chosen = [
+        *(regression_seeds() if regressions else ()),
+        *range(first, first + seeds),
+    ]
+    jobs = min(jobs, MOST_JOBS)
+    failed = 0
+    # Each run has an event loop of its own; its waits are those of its processes.
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+        runs = []
+        for number, seed in enumerate(chosen):
+            folder = None
+            if keep:
+                folder = Path(keep) / str(seed)
+                folder.mkdir(parents=True)
+            # A net is used again only after the runs before it have ended.
+            net = FIRST_NET + os.getpid() % NET_BLOCKS * NETS + number % NETS
+            runs.append(pool.submit(play, seed, seconds, net, folder))
+        for run in concurrent.futures.as_completed(runs):
+            outcome = run.result()
+            failed += bool(outcome.broken)
+            print(f"seed {outcome.seed}: {outcome.summary}", flush=True)
+            for line in outcome.broken[:10]:
+                print(f"  BROKEN {line}", flush=True)
+    print(f"{len(chosen) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(main))
--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,252 @@
+"""The faults of one run, drawn from its seed, and how each is brought about."""
+
+import asyncio
+import functools
+import random
+import shutil
+import signal
+
+import attrs
+
+from soak._proxy import Way
+
+# A run of faults, and the time between two of them: they overlap on purpose.
+MOST_PAUSE_S = 1.2
+LONGEST_S = 3.0
+# The interpreter's own start, before the first line of a program can take a signal.
+YOUNGEST_S = 0.15
+
+
+@attrs.frozen
+class Fault:
+    """One fault; ``where`` picks the process, target or proxy it meets."""
+
+    at_s: float
+    where: int
+    for_s: float
+
+
+class Kill(Fault):
+    """A process is killed and started again."""
+
+
+class Pause(Fault):
+    """A process stands still."""
+
+
+class Restart(Fault):
+    """A daemon is stopped in order and started again."""
+
+
+class Reload(Fault):
+    """A daemon is told to read its settings again."""
+
+
+class Wipe(Fault):
+    """A control VM loses its disk and comes back."""
+
+
+class Torn(Fault):
+    """A control VM is killed within a write: half a record stands behind its log."""
+
+
+class KillAllControl(Fault):
+    """All control VMs are killed at once and start again."""
+
+
+class Slow(Fault):
+    """Bytes to one place are delayed."""
+
+
+class Reset(Fault):
+    """All connections to one place are reset."""
+
+
+class Silence(Fault):
+    """Connections to one place carry nothing, without a reset."""
+
+
+class SilenceBack(Fault):
+    """Answers from one place are lost, requests arrive."""
+
+
+class Crash(Fault):
+    """A target crashes; a new life starts at its place."""
+
+
+class Leave(Fault):
+    """A target drains, ends, and a new life starts at its place."""
+
+
+class ZoneOut(Fault):
+    """An availability zone is taken out and in again."""
+
+
+_WEIGHT_BY_KIND = {
+    Kill: 4,
+    Pause: 3,
+    Restart: 3,
+    Reload: 1,
+    Wipe: 1,
+    Torn: 1,
+    KillAllControl: 1,
+    Slow: 2,
+    Reset: 3,
+    Silence: 2,
+    SilenceBack: 2,
+    Crash: 3,
+    Leave: 2,
+    ZoneOut: 1,
+}
+
+
+def draw(seed, seconds):
+    """Return the faults of a run, in order."""
+    source = random.Random(seed)
+    kinds = list(_WEIGHT_BY_KIND)
+    weights = list(_WEIGHT_BY_KIND.values())
+    faults = []
+    at_s = 0.0
+    while True:
+        at_s += source.uniform(0.0, MOST_PAUSE_S)
+        if at_s >= seconds:
+            return faults
+        (kind,) = source.choices(kinds, weights)
+        for_s = source.uniform(0.1, LONGEST_S)
+        faults.append(kind(round(at_s, 3), source.randrange(1 << 30), round(for_s, 3)))
+
+
+def _process(fleet, fault):
+    processes = [*fleet.controls, *fleet.daemons]
+    return processes[fault.where % len(processes)]
+
+
+def _proxy(fleet, fault):
+    return fleet.proxies[fault.where % len(fleet.proxies)]
+
+
+@functools.singledispatch
+async def bring(fault, fleet):
+    """Bring a fault about and undo it; ``fleet`` is a ``SoakFleet``."""
+    raise TypeError(f"no fault: {fault!r}")
+
+
+@bring.register
+async def _(fault: Kill, fleet):
+    async with fleet.taken(_process(fleet, fault)) as process:
+        process.kill()
+        await asyncio.sleep(fault.for_s)
+        process.start()
+
+
+@bring.register
+async def _(fault: Pause, fleet):
+    async with fleet.taken(_process(fleet, fault)) as process:
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(fault.for_s)
+        process.send(signal.SIGCONT)
+
+
+@bring.register
+async def _(fault: Restart, fleet):
+    daemon = fleet.daemons[fault.where % len(fleet.daemons)]
+    async with fleet.taken(daemon):
+        was_up = fleet.is_up(daemon)
+        daemon.send(signal.SIGTERM)
+        code = await asyncio.to_thread(daemon.wait, 10.0)
+        # One that has not started yet has taken nothing; the signal just ends it.
+        if code != 0 and was_up:
+            fleet.records.breaks("planned stop", f"{daemon.name} ended with {code}")
+        daemon.start()
+
+
+@bring.register
+async def _(fault: Reload, fleet):
+    daemon = fleet.daemons[fault.where % len(fleet.daemons)]
+    if not fleet.is_taken(daemon) and daemon.age_s > YOUNGEST_S:
+        daemon.send(signal.SIGHUP)
+
+
+@bring.register
+async def _(fault: Wipe, fleet):
+    # One disk at a time, and the group must have had time to take its VM in again: it
+    # bears the loss of one.
+    if not fleet.may_wipe():
+        return
+    control = fleet.controls[fault.where % len(fleet.controls)]
+    async with fleet.taken(control):
+        control.kill()
+        shutil.rmtree(fleet.folder / control.name)
+        fleet.not_first(control)
+        control.start()
+
+
+@bring.register
+async def _(fault: Torn, fleet):
+    control = fleet.controls[fault.where % len(fleet.controls)]
+    async with fleet.taken(control):
+        control.kill()
+        logs = sorted((fleet.folder / control.name / "group").glob("*.log"))
+        if logs:
+            with logs[-1].open("ab") as log:
+                log.write(b"\x00\x00\x01\x00half a record")
+        control.start()
+
+
+@bring.register
+async def _(fault: KillAllControl, fleet):
+    free = [each for each in fleet.controls if not fleet.is_taken(each)]
+    for control in free:
+        control.kill()
+    for control in free:
+        control.start()
+
+
+@bring.register
+async def _(fault: Slow, fleet):
+    proxy = _proxy(fleet, fault)
+    proxy.delay_s = fault.for_s / 10
+    await asyncio.sleep(fault.for_s)
+    proxy.heal()
+
+
+@bring.register
+async def _(fault: Reset, fleet):
+    _proxy(fleet, fault).reset()
+
+
+@bring.register
+async def _(fault: Silence, fleet):
+    proxy = _proxy(fleet, fault)
+    proxy.silent = frozenset(Way)
+    await asyncio.sleep(fault.for_s)
+    proxy.heal()
+
+
+@bring.register
+async def _(fault: SilenceBack, fleet):
+    proxy = _proxy(fleet, fault)
+    proxy.silent = frozenset((Way.BACK,))
+    await asyncio.sleep(fault.for_s)
+    proxy.heal()
+
+
+@bring.register
+async def _(fault: Crash, fleet):
+    async with fleet.taken(fleet.place(fault.where)) as place:
+        await place.target.crash()
+        await asyncio.sleep(fault.for_s)
+        await fleet.reborn(place)
+
+
+@bring.register
+async def _(fault: Leave, fleet):
+    async with fleet.taken(fleet.place(fault.where)) as place:
+        await place.target.leave()
+        await fleet.reborn(place)
+
+
+@bring.register
+async def _(fault: ZoneOut, fleet):
+    async with fleet.taken(fleet.zones[fault.where % len(fleet.zones)]) as zone:
+        await fleet.zone_out(zone, fault.for_s)
--- /dev/null
+++ b/soak/_fleet.py
@@ -0,0 +1,203 @@
+"""A fleet of real processes whose connections run through proxies."""
+
+import asyncio
+import collections
+import contextlib
+import time
+
+import attrs
+
+from soak._proxy import Proxy
+from soak._records import Records
+from soak._target import SoakTarget
+from standin.fleet import HEARTBEAT_S, PORTS, TARGET_PORT, Fleet, call
+
+# Processes listen here; the stand-in's usual ports are those of the proxies.
+LISTEN_OFFSET = 10
+ZONES = ("z0", "z1")
+SERVICES = ("owned", "owned", "owned", "shared", "shared")
+# A control VM that came back with an empty disk has been taken in after this time.
+WIPE_PAUSE_S = 8.0
+# After the last fault, the whole fleet serves within this time.
+RECOVERY_S = 15.0
+
+
+@attrs.define(eq=False)
+class Place:
+    """A VM of a target, and the target that lives there now."""
+
+    host: str
+    service: str
+    zone: str
+    target: object
+
+
+class SoakFleet(Fleet):
+    """A fleet under faults.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings, logs and data.
+    net : int
+        Part of the loopback addresses.
+    """
+
+    def __init__(self, folder, net):
+        self.records = Records()
+        self.proxies = []
+        super().__init__(folder, SERVICES, net)
+        self.zones = ZONES
+        self.places = []
+        for number, (host, service) in enumerate(
+            zip(self.target_hosts, SERVICES, strict=True)
+        ):
+            zone = self._zone(host)
+            target = SoakTarget(host, service, zone, self.records)
+            self.targets[number] = target
+            self.places.append(Place(host, service, zone, target))
+        self._taken = set()
+        self._disturbances = collections.Counter()
+        self._wiped_s = float("-inf")
+
+    def _zone(self, host):
+        return ZONES[self.target_hosts.index(host) % len(ZONES)]
+
+    def _behind_proxy(self, host, port):
+        """Put a proxy at an address; return the address behind it."""
+        self.proxies.append(Proxy((host, port), (host, port + LISTEN_OFFSET)))
+        return f"{host}:{port + LISTEN_OFFSET}"
+
+    def _control(self, host, seeds, is_first=True):
+        process = super()._control(host, seeds, is_first)
+        listen = self._behind_proxy(host, PORTS["links"])
+        process.write(self._with_links_listen(process, listen))
+        return process
+
+    def _daemon(self, target, seeds):
+        process = super()._daemon(target, seeds)
+        host = target.host
+        text = self._with_links_listen(
+            process, self._behind_proxy(host, PORTS["links"])
+        )
+        registry = self._behind_proxy(host, PORTS["operators"])
+        text = text.replace(
+            f'registry = "{host}:{PORTS["operators"]}"', f'registry = "{registry}"'
+        )
+        # The target keeps its usual port, so its proxy stands beside it.
+        proxy = Proxy((host, TARGET_PORT + LISTEN_OFFSET), (host, TARGET_PORT))
+        self.proxies.append(proxy)
+        text = text.replace(
+            f'target = "{host}:{TARGET_PORT}"',
+            f'target = "{host}:{TARGET_PORT + LISTEN_OFFSET}"',
+        )
+        process.write(text.replace('zone = "z"', f'zone = "{self._zone(host)}"'))
+        return process
+
+    def _with_links_listen(self, process, listen):
+        return f'links_listen = "{listen}"\n{process.settings}'
+
+    def not_first(self, control):
+        """Tell a control VM that the whole system has started before."""
+        control.write(
+            control.settings.replace("is_first_start = true", "is_first_start = false")
+        )
+
+    # Parts that a fault has in its hands.
+
+    @contextlib.asynccontextmanager
+    async def taken(self, part):
+        """Hold a process, place or zone; others wait until it is whole again."""
+        while part in self._taken:
+            await asyncio.sleep(0.05)
+        self._taken.add(part)
+        self._disturbances[part] += 1
+        try:
+            yield part
+        finally:
+            self._taken.discard(part)
+
+    def is_taken(self, part):
+        """Whether a fault has the part in its hands."""
+        return part in self._taken
+
+    def disturbances(self, part):
+        """Return how often a fault took the part; rises also when it lets go."""
+        return 2 * self._disturbances[part] - self.is_taken(part)
+
+    def may_wipe(self):
+        """Whether the group can bear the loss of a disk now."""
+        now = time.monotonic()
+        if now - self._wiped_s < WIPE_PAUSE_S or self._taken & set(self.controls):
+            return False
+        self._wiped_s = now
+        return True
+
+    def place(self, number):
+        """Return the place of a target."""
+        return self.places[number % len(self.places)]
+
+    async def reborn(self, place):
+        """Start the next life of a place's target."""
+        target = SoakTarget(place.host, place.service, place.zone, self.records)
+        await target.start()
+        self.targets[self.places.index(place)] = place.target = target
+
+    async def zone_out(self, zone, for_s):
+        """Take a zone out, look on until nothing may arrive there, take it in."""
+        answer = await self.order(f"/api/evacuation/{zone}/start")
+        if answer.status != 200:
+            return
+        self.records.zone_out_since_s[zone] = time.monotonic()
+        await asyncio.sleep(self.records.zone_out_s + for_s)
+        # From the first try on, the zone may be in again.
+        del self.records.zone_out_since_s[zone]
+        await self.order(f"/api/evacuation/{zone}/finish", timeout_s=40.0)
+
+    def is_up(self, process):
+        """Whether the process has said that it started, since it was started last."""
+        lines = process.lines
+        started = [
+            each for each in lines if each.get("sentence", "").endswith(": started")
+        ]
+        return len(started) >= process.starts
+
+    # Start and end.
+
+    async def start(self):
+        """Start the proxies and the fleet."""
+        for proxy in self.proxies:
+            await proxy.start()
+        await super().start()
+
+    async def stop(self):
+        """Kill all processes that this fleet started."""
+        await super().stop()
+        for proxy in self.proxies:
+            await proxy.stop()
+
+    async def check_whole(self):
+        """Check that all is well again once the faults are over."""
+        try:
+            await self.until(self._serves, RECOVERY_S)
+        except AssertionError:
+            self.records.breaks("recovery", f"not whole after {RECOVERY_S} s")
+        for process in (*self.controls, *self.daemons):
+            if process.has_ended:
+                self.records.breaks("runs on", f"{process.name} ended by itself")
+            for line in process.lines:
+                if line.get("sentence", "").endswith(("internal error", "duty failed")):
+                    self.records.breaks("no faults", f"{process.name}: {line}")
+
+    async def settle(self):
+        """Wait until targets have ended what they work on."""
+        await asyncio.sleep(4 * HEARTBEAT_S)
+
+
+async def read_version(host):
+    """Return the version that a control VM reads back, None if it can't."""
+    headers = [("Host", "x")]
+    answer = await call(host, PORTS["operators"], "GET", "/api/config/read", headers)
+    if answer.status != 200:
+        return None
+    return int(answer.body.split(b'"version":"r', 1)[1].split(b'"', 1)[0])
--- /dev/null
+++ b/soak/_proxy.py
@@ -0,0 +1,93 @@
+"""A TCP proxy on loopback whose connections can be delayed, silenced and reset."""
+
+import asyncio
+import enum
+
+READ_BYTES = 65536
+
+
+class Way(enum.Enum):
+    """Direction of bytes, seen from the side that connects."""
+
+    THERE = "there"
+    BACK = "back"
+
+
+class Proxy:
+    """Passes connections on, as far as it is let.
+
+    Parameters
+    ----------
+    address, to : tuple of (str, int)
+        Where it listens, and where it passes connections on to.
+    """
+
+    def __init__(self, address, to):
+        self.address = address
+        self._to = to
+        self.delay_s = 0.0
+        self.silent = frozenset()
+        self._writers = set()
+        self._server = None
+
+    async def start(self):
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, *self.address)
+
+    async def stop(self):
+        """Stop listening and reset all connections."""
+        self._server.close()
+        self.reset()
+
+    def reset(self):
+        """Reset all connections."""
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def heal(self):
+        """Delay and silence nothing any more.
+
+        What was silenced is lost, so connections that went through it are reset.
+        """
+        was_silent = bool(self.silent)
+        self.delay_s = 0.0
+        self.silent = frozenset()
+        if was_silent:
+            self.reset()
+
+    async def _serve(self, reader, writer):
+        try:
+            other_reader, other = await asyncio.open_connection(*self._to)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, other}
+        try:
+            await asyncio.gather(
+                self._pass(reader, other, Way.THERE),
+                self._pass(other_reader, writer, Way.BACK),
+            )
+        except asyncio.CancelledError:
+            # The run has ended; the library reports a cancelled server task as a fault.
+            return
+        finally:
+            self._writers -= {writer, other}
+            for each in (writer, other):
+                each.transport.abort()
+
+    async def _pass(self, reader, writer, way):
+        try:
+            while data := await reader.read(READ_BYTES):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                # Bytes on a silenced way are lost, and so are those behind them: a
+                # stream with a hole in it is no TCP.
+                while way in self.silent:
+                    await asyncio.sleep(0.05)
+                    if reader.at_eof():
+                        break
+                writer.write(data)
+                await writer.drain()
+            writer.write_eof()
+        except OSError:
+            writer.transport.abort()
--- /dev/null
+++ b/soak/_records.py
@@ -0,0 +1,120 @@
+"""What callers, targets and operators saw in one run, and which promises it breaks."""
+
+import collections
+import time
+
+import attrs
+
+# Statuses by which a caller concludes that its request did not run.
+NOT_RUN = frozenset((408, 421, 429, 503))
+# From an acknowledged leave to the last new request, and the same for a zone; the
+# fleet's settings, and a little for the stand-ins' own event loop.
+SLACK_S = 0.3
+# An answer later than this after the deadline was held back.
+LATE_S = 1.0
+
+
+@attrs.define
+class Asked:
+    """One request of a caller.
+
+    Parameters
+    ----------
+    attempt, key, is_safe
+        What was sent; ``key`` is None for shared services.
+    was_disturbed : bool
+        Whether the process that took it was stopped, paused or killed meanwhile.
+    status : int
+        0 if the connection ended without an answer.
+    """
+
+    attempt: str
+    key: int | None
+    is_safe: bool
+    sent_s: float
+    deadline_s: float
+    ended_s: float = 0.0
+    status: int = 0
+    body: bytes = b""
+    was_disturbed: bool = False
+
+
+@attrs.define
+class Records:
+    """All observations of a run; each check appends to ``broken``."""
+
+    broken: list = attrs.field(factory=list)
+    asked: list = attrs.field(factory=list)
+    counts: collections.Counter = attrs.field(factory=collections.Counter)
+    begun_by_attempt: dict = attrs.field(factory=lambda: collections.defaultdict(list))
+    newest_accepted: int = 0
+    drain_s: float = 2.0
+    zone_out_s: float = 5.0
+    targets: list = attrs.field(factory=list)
+    zone_out_since_s: dict = attrs.field(factory=dict)
+    _fence_by_key: dict = attrs.field(factory=dict)
+
+    def breaks(self, promise, detail):
+        """Note a broken promise."""
+        self.broken.append(f"{promise}: {detail}")
+
+    # Targets.
+
+    def told(self, target, rows):
+        """Check the fencing tokens of keys that a target takes."""
+        for first, last, fence, _ in rows:
+            for key in range(-(-first // 1024) * 1024, last + 1, 1024):
+                holder, highest = self._fence_by_key.get(key, ("", 0))
+                life = f"{target.name}@{target.born_ms}"
+                if life != holder and fence <= highest:
+                    self.breaks("fences", f"key {key}: {fence} after {highest}")
+                self._fence_by_key[key] = life, max(fence, highest)
+
+    def begun(self, target, attempt, key):
+        """Check that ``target`` may begin a request now."""
+        now = time.monotonic()
+        self.begun_by_attempt[attempt].append((target.name, now))
+        if target.left_s is not None and now > target.left_s + SLACK_S:
+            self.breaks("drain", f"{attempt} began at {target.name} after its leave")
+        out_s = self.zone_out_since_s.get(target.zone)
+        if out_s is not None and now > out_s + self.zone_out_s + SLACK_S:
+            self.breaks("zone out", f"{attempt} began at {target.name}")
+        if key is None:
+            return
+        for other in self.targets:
+            if other is not target and other.is_up and other.holds(key):
+                self.breaks("one owner", f"key {key}: {target.name} and {other.name}")
+
+    # Callers.
+
+    def ended(self, asked):
+        """Take in the end of a caller's request."""
+        self.asked.append(asked)
+        self.counts[asked.status] += 1
+        late_s = asked.ended_s - asked.deadline_s
+        if asked.status and late_s > LATE_S and not asked.was_disturbed:
+            self.breaks("held", f"{asked.attempt}: {late_s:.2f} s after its deadline")
+        if asked.status == 200 and asked.attempt.encode() not in asked.body:
+            self.breaks("whole answers", f"{asked.attempt} got {asked.body[:60]!r}")
+
+    def check_end(self):
+        """Check what holds only once everything has ended."""
+        for asked in self.asked:
+            begun = self.begun_by_attempt.get(asked.attempt, ())
+            if not asked.is_safe and len(begun) > 1:
+                self.breaks("at most once", f"{asked.attempt} ran {len(begun)} times")
+            if not asked.is_safe and asked.status in NOT_RUN and begun:
+                self.breaks("not run", f"{asked.attempt}: {asked.status}, yet it ran")
+            if asked.status == 200 and not begun:
+                self.breaks("whole answers", f"{asked.attempt} never ran")
+
+    # Operators.
+
+    def accepted(self, version):
+        """Note that a configuration was acknowledged."""
+        self.newest_accepted = max(self.newest_accepted, version)
+
+    def read(self, version, accepted_before):
+        """Check a configuration that was read back."""
+        if version < accepted_before:
+            self.breaks("never reverts", f"read r{version} after r{accepted_before}")
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -98,9 +98,10 @@
 
     _births = itertools.count(1_700_000_000_000)
 
-    def __init__(self, host, service):
+    def __init__(self, host, service, zone="z"):
         self.host = host
         self.service = service
+        self.zone = zone
         self.name = f"i-{host}"
         self.born_ms = next(self._births)
         self.state = "ready"
@@ -124,6 +125,8 @@
     async def stop(self):
         """Crash: no goodbye, and nothing is held any more."""
         self.held_by_range = {}
+        if self._server is None:
+            return
         self._beats.cancel()
         self._server.close()
         for writer in tuple(self._writers):
@@ -152,7 +155,7 @@
             "info": {
                 "service": self.service,
                 "version": "v1",
-                "zone": "z",
+                "zone": self.zone,
                 "max_concurrency": 8,
             },
             "status": {
@@ -163,11 +166,15 @@
             "active_holds": rows,
             "released": self._released,
         }
+        return await self._tell("heartbeat", document, sent)
+
+    async def _tell(self, what, document, sent):
+        """Send a heartbeat or a goodbye; tell whether another one is due soon."""
         answer = await call(
             self.host,
             PORTS["operators"],
             "POST",
-            f"/api/instances/{self.name}/heartbeat",
+            f"/api/instances/{self.name}/{what}",
             [("Host", "x")],
             json.dumps(document).encode(),
             1.0,
@@ -201,9 +208,16 @@
                 writer.write(await self._answer(lines[0], headers, body))
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
+        except asyncio.CancelledError:
+            # The run has ended; the library reports a cancelled server task as a fault.
+            return
         finally:
             self._writers.discard(writer)
 
+    def _begin(self, attempt, key):
+        """Note that a request starts."""
+        self.begun.append(attempt)
+
     async def _answer(self, line, headers, body):
         attempt = headers.get("tamarackhaven-attempt-id", "")
         key = int(headers.get("tamarackhaven-shard-key", -1))
@@ -213,7 +227,7 @@
                 b"HTTP/1.1 421 Misdirected\r\nTamarackhaven-Not-Executed: 1\r\n"
                 b"Content-Length: 0\r\n\r\n"
             )
-        self.begun.append(attempt)
+        self._begin(attempt, key)
         await asyncio.sleep(self.work_s)
         self.ran.append((attempt, key, time.monotonic()))
         text = f"{self.name} {line.split()[1]} ".encode() + body
@@ -229,13 +243,18 @@
     def __init__(self, role, name, text, folder):
         self.role = role
         self._folder = folder
+        self.name = name
         self._path = folder / f"{name}.toml"
         self._path.write_text(text)
         self._log = folder / f"{name}.log"
         self._process = None
+        self._started_s = 0.0
+        self.starts = 0
 
     def start(self):
         """Start it."""
+        self._started_s = time.monotonic()
+        self.starts += 1
         environment = {**os.environ, "TAMARACKHAVEN_BOOT": str(self._path)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
@@ -246,6 +265,29 @@
                 stderr=log,
             )
 
+    @property
+    def age_s(self):
+        """For how many seconds it has run."""
+        return time.monotonic() - self._started_s
+
+    def wait(self, timeout_s):
+        """Return its exit code once it has ended."""
+        return self._process.wait(timeout_s)
+
+    @property
+    def has_ended(self):
+        """Whether it runs no more."""
+        return self._process.poll() is not None
+
+    @property
+    def settings(self):
+        """The text of its settings file."""
+        return self._path.read_text()
+
+    def write(self, text):
+        """Replace its settings file."""
+        self._path.write_text(text)
+
     def send(self, number):
         """Send a signal to it."""
         self._process.send_signal(number)
@@ -260,7 +302,7 @@
     def terminate(self, timeout_s=10.0):
         """Stop it in order; return its exit code."""
         self.send(signal.SIGTERM)
-        return self._process.wait(timeout_s)
+        return self.wait(timeout_s)
 
     @property
     def lines(self):
--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -123,7 +123,8 @@
             random.Random(os.urandom(16)),
             self._on_fatal,
         )
-        await listen(self._server, "links", self._host, self._port)
+        place = split(self._settings.links_listen or self._settings.links)
+        await listen(self._server, "links", *place)
         self._keeper = GroupKeeper(
             self._settings, self._wanted, self.consensus, self._links, self._log
         )
--- a/tamarackhaven/fleet/_settings.py
+++ b/tamarackhaven/fleet/_settings.py
@@ -13,6 +13,11 @@
     return attrs.field(default=default, validator=and_(instance_of(str), _ADDRESS))
 
 
+def _address_or_empty():
+    valid = matches_re(r"(|[0-9.]+:[0-9]{1,5})")
+    return attrs.field(default="", validator=and_(instance_of(str), valid))
+
+
 def _addresses():
     return attrs.field(
         factory=list, validator=deep_iterable(and_(instance_of(str), _ADDRESS))
@@ -76,6 +81,9 @@
         Address for operators' orders.
     links : str
         Address for daemons and other control VMs.
+    links_listen : str
+        Where it listens for links, if others reach that by another address; empty if
+        it is ``links``.
     metrics : str
         Address of the metrics page; empty for none.
     data_folder : str
@@ -92,6 +100,7 @@
     operators: str = _address()
     links: str = _address()
     data_folder: str = _text()
+    links_listen: str = _address_or_empty()
     metrics: str = _text("")
     seeds: list[str] = _addresses()
     is_first_start: bool = attrs.field(default=False, validator=instance_of(bool))
@@ -130,6 +139,8 @@
     callers, readiness, registry, links : str
         Addresses for callers, for the platform's question whether it is ready, for
         the target's heartbeats, and for other daemons.
+    links_listen : str
+        As for a control VM.
     target : str
         Address of the target.
     service : str
@@ -152,6 +163,7 @@
     links: str = _address()
     target: str = _address()
     service: str = _text()
+    links_listen: str = _address_or_empty()
     metrics: str = _text("")
     seeds: list[str] = _addresses()
     drain_s: float = _seconds(2.0, 0, 600)
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -102,7 +102,8 @@
             PORT_TAKEN, naming the setting.
         """
         settings = self.settings
-        await listen(self._links, "links", *split(settings.links))
+        place = split(settings.links_listen or settings.links)
+        await listen(self._links, "links", *place)
         await listen(self._registry, "registry", *split(settings.registry))
         await listen(self._readiness, "readiness", *split(settings.readiness))
         await listen(self._callers, "callers", *split(settings.callers))
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,120 @@
+"""The soak itself: its checks see what they should, and some runs pass."""
+
+import asyncio
+import time
+
+import pytest
+
+from soak.__main__ import main
+from soak._faults import draw
+from soak._proxy import Proxy, Way
+from soak._records import Asked, Records
+
+
+class Holder:
+    """A target that holds all keys."""
+
+    is_up = True
+    left_s = None
+    zone = "z"
+    born_ms = 1
+
+    def __init__(self, name):
+        self.name = name
+
+    def holds(self, _key):
+        return True
+
+
+def asked(status, is_safe=False):
+    now = time.monotonic()
+    return Asked("a", None, is_safe, now, now + 2.0, now, status, b"a")
+
+
+def test_the_same_seed_draws_the_same_faults():
+    assert draw(5, 10.0) == draw(5, 10.0)
+    assert draw(5, 10.0) != draw(6, 10.0)
+
+
+def test_a_booking_that_runs_twice_is_noticed():
+    records = Records()
+    for name in ("one", "two"):
+        records.begun(Holder(name), "a", None)
+    records.ended(asked(200))
+    records.check_end()
+    assert any("at most once" in each for each in records.broken)
+
+
+def test_a_refusal_of_what_ran_is_noticed():
+    records = Records()
+    records.begun(Holder("one"), "a", None)
+    records.ended(asked(503))
+    records.check_end()
+    assert any("not run" in each for each in records.broken)
+
+
+def test_two_owners_are_noticed():
+    records = Records()
+    records.targets = [Holder("one"), Holder("two")]
+    records.begun(records.targets[0], "a", 7)
+    assert any("one owner" in each for each in records.broken)
+
+
+@pytest.mark.parametrize("fence", [1, 2])
+def test_a_token_that_does_not_rise_is_noticed(fence):
+    records = Records()
+    records.told(Holder("one"), [[0, 65535, 2, ""]])
+    records.told(Holder("two"), [[0, 65535, fence, ""]])
+    assert any("fences" in each for each in records.broken)
+
+
+def test_what_runs_after_a_leave_or_in_a_zone_that_is_out_is_noticed():
+    records = Records()
+    left = Holder("one")
+    left.left_s = time.monotonic() - 1.0
+    records.begun(left, "a", None)
+    records.zone_out_since_s["z"] = time.monotonic() - 10.0
+    records.begun(Holder("two"), "b", None)
+    assert any("drain" in each for each in records.broken)
+    assert any("zone out" in each for each in records.broken)
+
+
+def test_a_configuration_that_goes_back_is_noticed():
+    records = Records()
+    records.accepted(5)
+    records.read(4, records.newest_accepted)
+    assert any("never reverts" in each for each in records.broken)
+
+
+def test_a_silenced_way_loses_answers_only():
+    async def run():
+        got = []
+
+        async def serve(reader, writer):
+            got.append(await reader.readexactly(2))
+            writer.write(b"ok")
+
+        server = await asyncio.start_server(serve, "127.99.0.1", 18001)
+        proxy = Proxy(("127.99.0.1", 18002), ("127.99.0.1", 18001))
+        await proxy.start()
+        try:
+            reader, writer = await asyncio.open_connection(*proxy.address)
+            proxy.silent = frozenset((Way.BACK,))
+            writer.write(b"hi")
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.3):
+                    await reader.readexactly(2)
+            assert got == [b"hi"]
+            proxy.heal()
+            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                await reader.readexactly(2)
+        finally:
+            await proxy.stop()
+            server.close()
+
+    asyncio.run(run())
+
+
+def test_runs_that_once_failed_and_a_short_one_pass():
+    # The full soak is run by hand, with many fresh seeds.
+    assert main(seeds=1, first=7, seconds=12.0, jobs=4, regressions=True) == 0
