Add a command that traces a request through the logs of a fleet

**Cause:** from a request's id to its cause, an engineer had to search and sort the logs of all processes by hand. **Change:** `tamarackhaven trace ID LOGS... [--near]` prints each decision that touched the request, in order, and on demand what else was decided around it.

--- a/tamarackhaven/__main__.py
+++ b/tamarackhaven/__main__.py
@@ -15,6 +15,7 @@
     porcelain.get,
     porcelain.watch,
     porcelain.explain,
+    porcelain.trace,
     porcelain.status,
     porcelain.member_add,
     porcelain.member_promote,
--- a/tamarackhaven/plumbing.py
+++ b/tamarackhaven/plumbing.py
@@ -35,6 +35,7 @@
     "change_membership",
     "delete_resource",
     "kind_named",
+    "log_lines",
     "new_change_id",
     "read_resources",
     "records",
@@ -220,3 +221,19 @@
         if type(record) is kind and record.name == name:
             return record
     return None
+
+
+def log_lines(paths):
+    """Return the lines of log files as an iterator; ``-`` is standard input.
+
+    Raises
+    ------
+    TamarackhavenError
+        NOT_FOUND, naming a file that can't be read.
+    """
+    for path in paths:
+        try:
+            with open(0 if path == "-" else path, errors="replace") as log:
+                yield from log
+        except OSError as error:
+            raise TamarackhavenError(ErrorKind.NOT_FOUND, f"{path}: {error}") from error
--- a/tamarackhaven/porcelain.py
+++ b/tamarackhaven/porcelain.py
@@ -7,7 +7,7 @@
 import threading
 from typing import Literal
 
-from tamarackhaven import _codec, plumbing
+from tamarackhaven import _codec, _trace, plumbing
 from tamarackhaven._members import Member, Step
 from tamarackhaven._model import ShardGrant, TargetMember
 from tamarackhaven._settings import ControlSettings, DaemonSettings, OperatorSettings
@@ -215,6 +215,21 @@
         raise TamarackhavenError(ErrorKind.NOT_FOUND, f"request {request!r}")
 
 
+def trace(request: str, *logs: str, near: bool = False, output: Output = "text"):
+    """Print what became of a request, from the collected logs of a fleet.
+
+    :param request: The attempt id that the caller sent.
+    :param logs: Log files of all daemons and control VMs; - for standard input.
+    :param near: Also what else was decided around that time.
+    :param output: text or json.
+    """
+    found = _trace.trace(_trace.read_lines(plumbing.log_lines(logs)), request, near)
+    if not found:
+        raise TamarackhavenError(ErrorKind.NOT_FOUND, f"request {request!r}")
+    for line in found:
+        _print(line, output, line.text)
+
+
 def status(*, settings: str, output: Output = "text"):
     """Print what each control VM says of the group.
 
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -27,8 +27,8 @@
     "_ledger _limit _locate _members _model _outliers _pins _placement _plan _raft "
     "_raft_core _raft_election _raft_follower _raft_leader _raft_log _raft_membership "
     "_raft_messages _raft_outbox _raft_progress _raft_reads _request _resources "
-    "_retry _retry_after _rules _seams _shared_pool _state _target_loads _verify "
-    "errors"
+    "_retry _retry_after _rules _seams _shared_pool _state _target_loads _trace "
+    "_verify errors"
 )
 # They hold data or translate it, and decide nothing under load.
 FREE_OF_INPUT_TOO = _names("_codec _settings")
