Estimate a wait by the next free slot, not by the end of all work

The gate took all work at the target, divided by its slots, for the wait: that is when the last of it ends.

--- a/tamarackhaven/sidecar/_gate.py
+++ b/tamarackhaven/sidecar/_gate.py
@@ -225,16 +225,29 @@
             for _, waiting in self._waiting.values()
             if self._rank(waiting, now) <= rank
         ]
-        work_s = sum(self._work_by_route[each.route].mean_s for each in ahead)
-        left_s = sum(
-            max(self._work_by_route[each.route].mean_s - (now - since), 0.0)
-            for since, each in self._running.values()
-        )
-        wait_s = (work_s + left_s) / max(self.slots, 1)
+        wait_s = self._slot_free_in_s(ahead)
         if self._cold_rate is not None:
             wait_s = max(wait_s, (len(ahead) + 1) / self._cold_rate)
         return wait_s
 
+    def _slot_free_in_s(self, ahead):
+        """Return about when a slot is left after those ahead have each taken one.
+
+        Failure: all work that is ahead, divided by the slots, is when the last of it
+        ends. Symptom: with all slots busy and nobody waiting, a request is refused
+        though the next slot is free much sooner, and slots stand idle. Enough: of so
+        many running requests, whose times vary a lot, the first one ends after one
+        part in so many of their mean time, however long they have run.
+        """
+        if len(self._running) < self.slots:
+            return 0.0
+        mean_s = [self._mean_s(each) for _, each in self._running.values()]
+        first_s = sum(mean_s) / len(mean_s)
+        return (first_s + sum(map(self._mean_s, ahead))) / max(self.slots, 1)
+
+    def _mean_s(self, offer):
+        return self._work_by_route[offer.route].mean_s
+
     def _rank(self, offer, now):
         """Return what sorts first: in time before late, the more urgent, the shorter.
 
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -1,6 +1,8 @@
 """The gate under load: who starts, who waits, who is sent away."""
 
 import collections
+import heapq
+import random
 
 import pytest
 
@@ -167,3 +169,49 @@
     assert in_time > 0.75 * possible
     assert in_time + late > 0.95 * possible
     assert refused > 0
+
+
+def test_a_request_waits_where_the_next_slot_is_free_in_time():
+    # All three slots have just begun; one of them is free after about a third of their
+    # time. Refused, the caller comes back later than it would have been answered.
+    made = gate(slots=3, work_s=0.3)
+    for number in range(3):
+        assert made.offer(offer(number, objective_s=0.6), 0.0) == Start(number)
+    assert made.offer(offer(3, objective_s=0.6), 0.0) is None
+
+
+def overloaded(seconds=200.0, slots=3, mean_s=0.38, objective_s=0.6, load=1.1):
+    """Play a target with more work than slots; return its answers by timeliness."""
+    source = random.Random(3)
+    made = Gate(slots, lambda: MIDDLE)
+    events, arrived_s_by_number = [], {}
+    answers = collections.Counter()
+    now, number = 0.0, 0
+
+    def begin(decisions, at):
+        for decision in decisions:
+            if isinstance(decision, Start):
+                work_s = source.lognormvariate(-0.32, 0.8) * mean_s
+                heapq.heappush(events, (at + work_s, decision.number))
+
+    while now < seconds:
+        now += source.expovariate(load * slots / mean_s)
+        while events and events[0][0] <= now:
+            at, ended = heapq.heappop(events)
+            is_in_time = at - arrived_s_by_number[ended] <= objective_s
+            answers["in time" if is_in_time else "late"] += 1
+            begin(made.finish(ended, True, at), at)
+        number += 1
+        arrived_s_by_number[number] = now
+        decision = made.offer(offer(number, now + objective_s, now + 1.2), now)
+        begin([decision] if decision is not None else [], now)
+    return answers["in time"] / number, answers["late"] / number
+
+
+def test_an_overloaded_target_of_few_slots_stays_busy():
+    # Load: a tenth more than three slots can do. With the time until all of its work
+    # is done taken for the wait, 54.3% of the callers were answered in time and 16.0%
+    # late, the others sent away while slots stood idle.
+    in_time, late = overloaded()
+    assert in_time > 0.56
+    assert in_time + late > 0.72
