--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -221,40 +221,20 @@
         refusals = 0
         failed = None
         end = None
-        waits_until_s = boot_s() + UNKNOWN_RETRY_S
         while True:
-            targets = [
-                target
-                for target in self._view.choices(asked.spec.name)
-                if not self._peers.is_leaving((target.host, target.port))
-            ]
-            offer = offers.next(targets, boot_s())
-            if offer is None:
-                if end is not None:
-                    return _failed_or_error(failed, end)
-                if boot_s() > min(waits_until_s, asked.deadline_s):
-                    raise TamarackhavenError(
-                        ErrorKind.NO_OWNER,
-                        f"no target of {asked.spec.name} takes requests",
-                        OWNER_RETRY_S,
-                    )
-                await self._view.changed(OWNER_POLL_S)
-                continue
-            if isinstance(offer, Ask):
-                await self._ask(asked, offers, offer.targets)
-                continue
-            target = offer.target
-            end = await self._forward(asked, target, offer.waits)
-            if not offer.waits and isinstance(end, NotRun) and end.kind in _FULL:
+            send = await self._next_send(asked, offers)
+            if send is None:
+                return _failed_or_error(failed, end)
+            target = send.target
+            end = await self._forward(asked, target, send.waits)
+            if not send.waits and isinstance(end, NotRun) and end.kind in _FULL:
                 offers.busy(target, end.retry_after_s)
                 continue
             offers.close(target)
             if isinstance(end, Answered):
-                is_failure = end.status >= 500
-                if not is_failure or not self._may_repeat(asked, end):
+                if end.status < 500:
                     return end
                 failed = end
-                continue
             if not isinstance(end, NotRun) or end.was_offered:
                 if not self._may_repeat(asked, end):
                     return _failed_or_error(failed, end)
@@ -265,6 +245,35 @@
             if refusals >= MOST_REFUSALS:
                 return _failed_or_error(failed, end)
 
+    async def _next_send(self, asked, offers):
+        """Return the next ``Send`` of a request, None if no target is left.
+
+        Raises
+        ------
+        TamarackhavenError
+            NO_OWNER if the service has no target at all.
+        """
+        waits_until_s = min(boot_s() + UNKNOWN_RETRY_S, asked.deadline_s)
+        while True:
+            targets = [
+                target
+                for target in self._view.choices(asked.spec.name)
+                if not self._peers.is_leaving((target.host, target.port))
+            ]
+            step = offers.next(targets, boot_s())
+            if isinstance(step, Ask):
+                await self._ask(asked, offers, step.targets)
+            elif step is not None or offers.has_closed:
+                return step
+            elif boot_s() > waits_until_s:
+                raise TamarackhavenError(
+                    ErrorKind.NO_OWNER,
+                    f"no target of {asked.spec.name} takes requests",
+                    OWNER_RETRY_S,
+                )
+            else:
+                await self._view.changed(OWNER_POLL_S)
+
     async def _ask(self, asked, offers, targets):
         """Ask targets for their waits, side by side; leave out those without one."""
         objective_ms = (asked.objective_s - boot_s()) * 1000
--- a/tamarackhaven/sidecar/_offers.py
+++ b/tamarackhaven/sidecar/_offers.py
@@ -49,6 +49,11 @@
     _wait_s_by_life: dict = attrs.field(init=False, factory=dict)
     _has_asked: bool = attrs.field(init=False, default=False)
 
+    @property
+    def has_closed(self):
+        """Whether any target has been tried."""
+        return bool(self._closed)
+
     def next(self, targets, now):
         """Return ``Send``, ``Ask``, or None if no target is left.
 
