Grant nobody the keys of a change that the log has not decided on

A leader proposed an owner's keys for another target once the owner's lease was over; the owner's daemon came back before the commit and was granted them again, since the state still named it; then the new owner got them, too. The window is one commit, longer on a slow disk.

--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -1,6 +1,7 @@
 """One control VM of a fleet: consensus, orders of operators, daemons' leases."""
 
 import asyncio
+import functools
 import os
 import random
 from pathlib import Path
@@ -361,11 +362,25 @@
     def _decide(self):
         if self._leadership is None:
             return
+        leadership = self._leadership
         with self.machine.lock:
-            commands = self._leadership.tick(self.machine.state, boot_s())
+            commands = leadership.tick(self.machine.state, boot_s())
         for command in commands:
             # Nobody waits for the outcome: the next tick decides from the state then.
-            self.consensus.propose(encode(command))
+            future = self.consensus.propose(encode(command))
+            future.add_done_callback(
+                functools.partial(self._proposed, leadership, command)
+            )
+
+    def _proposed(self, leadership, command, future):
+        """Note a change that never came into the log; on the member's thread."""
+        error = future.exception()
+        if error is None:
+            return
+        kind = getattr(error, "kind", ErrorKind.INTERNAL)
+        # One that may still commit stays undecided for the rest of the term.
+        if kind is not ErrorKind.CHANGE_UNCONFIRMED:
+            self._loop.call_soon_threadsafe(leadership.not_taken, command)
 
     # Orders of operators.
 
--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -99,6 +99,7 @@
         self._life_by_host = {}
         self._start_ms_by_place = {}
         self._moving = []
+        self._undecided = []
         self._gathering_by_service = {}
         self._changed = {}
         self._gone = []
@@ -157,6 +158,7 @@
         ranges = state.ranges_by_service.get(target.service, ())
         owned = tuple(each for each in ranges if each.owner == target.life)
         owned = self._without_moving(owned, target.life)
+        owned = self._without_undecided(owned, ranges)
         self.leases.granted(target.life, now)
         return LeaseGrant(report.number, grant, self.leases.lease_s, target.life, owned)
 
@@ -171,10 +173,41 @@
             result.extend(rest)
         return tuple(result)
 
+    def _without_undecided(self, owned, ranges):
+        """Leave out the keys that a change on its way gives to somebody else.
+
+        Failure: an owner's lease is over, its keys are proposed for another one, and
+        its daemon comes back before that is committed. Symptom: it is granted the keys
+        once more, and then so is the new owner. Enough: what was proposed is not
+        granted until the log has decided on it.
+        """
+        undecided = [
+            piece
+            for command in self._undecided
+            if set(command.expected) <= set(ranges)
+            for piece in command.ranges
+        ]
+        for piece in undecided:
+            owned = tuple(part for whole in owned for part in _minus(whole, piece))
+        return owned
+
+    def not_taken(self, command):
+        """Note that a change from ``tick`` never came into the log."""
+        self._undecided = [each for each in self._undecided if each is not command]
+
     # Decisions.
 
     def tick(self, state, now):
-        """Return the changes that are due, as a list of ``AssignKeys``."""
+        """Return the changes that are due, as a list of ``AssignKeys``.
+
+        Their keys are granted to nobody until ``state`` shows what became of them, or
+        ``not_taken`` is called.
+        """
+        self._undecided = [
+            each
+            for each in self._undecided
+            if set(each.expected) <= set(state.ranges_by_service[each.service])
+        ]
         if not self._has_heard_all(state, now):
             return []
         self._forget_silent(now)
@@ -182,6 +215,7 @@
         for service, ranges in state.ranges_by_service.items():
             if service in state.configuration.service_by_name:
                 commands += self._place(service, ranges, state, now)
+        self._undecided += commands
         return commands
 
     def _has_heard_all(self, state, now):
--- a/tests/fleet/test_leadership.py
+++ b/tests/fleet/test_leadership.py
@@ -247,3 +247,28 @@
     group.run(LEASE_S - FRESH_S - 0.6, *many[1:], joined)
     assert many[0].life in group.owners()
     assert group.owned(joined)
+
+
+def test_an_owner_that_comes_back_is_not_granted_what_was_just_proposed(group):
+    # An owner's lease is over, and its keys are proposed for the other target. Its
+    # daemon comes back before that is committed. Granted the keys once more, it would
+    # hold them together with the new owner.
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    group.now += LEASE_S + 1.0
+    group.report(a)
+    (command,) = group.leader.tick(group.state, group.now)
+    assert group.report(b).ranges == ()
+    assert group.state.apply(99, command).kind is None
+    assert group.report(b).ranges == ()
+    assert sum(r.last - r.first + 1 for r in group.report(a).ranges) == 65536
+
+
+def test_an_owner_keeps_what_never_came_into_the_log(group):
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    group.now += LEASE_S + 1.0
+    group.report(a)
+    (command,) = group.leader.tick(group.state, group.now)
+    group.leader.not_taken(command)
+    assert group.report(b).ranges == tuple(group.owned(b))
