--- a/tests/sidecar/test_offers.py
+++ b/tests/sidecar/test_offers.py
@@ -97,6 +97,7 @@
         self.waited_s = {"call": [], "long": []}
         self.refused = 0
         self.number = 0
+        self.arrivals = {}
 
     def run(self, seconds=30.0, use=0.85):
         """Return the mean wait of calls in seconds, and the part that was refused."""
@@ -129,8 +130,6 @@
         else:
             self.refused += 1
 
-    arrivals = {}
-
     def arrive(self, route, now):
         self.number += 1
         chooser = self.random.choice(self.choosers)
