--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import errno
 import time
 
 import attrs
@@ -20,6 +21,8 @@
 WIPE_PAUSE_S = 8.0
 # After the last fault, the whole fleet serves within this time.
 RECOVERY_S = 15.0
+# A former life's port is free again within this time, also on a busy machine.
+PORT_FREE_S = 3.0
 
 
 @attrs.define(eq=False)
@@ -140,9 +143,25 @@
     async def reborn(self, place):
         """Start the next life of a place's target."""
         target = SoakTarget(place.host, place.service, place.zone, self.records)
-        await target.start()
+        await self._listening(target)
         self.targets[self.places.index(place)] = place.target = target
 
+    async def _listening(self, target):
+        """Start a target as soon as its port is free.
+
+        A process that another run's thread is just starting holds a copy of the former
+        life's listening socket until it runs its own program.
+        """
+        until_s = time.monotonic() + PORT_FREE_S
+        while True:
+            try:
+                await target.start()
+                return
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or time.monotonic() > until_s:
+                    raise
+            await asyncio.sleep(0.05)
+
     async def zone_out(self, zone, for_s):
         """Take a zone out, look on until nothing may arrive there, take it in."""
         answer = await self.order(f"/api/evacuation/{zone}/start")
