--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -186,7 +186,7 @@
     control = fleet.controls[fault.where % len(fleet.controls)]
     async with fleet.taken(control):
         control.kill()
-        logs = sorted((fleet.folder / control.name / "group").glob("*.log"))
+        logs = sorted((fleet.folder / control.name / "group").glob("log-*"))
         if logs:
             with logs[-1].open("ab") as log:
                 log.write(b"\x00\x00\x01\x00half a record")
