Take uploads, and tell targets their keys by calls

**Cause:** the further customer's configuration has routes of kind upload and a service whose targets take their keys by calls, not in the answers to heartbeats; the first was refused, the second unknown. **Change:** RequestKind.UPLOAD, handled as unsafe.

--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -12,6 +12,7 @@
 from tamarackhaven.fleet._messages import LeaseGrant, TargetsView
 from tamarackhaven.fleet._model import (
     GrantId,
+    Hold,
     Release,
     Target,
     TargetPhase,
@@ -307,7 +308,24 @@
 
     def _is_free(self, key_range, now):
         owner = key_range.owner
-        return not owner or self._is_replaced(owner) or self.leases.is_over(owner, now)
+        if not owner or self._is_replaced(owner) or self.leases.is_over(owner, now):
+            return True
+        return self._is_refused(key_range)
+
+    def _is_refused(self, key_range):
+        """Whether the owner's target doesn't hold a range, nor will it.
+
+        Failure: a target has seen a higher token than the owner's. Symptom: its keys
+        stay unserved, as it refuses each order under the present one. Enough: they
+        are given out again, which makes a new token.
+        """
+        known = self._known_by_life.get(key_range.owner)
+        if known is None or known.report.settled.term != self.term:
+            return False
+        refused = Hold(key_range.first, key_range.last, key_range.fence)
+        return refused in known.report.refused and not any(
+            overlaps(hold, key_range) for hold in known.report.holds
+        )
 
     def _is_replaced(self, life):
         """Whether a later life was heard from the place of ``life``.
--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -122,6 +122,8 @@
         Number of a bucket of keys, and requests a second for it; the busiest ones.
     key_rest : float
         Requests a second for all other keys that the target owns.
+    refused : tuple of Hold
+        What the target won't hold under its present token.
     """
 
     number: int
@@ -133,6 +135,7 @@
     state_index: int = 0
     key_load: tuple[tuple[int, float], ...] = ()
     key_rest: float = 0.0
+    refused: tuple[Hold, ...] = ()
 
 
 @attrs.frozen
--- a/tamarackhaven/net/_http_client.py
+++ b/tamarackhaven/net/_http_client.py
@@ -62,7 +62,8 @@
         self._response = None
         self._body = []
         self._body_bytes = 0
-        self.idle_since_s = boot_s()
+        self.opened_s = boot_s()
+        self.idle_since_s = self.opened_s
         self.idle_limit_s = None
         self.is_reusable = True
 
--- a/tamarackhaven/routing/__init__.py
+++ b/tamarackhaven/routing/__init__.py
@@ -4,6 +4,7 @@
 from tamarackhaven.routing._match import RouteTable, Splitter
 from tamarackhaven.routing._model import (
     Configuration,
+    HoldOrders,
     Limits,
     RequestKind,
     Route,
@@ -14,6 +15,7 @@
 __all__ = [
     "Configuration",
     "Edit",
+    "HoldOrders",
     "Limits",
     "RequestKind",
     "Route",
--- a/tamarackhaven/routing/_model.py
+++ b/tamarackhaven/routing/_model.py
@@ -13,6 +13,14 @@
 
     SAFE = "safe"  # may run any number of times
     UNSAFE = "unsafe"  # runs at most once for each attempt of a caller
+    UPLOAD = "upload"  # as unsafe, with a large body
+
+
+class HoldOrders(enum.Enum):
+    """How the targets of a service are told which keys to hold."""
+
+    HEARTBEATS = "heartbeats"  # in the answers to their heartbeats
+    CALLS = "calls"  # by calls to them
 
 
 @attrs.frozen
@@ -35,6 +43,8 @@
         Whether each key has one owner among the targets.
     warmup_s : float
         How long keys stay slow that came without a handover.
+    hold_orders : HoldOrders
+        How its targets are told their keys.
     source : dict
         Fields as they were declared, to be read back unchanged.
     """
@@ -46,6 +56,7 @@
     cold_per_s: float = 0.0
     sharded: bool = False
     warmup_s: float = 0.0
+    hold_orders: HoldOrders = HoldOrders.HEARTBEATS
     source: dict = attrs.field(factory=dict, repr=False)
 
 
--- a/tamarackhaven/sidecar/__init__.py
+++ b/tamarackhaven/sidecar/__init__.py
@@ -1,14 +1,25 @@
 """The daemon beside a target: callers' requests, the gate, the target's keys."""
 
+from tamarackhaven.sidecar._called_holds import GrantOrder, OrderEnd, ReleaseOrder
 from tamarackhaven.sidecar._daemon import Daemon
-from tamarackhaven.sidecar._dialect import CallerRequest, Dialect, Verdict
-from tamarackhaven.sidecar._target_state import Heartbeat, HeartbeatReply
+from tamarackhaven.sidecar._dialect import (
+    CallerRequest,
+    Dialect,
+    TargetCall,
+    Verdict,
+)
+from tamarackhaven.sidecar._key_holds import HeartbeatReply
+from tamarackhaven.sidecar._target_state import Heartbeat
 
 __all__ = [
     "CallerRequest",
     "Daemon",
     "Dialect",
+    "GrantOrder",
     "Heartbeat",
     "HeartbeatReply",
+    "OrderEnd",
+    "ReleaseOrder",
+    "TargetCall",
     "Verdict",
 ]
--- /dev/null
+++ b/tamarackhaven/sidecar/_called_holds.py
@@ -0,0 +1,382 @@
+"""The keys of a target that is told them by calls. Pure.
+
+Why no two targets hold one key:
+
+- A call to hold keys counts from its arrival. It arrives within ``CALL_TIMEOUT_S``, or
+  its connection is closed. So with the time it names, and the slowest clock, what it
+  gives ends before the daemon's lease ends, whether it was answered or not.
+- Keys count as let go only once the target has answered the call to release them, and
+  once everything has run out that a call without an answer could still give it: such a
+  call may be carried out after the release.
+- A daemon that has just started doesn't know what an earlier process told the target.
+  It counts all keys as held until the longest lease of that process has run out.
+"""
+
+import enum
+import itertools
+
+import attrs
+
+from tamarackhaven.fleet._model import KEY_COUNT, GrantId, Hold, Release
+from tamarackhaven.fleet._ranges import overlaps
+from tamarackhaven.sidecar._key_holds import (
+    HOLD_STRETCH,
+    SHORTEST_HOLD_S,
+    HeartbeatReply,
+    KeyHolds,
+)
+
+# The target is on the same VM and answers at once; one that doesn't may carry the call
+# out later.
+CALL_TIMEOUT_S = 0.4
+# A release is answered when the work on its keys has ended. It may be lost as well, and
+# does no harm twice.
+RELEASE_TIMEOUT_S = 1.5
+# Load: dozens of ranges. Harm: a call for each of them at each new grant, several times
+# a second. Limit: a hold is renewed once it would last this much longer.
+RENEWED_S = 0.6
+# Load: many ranges at once, and calls that hang. Harm: one connection waits behind
+# another, or the target's connections are used up. Limit: so many calls of each kind at
+# a time.
+MOST_OPEN = 4
+MOST_RELEASES_OPEN = 8
+
+
+@attrs.frozen
+class GrantOrder:
+    """Tell the target to hold keys.
+
+    Parameters
+    ----------
+    number : int
+        Unique within a life.
+    first, last : int
+        Both included.
+    fence : int
+        Fencing token.
+    hold_s : float
+        For how long, from when the call arrives.
+    handover : str
+        What the former owner released the keys with; may be empty.
+    made_s : float
+        When it was decided, in seconds of the boot clock.
+    """
+
+    number: int
+    first: int
+    last: int
+    fence: int
+    hold_s: float
+    handover: str
+    made_s: float
+
+
+@attrs.frozen
+class ReleaseOrder:
+    """Tell the target to let go of keys; fields as in ``GrantOrder``."""
+
+    number: int
+    first: int
+    last: int
+    fence: int
+    made_s: float
+
+
+class OrderEnd(enum.Enum):
+    """How a call about keys ended."""
+
+    DONE = "done"
+    SUPERSEDED = "superseded"  # the target has seen a higher token
+    UNANSWERED = "unanswered"  # it may be carried out later
+    NOT_SENT = "not sent"
+
+
+@attrs.frozen
+class _Span:
+    """Keys that the target was told to hold under one token.
+
+    Parameters
+    ----------
+    held_until_s : float
+        Until when it certainly holds them, by its answers.
+    until_s : float
+        When the last thing that could give them has run out.
+    late_until_s : float
+        The same for calls without an answer alone.
+    handover : str or None
+        What it was released with; None before.
+    """
+
+    first: int
+    last: int
+    fence: int
+    held_until_s: float = float("-inf")
+    until_s: float = float("-inf")
+    late_until_s: float = float("-inf")
+    handover: str | None = None
+
+    @property
+    def is_released(self):
+        """Whether the target has answered the call to release."""
+        return self.handover is not None
+
+    def is_inside(self, other):
+        """Whether all its keys are keys of ``other``."""
+        return other.first <= self.first and self.last <= other.last
+
+
+class CalledHolds(KeyHolds):
+    """Keys told by calls.
+
+    Parameters
+    ----------
+    lease, life
+        As for ``KeyHolds``.
+    """
+
+    def __init__(self, lease, life):
+        super().__init__(lease, life)
+        self._spans = []
+        self._open_by_number = {}
+        self._numbers = itertools.count(1)
+        self._refused = set()
+        self._own_handovers = []
+        self._unknown_until_s = None
+
+    # What comes in.
+
+    def heard(self, beat, now):
+        """Take in a heartbeat of this life; it says nothing about keys."""
+        if self._unknown_until_s is None:
+            # The first heartbeat of a life: nobody can have told it anything before.
+            is_new = beat.sequence <= 1
+            self._unknown_until_s = now if is_new else now + self._lease.lease_s
+        return HeartbeatReply()
+
+    def ended(self, order, end, now, handover=""):
+        """Take in how a call ended.
+
+        Parameters
+        ----------
+        order : GrantOrder or ReleaseOrder
+            From ``due``.
+        end : OrderEnd
+            How it ended.
+        now : float
+            Seconds of the boot clock.
+        handover : str
+            Of a release that is done.
+        """
+        del self._open_by_number[order.number]
+        if isinstance(order, ReleaseOrder):
+            if end is OrderEnd.DONE:
+                self._change(order, handover=handover)
+                self._forget(now)
+        elif end is OrderEnd.DONE:
+            self._granted(order)
+        elif end is OrderEnd.UNANSWERED:
+            self._change(order, late_until_s=_until_s(order))
+        elif end is OrderEnd.SUPERSEDED:
+            self._refused.add(Hold(order.first, order.last, order.fence))
+
+    def _granted(self, order):
+        held_until_s = order.made_s + order.hold_s
+        for span in self._inside(order):
+            if span.fence < order.fence:
+                # Its token is below one that the target has seen.
+                self._spans.remove(span)
+        self._change(order, held_until_s=held_until_s)
+
+    def _change(self, order, **fields):
+        """Change the spans of an order; a time only ever rises."""
+        for number, span in enumerate(self._spans):
+            if span.fence != order.fence or not span.is_inside(order):
+                continue
+            risen = {
+                name: max(getattr(span, name), value)
+                if isinstance(value, float)
+                else value
+                for name, value in fields.items()
+            }
+            self._spans[number] = attrs.evolve(span, **risen)
+
+    # What goes out.
+
+    def due(self, now):
+        """Return the calls to make now, as a list; each must be ``ended`` later."""
+        self._forget(now)
+        if self._grant is None or now >= self._lease_until_s:
+            return []
+        wanted = self._grant.ranges
+        for row in wanted:
+            self._cut(row.first, row.last)
+        return [*self._due_releases(wanted, now), *self._due_grants(wanted, now)]
+
+    def _due_releases(self, wanted, now):
+        orders = []
+        for span in self._spans:
+            if len(self._open(ReleaseOrder)) >= MOST_RELEASES_OPEN:
+                break
+            if span.is_released or any(span.is_inside(row) for row in wanted):
+                continue
+            if not self._is_open(span):
+                order = ReleaseOrder(
+                    next(self._numbers), span.first, span.last, span.fence, now
+                )
+                self._open_by_number[order.number] = order
+                orders.append(order)
+        return orders
+
+    def _due_grants(self, wanted, now):
+        hold_s = self._longest_hold_s(now, CALL_TIMEOUT_S)
+        if hold_s < SHORTEST_HOLD_S:
+            return []
+        orders = []
+        for row in sorted(wanted, key=self._held_until_s):
+            if len(self._open(GrantOrder)) >= MOST_OPEN:
+                break
+            lasts_longer_s = now + hold_s - self._held_until_s(row)
+            is_refused = Hold(row.first, row.last, row.fence) in self._refused
+            if lasts_longer_s < RENEWED_S or is_refused or self._is_open(row):
+                continue
+            order = GrantOrder(
+                next(self._numbers),
+                row.first,
+                row.last,
+                row.fence,
+                hold_s,
+                self._own_handover(row) or row.handover,
+                now,
+            )
+            self._open_by_number[order.number] = order
+            self._tell(order)
+            orders.append(order)
+        return orders
+
+    def _tell(self, order):
+        """Note that a call may give the target its keys from now on."""
+        parts = [each for each in self._inside(order) if each.fence == order.fence]
+        is_whole = sum(each.last - each.first + 1 for each in parts) == (
+            order.last - order.first + 1
+        )
+        for part in parts:
+            self._spans.remove(part)
+        held_until_s = float("-inf")
+        if is_whole and not any(each.is_released for each in parts):
+            held_until_s = min(each.held_until_s for each in parts)
+        self._spans.append(
+            _Span(
+                order.first,
+                order.last,
+                order.fence,
+                held_until_s,
+                max([_until_s(order), *(each.until_s for each in parts)]),
+                max((each.late_until_s for each in parts), default=float("-inf")),
+            )
+        )
+
+    def _open(self, kind):
+        return [
+            each for each in self._open_by_number.values() if isinstance(each, kind)
+        ]
+
+    def _is_open(self, keys):
+        return any(overlaps(order, keys) for order in self._open_by_number.values())
+
+    def _inside(self, keys):
+        return [span for span in self._spans if span.is_inside(keys)]
+
+    def _held_until_s(self, row):
+        """Return until when the target certainly holds all keys of a granted row."""
+        parts = [
+            each
+            for each in self._inside(row)
+            if each.fence == row.fence and not each.is_released
+        ]
+        if sum(each.last - each.first + 1 for each in parts) < row.last - row.first + 1:
+            return float("-inf")
+        return min(each.held_until_s for each in parts)
+
+    def _own_handover(self, row):
+        """Return what this life itself released a row with that came back to it.
+
+        Failure: a leader that moves keys is lost after their release, and the next
+        one leaves them where they are. Symptom: they come back slow, as if from a
+        stranger. Enough: under the same token nobody else has had them.
+        """
+        for fence, release in reversed(self._own_handovers):
+            is_covered = release.first <= row.first and row.last <= release.last
+            if fence == row.fence and is_covered:
+                return release.handover
+        return ""
+
+    def _cut(self, first, last):
+        """Split spans, so that each lies inside ``first`` to ``last`` or outside."""
+        edges = {first, last + 1}
+        spans = []
+        for span in self._spans:
+            starts = [span.first, *sorted(e for e in edges if _splits(e, span))]
+            ends = [*(start - 1 for start in starts[1:]), span.last]
+            spans += [
+                attrs.evolve(span, first=a, last=b)
+                for a, b in zip(starts, ends, strict=True)
+            ]
+        self._spans = spans
+
+    def _forget(self, now):
+        """Drop spans that the target certainly holds no more, and note releases."""
+        kept = []
+        released = []
+        for span in self._spans:
+            is_open = self._is_open(span)
+            if span.is_released and now >= span.late_until_s and not is_open:
+                release = Release(span.first, span.last, span.handover)
+                released.append(release)
+                self._own_handovers.append((span.fence, release))
+            elif now < span.until_s or is_open:
+                kept.append(span)
+        del self._own_handovers[:-64]
+        self._spans = kept
+        self._note_releases(released, now)
+
+    # Questions.
+
+    def holds(self, key, now):
+        """Whether the target has answered that it holds ``key``, and still does."""
+        if not self.is_granted(key, now):
+            return False
+        return any(
+            each.first <= key <= each.last
+            and now < each.held_until_s
+            and not each.is_released
+            for each in self._spans
+        )
+
+    def held(self, now):
+        """Return what the target may hold, as a tuple of ``Hold``."""
+        if self._unknown_until_s is not None and now < self._unknown_until_s:
+            return (Hold(0, KEY_COUNT - 1, 0),)
+        self._forget(now)
+        return tuple(Hold(each.first, each.last, each.fence) for each in self._spans)
+
+    @property
+    def settled(self):
+        """The newest grant: what it leaves out is held until it is released."""
+        return self._grant.grant if self._grant else GrantId()
+
+    @property
+    def refused(self):
+        """What the target won't take under its present token, as ``Hold`` tuple."""
+        if self._grant is None:
+            return ()
+        rows = {Hold(row.first, row.last, row.fence) for row in self._grant.ranges}
+        return tuple(self._refused & rows)
+
+
+def _until_s(order):
+    """Return when everything that a grant could give has run out."""
+    return order.made_s + CALL_TIMEOUT_S + order.hold_s * HOLD_STRETCH
+
+
+def _splits(edge, span):
+    return span.first < edge <= span.last
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -10,6 +10,7 @@
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._control_link import ControlLink
 from tamarackhaven.sidecar._inbound import Inbound
+from tamarackhaven.sidecar._key_calls import KeyCalls
 from tamarackhaven.sidecar._messages import PEER_CODEC
 from tamarackhaven.sidecar._peers import Peers, PeerServer
 from tamarackhaven.sidecar._runs import Runs
@@ -60,6 +61,14 @@
             log.part("gate"),
             metrics,
         )
+        self._key_calls = KeyCalls(
+            self.state,
+            self.inbound.client,
+            dialect,
+            log.part("keys"),
+            metrics,
+            lambda: self._control.kick(),
+        )
         self._runs = Runs(self.inbound)
         self._peers = Peers(boot)
         self._peer_server = PeerServer(boot, self._runs)
@@ -89,7 +98,7 @@
             self._seeds,
             log.part("control"),
         )
-        self._control_task = None
+        self._tasks = []
         self._is_leaving = False
         self.inbound.on_ended = self._control.kick
 
@@ -107,7 +116,10 @@
         await listen(self._registry, "registry", *split(settings.registry))
         await listen(self._readiness, "readiness", *split(settings.readiness))
         await listen(self._callers, "callers", *split(settings.callers))
-        self._control_task = asyncio.create_task(self._control.run())
+        self._tasks = [
+            asyncio.create_task(self._control.run()),
+            asyncio.create_task(self._key_calls.run()),
+        ]
         self.log.say("started", zone=settings.zone, service=settings.service)
 
     def reload(self, settings):
@@ -136,7 +148,8 @@
         self.log.say(
             "stopped", after_s=round(boot_s() - started_s, 3), cut=self.inbound.running
         )
-        self._control_task.cancel()
+        for task in self._tasks:
+            task.cancel()
         for server in (self._callers, self._readiness, self._registry, self._links):
             server.close()
         self._peers.close()
@@ -162,20 +175,20 @@
     def _report(self, number):
         state = self.state
         now = boot_s()
-        beat = state.heartbeat
         load = self.inbound.load()
         key_load, key_rest = self.inbound.key_load(now)
         fill = (load.running + load.waiting) / max(load.slots, 1)
         return Report(
             number=number,
             target=state.target(now, round(fill, 2), round(self.inbound.work_s, 4)),
-            holds=beat.holds if beat else (),
+            holds=state.held(now),
             releases=state.releases,
             settled=state.settled,
             ended_lives=tuple(state.ended_lives),
             state_index=self.view.state_index,
             key_load=key_load,
             key_rest=key_rest,
+            refused=state.refused,
         )
 
     def _take(self, message):
@@ -193,6 +206,9 @@
         configuration = self.view.table.configuration
         for server in (self._callers, self._registry):
             server.limits = configuration.limits
+        service = self.view.table.service_by_name.get(self.settings.service)
+        if service is not None:
+            self.state.tell_keys_by(service.hold_orders)
         self.log.say(
             "configuration taken",
             version=configuration.version,
@@ -201,6 +217,7 @@
 
     def _take_grant(self, grant, asked_s):
         self.state.take_grant(grant, asked_s)
+        self._key_calls.kick()
 
     # The target.
 
--- a/tamarackhaven/sidecar/_dialect.py
+++ b/tamarackhaven/sidecar/_dialect.py
@@ -48,8 +48,18 @@
     INVALID = "invalid"  # nothing is certain; the reply can't be passed on
 
 
+@attrs.frozen
+class TargetCall:
+    """A call to the target that is no caller's request."""
+
+    method: str
+    target: str
+    headers: tuple
+    body: bytes
+
+
 class Dialect(abc.ABC):
-    """Reads and writes the headers of one deployment."""
+    """Reads and writes the headers and calls of one deployment."""
 
     @abc.abstractmethod
     def read_request(self, request):
@@ -76,3 +86,11 @@
     @abc.abstractmethod
     def refusal(self, error):
         """Return the ``HttpResponse`` for a ``TamarackhavenError``."""
+
+    @abc.abstractmethod
+    def order_call(self, order, target_name):
+        """Return the ``TargetCall`` for a ``GrantOrder`` or ``ReleaseOrder``."""
+
+    @abc.abstractmethod
+    def order_end(self, order, reply):
+        """Return the ``OrderEnd`` that a ``Reply`` means, and a handover or ""."""
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -58,7 +58,7 @@
         self._dialect = dialect
         self._log = log
         self._metrics = metrics
-        self._client = TargetClient(host, port)
+        self.client = TargetClient(host, port)
         self._gate = Gate(1, random.random)
         self._start_by_number = {}
         self._numbers = itertools.count()
@@ -256,7 +256,7 @@
         started_s = boot_s()
         try:
             sent = await asyncio.wait_for(
-                self._client.send(
+                self.client.send(
                     forward.method,
                     forward.target,
                     headers,
@@ -381,4 +381,4 @@
 
     def close(self):
         """Close the connections to the target."""
-        self._client.close()
+        self.client.close()
--- /dev/null
+++ b/tamarackhaven/sidecar/_key_calls.py
@@ -0,0 +1,123 @@
+"""Carries out the calls by which a target is told its keys."""
+
+import asyncio
+
+from tamarackhaven._clock import boot_s
+from tamarackhaven.sidecar._called_holds import (
+    CALL_TIMEOUT_S,
+    RELEASE_TIMEOUT_S,
+    CalledHolds,
+    OrderEnd,
+    ReleaseOrder,
+)
+from tamarackhaven.sidecar._target_client import SendEnd
+
+# What is due without any event: renewals, and calls that failed.
+POLL_S = 0.1
+
+
+class KeyCalls:
+    """Makes the calls that ``CalledHolds`` says are due, side by side.
+
+    Parameters
+    ----------
+    state : TargetState
+        Of the target.
+    client : TargetClient
+        Its connections.
+    dialect : Dialect
+        Writes calls and reads their answers.
+    log : Log
+        Of the part ``keys``.
+    metrics : Metrics
+        Of the process.
+    on_released : callable
+        Called once the target has let go of keys.
+    """
+
+    def __init__(self, state, client, dialect, log, metrics, on_released):
+        self._state = state
+        self._client = client
+        self._dialect = dialect
+        self._log = log
+        self._metrics = metrics
+        self._on_released = on_released
+        self._tasks = set()
+
+    async def run(self):
+        """Look for due calls until cancelled."""
+        try:
+            while True:
+                self.kick()
+                await asyncio.sleep(POLL_S)
+        finally:
+            for task in self._tasks:
+                task.cancel()
+
+    def kick(self):
+        """Make the calls that are due now."""
+        keys = self._state.keys
+        if not isinstance(keys, CalledHolds):
+            return
+        for order in keys.due(boot_s()):
+            task = asyncio.get_running_loop().create_task(self._carry_out(keys, order))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _carry_out(self, keys, order):
+        end, handover, detail = OrderEnd.UNANSWERED, "", ""
+        try:
+            end, handover, detail = await self._call(order)
+        finally:
+            now = boot_s()
+            keys.ended(order, end, now, handover)
+        kind = type(order).__name__
+        self._metrics.count(
+            "tamarackhaven_key_calls_total", call=kind, outcome=end.name
+        )
+        is_release = isinstance(order, ReleaseOrder)
+        if is_release or end is not OrderEnd.DONE:
+            self._log.say(
+                "call ended",
+                call=kind,
+                end=end.name,
+                life=self._state.life,
+                first=order.first,
+                last=order.last,
+                fence=order.fence,
+                after_s=round(now - order.made_s, 3),
+                detail=detail,
+            )
+        if end is OrderEnd.DONE:
+            if is_release:
+                self._on_released()
+            self.kick()
+
+    async def _call(self, order):
+        """Make one call; return its ``OrderEnd``, the handover and a detail."""
+        beat = self._state.heartbeat
+        name = beat.name if beat else ""
+        call = self._dialect.order_call(order, name)
+        is_release = isinstance(order, ReleaseOrder)
+        timeout_s = RELEASE_TIMEOUT_S if is_release else CALL_TIMEOUT_S
+        try:
+            # Cancelled by the timeout, it closes its connection, so that nothing that
+            # was not taken in by now still arrives.
+            sent = await asyncio.wait_for(
+                self._client.send_to_life(
+                    call.method,
+                    call.target,
+                    call.headers,
+                    call.body,
+                    self._state.heard_s,
+                ),
+                timeout_s,
+            )
+        except TimeoutError:
+            return OrderEnd.UNANSWERED, "", "timeout"
+        if sent.end is SendEnd.NOT_SENT:
+            return OrderEnd.NOT_SENT, "", sent.detail
+        if sent.end is SendEnd.UNANSWERED:
+            return OrderEnd.UNANSWERED, "", sent.detail
+        end, handover = self._dialect.order_end(order, sent.reply)
+        return end, handover, f"status {sent.reply.status}"
--- /dev/null
+++ b/tamarackhaven/sidecar/_key_holds.py
@@ -0,0 +1,160 @@
+"""What one life of a target was told to hold, and what it may still hold. Pure.
+
+A target is told its keys in one of two ways, as its service's configuration says: in
+the answers to its heartbeats (``HeartbeatHolds``) or by calls to it
+(``_called_holds.CalledHolds``). The rest of the daemon asks both the same questions.
+"""
+
+import abc
+
+import attrs
+
+from tamarackhaven.fleet._model import GrantId
+
+# A target's clock may run this part slow, so that what it is told to hold lasts
+# longer; the platform names 2%, the rest is for the way of the answer.
+HOLD_STRETCH = 1.025
+# A hold shorter than this has run out before the target has read of it.
+SHORTEST_HOLD_S = 0.1
+# Releases are told to the leader for so long; it needs them within a heartbeat.
+RELEASE_KEPT_S = 15.0
+
+
+@attrs.frozen
+class HeartbeatReply:
+    """The answer: keys to hold, or None to say nothing about keys."""
+
+    ranges: tuple | None = None
+    hold_s: float = 0.0
+
+
+class KeyHolds(abc.ABC):
+    """The keys of one life of the target.
+
+    Parameters
+    ----------
+    lease : FleetLeaseSettings
+        Of the daemon.
+    life : str
+        Grants for other lives are not taken.
+    """
+
+    def __init__(self, lease, life):
+        self._lease = lease
+        self._life = life
+        self._grant = None
+        self._lease_until_s = float("-inf")
+        self._releases = []
+
+    def take_grant(self, grant, asked_s):
+        """Take in a grant; its lease counts from when it was asked for."""
+        if grant.life != self._life:
+            return
+        if self._grant is not None and grant.grant < self._grant.grant:
+            return
+        self._grant = grant
+        self._lease_until_s = asked_s + grant.lease_s
+
+    def is_granted(self, key, now):
+        """Whether the target has held ``key`` or is about to be told to."""
+        if self._grant is None or now >= self._lease_until_s:
+            return False
+        return _covers(self._grant.ranges, key)
+
+    def _longest_hold_s(self, now, delay_s=0.0):
+        """Return for how long the target may be told to hold, below 0 if not at all.
+
+        The hold may begin ``delay_s`` seconds later than ``now``.
+        """
+        hold_s = (self._lease_until_s - now - delay_s) / HOLD_STRETCH
+        return min(hold_s, self._lease.longest_hold_s)
+
+    def _note_releases(self, releases, now):
+        self._releases = [
+            (at, each) for at, each in self._releases if now - at < RELEASE_KEPT_S
+        ]
+        self._releases += [(now, each) for each in releases]
+
+    @property
+    def releases(self):
+        """What the target released of late, as a tuple of ``Release``."""
+        return tuple(each for _, each in self._releases)
+
+    @abc.abstractmethod
+    def heard(self, beat, now):
+        """Take in a heartbeat of this life; return the ``HeartbeatReply``."""
+
+    @abc.abstractmethod
+    def holds(self, key, now):
+        """Whether the target holds ``key``, as far as this daemon knows."""
+
+    @abc.abstractmethod
+    def held(self, now):
+        """Return what the target may hold, as a tuple of ``Hold``."""
+
+    @property
+    @abc.abstractmethod
+    def settled(self):
+        """The newest grant that ``held`` reflects."""
+
+    @property
+    def refused(self):
+        """What the target won't take under its present token, as ``Hold`` tuple."""
+        return ()
+
+
+class HeartbeatHolds(KeyHolds):
+    """Keys told in the answers to heartbeats, which list what the target holds."""
+
+    def __init__(self, lease, life):
+        super().__init__(lease, life)
+        self._told = GrantId()
+        self._settled = GrantId()
+        self._held = ()
+        self._held_until_s = float("-inf")
+        self._beat = None
+        self._heard_s = float("-inf")
+
+    def heard(self, beat, now):
+        """Take in a heartbeat of this life; return the ``HeartbeatReply``."""
+        self._settled = self._told
+        self._beat = beat
+        self._heard_s = now
+        self._note_releases(beat.releases, now)
+        hold_s = self._longest_hold_s(now)
+        if self._grant is None or hold_s < SHORTEST_HOLD_S:
+            return HeartbeatReply()
+        self._told = self._grant.grant
+        self._held = self._grant.ranges
+        self._held_until_s = now + hold_s
+        return HeartbeatReply(self._grant.ranges, hold_s)
+
+    def holds(self, key, now):
+        """Whether the target holds ``key``, as far as this daemon knows.
+
+        Failure: the daemon restarts while its target goes on. Symptom: the target's
+        keys are unserved until it has been told again to hold them, a heartbeat
+        later. Enough: what it says that it holds counts until then; a target that
+        holds no longer refuses the request itself.
+        """
+        held = self._held
+        if now >= self._held_until_s:
+            is_fresh = now - self._heard_s < self._lease.heartbeat_s
+            is_restarted = self._told == GrantId()
+            if not (is_fresh and is_restarted):
+                return False
+            held = self._beat.holds
+        return _covers(held, key)
+
+    def held(self, now):
+        """Return what the newest heartbeat says, as a tuple of ``Hold``."""
+        return self._beat.holds if self._beat else ()
+
+    @property
+    def settled(self):
+        """The grant told to the target before its newest heartbeat."""
+        return self._settled
+
+
+def _covers(ranges, key):
+    return any(each.first <= key <= each.last for each in ranges)
--- a/tamarackhaven/sidecar/_target_client.py
+++ b/tamarackhaven/sidecar/_target_client.py
@@ -21,6 +21,17 @@
 KEEP_MARGIN_PART = 0.25
 # What is kept where the target doesn't say.
 KEEP_DEFAULT_S = 3.0
+# A target that crashes right after a heartbeat isn't started again within this time.
+SAME_LIFE_S = 0.1
+ANY_TIME = float("inf")
+
+
+class _NoneOpenedByError(Exception):
+    """No connection is old enough, and a new one would not be."""
+
+
+def _any_reply(_reply):
+    return True
 
 
 class SendEnd(enum.Enum):
@@ -58,9 +69,33 @@
 
     async def send(self, method, target, headers, body, is_reply):
         """Send a request; return ``Sent``. Cancelled, it closes its connection."""
+        request = method, target, headers, body, is_reply
+        return await self._send(request, ANY_TIME)
+
+    async def send_to_life(self, method, target, headers, body, heard_s):
+        """Send a call to the process that was heard at ``heard_s``; return ``Sent``.
+
+        Failure: a target crashes, and its next life listens at the same address before
+        it is heard of. Symptom: the new life is told to hold keys under the token of
+        the former one. Enough: the call goes on a connection that was there when the
+        heartbeat came, or was opened right after it; one to a former life is closed.
+
+        NOT_SENT also if there is no such connection before the next heartbeat.
+        """
+        opened_by_s = heard_s + SAME_LIFE_S
+        request = method, target, headers, body, _any_reply
+        try:
+            return await self._send(request, opened_by_s)
+        except _NoneOpenedByError:
+            await self._keep_one()
+            return Sent(SendEnd.NOT_SENT, None, "no connection to this life")
+
+    async def _send(self, request, opened_by_s):
         for _ in range(2):
-            connection = self._take()
+            connection = self._take(opened_by_s)
             if connection is None:
+                if boot_s() > opened_by_s:
+                    raise _NoneOpenedByError
                 try:
                     connection = await self._open()
                 except ConnectionRefusedError as error:
@@ -68,9 +103,7 @@
                 except OSError as error:
                     return Sent(SendEnd.NOT_SENT, None, repr(error))
             try:
-                reply = await connection.request(
-                    method, target, headers, body, is_reply
-                )
+                reply = await connection.request(*request)
             except RequestNotSentError:
                 continue
             except RequestUnansweredError as error:
@@ -83,13 +116,26 @@
         self.opened += 1
         return await ClientConnection.open(self._host, self._port, OPEN_TIMEOUT_S)
 
-    def _take(self):
+    async def _keep_one(self):
+        """Have a connection that a later heartbeat vouches for."""
+        if self._idle:
+            return
+        try:
+            self._give_back(await self._open())
+        except OSError:
+            # Nothing listens; the next heartbeat is of a process that does.
+            return
+
+    def _take(self, opened_by_s):
+        """Return the idle connection used last, None if none may be used."""
         now = boot_s()
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_open and self._is_young(connection, now):
+        for connection in reversed(self._idle):
+            if not connection.is_open or not self._is_young(connection, now):
+                connection.close()
+            elif connection.opened_s <= opened_by_s:
+                self._idle.remove(connection)
                 return connection
-            connection.close()
+        self._idle = [each for each in self._idle if each.is_open]
         return None
 
     def _is_young(self, connection, now):
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -13,20 +13,21 @@
     TargetPhase,
     life_of,
 )
+from tamarackhaven.routing import HoldOrders
+from tamarackhaven.sidecar._called_holds import CalledHolds
+from tamarackhaven.sidecar._key_holds import HeartbeatHolds, HeartbeatReply
 
-# A target's clock may run this part slow, so that what it is told to hold lasts
-# longer; the platform names 2%, the rest is for the way of the answer.
-HOLD_STRETCH = 1.025
-# A hold shorter than this has run out before the target has read of it.
-SHORTEST_HOLD_S = 0.1
 # An owner goes on serving the keys it holds while they move, but for this part of the
 # time in which it must end; requests on their way arrive within it.
 DRAIN_MARGIN_S = 0.5
 # A target that is silent for so many heartbeats, and a second, gets nothing that can
 # go elsewhere: a heartbeat may be late by seconds, a crash sends none at all.
 SILENT_HEARTBEATS = 3
-# Releases are told to the leader for so long; it needs them within a heartbeat.
-RELEASE_KEPT_S = 15.0
+
+_HOLDS_BY_ORDERS = {
+    HoldOrders.HEARTBEATS: HeartbeatHolds,
+    HoldOrders.CALLS: CalledHolds,
+}
 
 
 @attrs.frozen
@@ -55,14 +56,6 @@
     releases: tuple[Release, ...] = ()
 
 
-@attrs.frozen
-class HeartbeatReply:
-    """The answer: keys to hold, or None to say nothing about keys."""
-
-    ranges: tuple | None = None
-    hold_s: float = 0.0
-
-
 class TargetState:
     """The present life of the target.
 
@@ -83,13 +76,8 @@
         self.cold_until_s = float("-inf")
         self.leaving_since_s = None
         self.ended_lives = []
-        self._grant = None
-        self._lease_until_s = float("-inf")
-        self._told = GrantId()
-        self._settled = GrantId()
-        self._held_until_s = float("-inf")
-        self._held = ()
-        self._releases = []
+        self._keys = None
+        self._orders_by = HoldOrders.HEARTBEATS
 
     @property
     def life(self):
@@ -105,14 +93,24 @@
         """Take in a heartbeat; return its ``HeartbeatReply``."""
         if not self._accept(beat):
             return HeartbeatReply()
-        self._settled = self._told
         self.heartbeat = beat
         self.heard_s = now
         self.cold_until_s = now + beat.cold_s
-        self._note_releases(beat, now)
         if beat.phase is TargetPhase.DRAINING:
             self._leave(now)
-        return self._reply(now)
+        if self._keys is None:
+            self._keys = self._make_keys()
+        return self._keys.heard(beat, now)
+
+    def _make_keys(self):
+        kind = _HOLDS_BY_ORDERS[self._orders_by]
+        return kind(self._settings.lease, self.life)
+
+    def tell_keys_by(self, orders):
+        """Tell the target its keys in another way from now on, a ``HoldOrders``."""
+        if orders is not self._orders_by:
+            self._orders_by = orders
+            self._keys = None
 
     def _accept(self, beat):
         """Tell whether a heartbeat is newer than what is known."""
@@ -136,10 +134,7 @@
             del self.ended_lives[:-8]
         self.heartbeat = None
         self.leaving_since_s = None
-        self._told = self._settled = GrantId()
-        self._held = ()
-        self._held_until_s = float("-inf")
-        self._releases = []
+        self._keys = None
 
     def leave(self, name, now):
         """Note that the target said goodbye."""
@@ -150,58 +145,46 @@
         if self.leaving_since_s is None:
             self.leaving_since_s = now
 
-    def _note_releases(self, beat, now):
-        self._releases = [
-            (at, each) for at, each in self._releases if now - at < RELEASE_KEPT_S
-        ]
-        self._releases += [(now, each) for each in beat.releases]
-
-    def _reply(self, now):
-        grant = self._grant
-        hold_s = (self._lease_until_s - now) / HOLD_STRETCH
-        hold_s = min(hold_s, self._settings.lease.longest_hold_s)
-        is_ours = grant is not None and grant.life == self.life
-        if not is_ours or hold_s < SHORTEST_HOLD_S:
-            return HeartbeatReply()
-        self._told = grant.grant
-        self._held = grant.ranges
-        self._held_until_s = now + hold_s
-        return HeartbeatReply(grant.ranges, hold_s)
+    # Keys.
 
-    # Grants.
+    @property
+    def keys(self):
+        """The ``KeyHolds`` of the present life, None before the first heartbeat."""
+        return self._keys
 
     def take_grant(self, grant, asked_s):
         """Take in a grant; its lease counts from when it was asked for."""
-        if self._grant is not None and grant.grant < self._grant.grant:
-            return
-        self._grant = grant
-        self._lease_until_s = asked_s + grant.lease_s
-
-    # Questions.
+        if self._keys is not None:
+            self._keys.take_grant(grant, asked_s)
 
     def holds(self, key, now):
-        """Whether the target holds ``key``, as far as this daemon knows.
-
-        Failure: the daemon restarts while its target goes on. Symptom: the target's
-        keys are unserved until it has been told again to hold them, a heartbeat
-        later. Enough: what it says that it holds counts until then; a target that
-        holds no longer refuses the request itself.
-        """
-        held = self._held
-        if now >= self._held_until_s:
-            is_fresh = now - self.heard_s < self._settings.lease.heartbeat_s
-            is_restarted = self._told == GrantId()
-            if not (is_fresh and is_restarted and self.heartbeat):
-                return False
-            held = self.heartbeat.holds
-        return any(each.first <= key <= each.last for each in held)
+        """Whether the target holds ``key``, as far as this daemon knows."""
+        return self._keys is not None and self._keys.holds(key, now)
 
     def is_granted(self, key, now):
-        """Whether the target will be told to hold ``key`` at its next heartbeat."""
-        grant = self._grant
-        if grant is None or grant.life != self.life or now >= self._lease_until_s:
-            return False
-        return any(each.first <= key <= each.last for each in grant.ranges)
+        """Whether the target holds ``key`` or is about to be told to."""
+        return self._keys is not None and self._keys.is_granted(key, now)
+
+    def held(self, now):
+        """Return what the target may hold, as a tuple of ``Hold``."""
+        return self._keys.held(now) if self._keys else ()
+
+    @property
+    def settled(self):
+        """The newest grant that ``held`` reflects."""
+        return self._keys.settled if self._keys else GrantId()
+
+    @property
+    def releases(self):
+        """What the target released of late."""
+        return self._keys.releases if self._keys else ()
+
+    @property
+    def refused(self):
+        """What the target won't hold under its present token, as ``Hold`` tuple."""
+        return self._keys.refused if self._keys else ()
+
+    # Questions.
 
     def is_silent(self, now):
         """Whether heartbeats have been missing for too long."""
@@ -241,13 +224,3 @@
             work_s=work_s,
             is_cold=self.is_cold(now),
         )
-
-    @property
-    def settled(self):
-        """The grant told to the target before its newest heartbeat."""
-        return self._settled
-
-    @property
-    def releases(self):
-        """What the target released of late."""
-        return tuple(each for _, each in self._releases)
