--- /dev/null
+++ b/tests/sidecar/held_by_calls.py
@@ -0,0 +1,329 @@
+"""Daemons that tell their targets keys by calls, a leader, and all that goes wrong.
+
+The leader, its state, the daemons' and the targets' books are the real code; the
+network, the clock and the targets are played. ``World.check`` looks at who holds what
+after every step.
+"""
+
+import itertools
+import random
+
+import attrs
+
+from tamarackhaven.fleet import DaemonSettings
+from tamarackhaven.fleet._leadership import Leadership
+from tamarackhaven.fleet._messages import Report
+from tamarackhaven.fleet._model import TargetPhase
+from tamarackhaven.fleet._ranges import overlaps
+from tamarackhaven.fleet._state import FleetState, ReplaceConfiguration
+from tamarackhaven.routing import Configuration, HoldOrders, ServiceSpec
+from tamarackhaven.sidecar import _target_state
+from tamarackhaven.sidecar._called_holds import (
+    CALL_TIMEOUT_S,
+    RELEASE_TIMEOUT_S,
+    CalledHolds,
+    OrderEnd,
+    ReleaseOrder,
+)
+from tamarackhaven.sidecar._target_state import Heartbeat, TargetState
+
+SERVICE = "owned"
+STEP_S = 0.04
+REPORT_S = 0.4
+HEARTBEAT_S = 0.9
+SLOWEST_CLOCK = 0.98
+ADDRESS = "10.0.0.1:80"
+SETTINGS = DaemonSettings(
+    name="vm",
+    zone="a",
+    callers=ADDRESS,
+    readiness=ADDRESS,
+    registry=ADDRESS,
+    links=ADDRESS,
+    target=ADDRESS,
+    service=SERVICE,
+)
+
+
+class TwoHoldersError(AssertionError):
+    """Two lives held one key, or a token was not above all others."""
+
+
+@attrs.define
+class Held:
+    """Keys that a played target holds."""
+
+    first: int
+    last: int
+    fence: int
+    until_s: float
+
+
+class PlayedTarget:
+    """One life of a target; its clock is as slow as it may be."""
+
+    def __init__(self, world, name, born_ms):
+        self.world = world
+        self.name = name
+        self.born_ms = born_ms
+        self.sequence = 0
+        self.held = []
+        self.seen = []
+
+    def grant(self, order, arrived_s, now):
+        """Carry out a grant; tell whether it was taken."""
+        until_s = arrived_s + order.hold_s / SLOWEST_CLOCK
+        if until_s <= now:
+            # Carried out so late that its time is over.
+            return True
+        if any(
+            overlaps(each, order) and each.fence > order.fence for each in self.seen
+        ):
+            return False
+        self.seen.append(order)
+        self.world.took(self, order)
+        self._cut(order, order.fence)
+        self.held.append(Held(order.first, order.last, order.fence, until_s))
+        return True
+
+    def release(self, order):
+        """Carry out a release."""
+        self._cut(order, order.fence)
+
+    def _cut(self, keys, fence):
+        kept = []
+        for each in self.held:
+            if not overlaps(each, keys) or each.fence > fence:
+                kept.append(each)
+                continue
+            if each.first < keys.first:
+                kept.append(attrs.evolve(each, last=keys.first - 1))
+            if each.last > keys.last:
+                kept.append(attrs.evolve(each, first=keys.last + 1))
+        self.held = kept
+
+
+class Machine:
+    """A VM with a target and its daemon."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.host = f"10.0.0.{number}"
+        self.target = None
+        self.boot = 0
+        self.restart_target()
+        self.restart_daemon()
+
+    def restart_daemon(self):
+        """Begin with a process that knows nothing."""
+        self.boot += 1
+        self.state = TargetState(SETTINGS, self.host, 1)
+        self.state.tell_keys_by(HoldOrders.CALLS)
+        self.next_report_s = self.next_beat_s = self.world.now
+
+    def restart_target(self):
+        """Begin with a target that holds nothing."""
+        born_ms = next(self.world.births)
+        self.target = PlayedTarget(self.world, f"i-{self.host}", born_ms)
+        self.next_beat_s = self.world.now
+
+    def step(self):
+        world = self.world
+        if world.now >= self.next_beat_s:
+            self.next_beat_s = world.now + HEARTBEAT_S
+            self.beat()
+        if world.now >= self.next_report_s:
+            self.next_report_s = world.now + REPORT_S
+            self.report()
+        keys = self.state.keys
+        if keys is not None:
+            for order in keys.due(world.now):
+                self.send(keys, order)
+
+    def beat(self):
+        self.target.sequence += 1
+        beat = Heartbeat(
+            self.target.name,
+            self.target.born_ms,
+            SERVICE,
+            "a",
+            12,
+            TargetPhase.READY,
+            self.target.sequence,
+        )
+        self.state.take(beat, self.world.now)
+
+    def report(self):
+        state, world = self.state, self.world
+        busy = world.random.randrange(0, 4096)
+        rate = 0.0 if world.is_calm else world.random.choice((0.0, 60.0, 120.0))
+        report = Report(
+            1,
+            state.target(world.now, work_s=0.1),
+            holds=state.held(world.now),
+            releases=state.releases,
+            settled=state.settled,
+            ended_lives=tuple(state.ended_lives),
+            key_load=((busy, rate),),
+            refused=state.refused,
+        )
+        asked_s, boot = world.now, self.boot
+        delay_s = world.random.uniform(0.01, 0.3)
+        world.later(delay_s, lambda: self.world.answer(self, report, asked_s, boot))
+
+    def send(self, keys, order):
+        """Make a call; one in four goes wrong in some way."""
+        world, target, boot = self.world, self.target, self.boot
+        is_release = isinstance(order, ReleaseOrder)
+        timeout_s = RELEASE_TIMEOUT_S if is_release else CALL_TIMEOUT_S
+        arrives_s = world.random.uniform(0.0, 0.02)
+        fate = 1.0 if world.is_calm else world.random.random()
+
+        def carry_out(arrived_s):
+            if target is not self.target:
+                return OrderEnd.UNANSWERED
+            if is_release:
+                target.release(order)
+            elif not target.grant(order, arrived_s, world.now):
+                return OrderEnd.SUPERSEDED
+            return OrderEnd.DONE
+
+        def end(how):
+            if boot == self.boot and self.state.keys is keys:
+                keys.ended(order, how, world.now, "token")
+
+        if fate < world.faults * 0.5:
+            # It arrives just before the timeout, or is carried out later.
+            arrives_s = world.random.uniform(0.0, CALL_TIMEOUT_S)
+            arrived_s = world.now + arrives_s
+            late_s = world.random.choice((0.0, world.random.uniform(2.0, 12.0)))
+            world.later(arrives_s + late_s, lambda: carry_out(arrived_s))
+            world.later(timeout_s, lambda: end(OrderEnd.UNANSWERED))
+        elif fate < world.faults:
+            world.later(timeout_s, lambda: end(OrderEnd.UNANSWERED))
+        else:
+            answer_s = world.random.uniform(0.0, 0.3) if is_release else 0.01
+
+            def arrive():
+                how = carry_out(world.now)
+                world.later(answer_s, lambda: end(how))
+
+            world.later(arrives_s, arrive)
+
+
+class World:
+    """All machines, one leader, and the time.
+
+    Parameters
+    ----------
+    seed : int
+        Of everything that is drawn.
+    faults : float
+        Part of the calls that go wrong.
+    """
+
+    # Once true, nothing goes wrong and no key is busy.
+    is_calm = False
+
+    def __init__(self, seed, faults=0.25):
+        self.random = random.Random(seed)
+        self.faults = faults
+        self.now = 100.0
+        self.births = itertools.count(1)
+        self._due = []
+        self._taken = set()
+        self.state = FleetState()
+        service = ServiceSpec(SERVICE, sharded=True, hold_orders=HoldOrders.CALLS)
+        first = ReplaceConfiguration(0, Configuration(1, (service,)), "first")
+        self.state.apply(1, first)
+        self.index = 1
+        self.lease_s = SETTINGS.lease.lease_s
+        self.leader = Leadership(1, self.lease_s, self.now)
+        self.machines = [Machine(self, number) for number in range(1, 4)]
+
+    def later(self, delay_s, action):
+        """Do something in ``delay_s`` seconds."""
+        self._due.append((self.now + delay_s, action))
+
+    def answer(self, machine, report, asked_s, boot):
+        """Play the leader's part of one report."""
+        leader = self.leader
+        leader.report(report, self.now)
+        grant = leader.grant(report, self.state, self.now)
+
+        def arrive():
+            if machine.boot == boot:
+                machine.state.take_grant(grant, asked_s)
+
+        self.later(self.random.uniform(0.0, 0.2), arrive)
+
+    def run(self, seconds):
+        """Let time pass; draw restarts, lost leaders and silent daemons."""
+        until_s = self.now + seconds
+        while self.now < until_s:
+            self.now += STEP_S
+            due = [each for each in self._due if each[0] <= self.now]
+            self._due = [each for each in self._due if each[0] > self.now]
+            for _, action in sorted(due, key=lambda each: each[0]):
+                action()
+            if not self.is_calm:
+                self._draw()
+            for machine in self.machines:
+                machine.step()
+            for command in self.leader.tick(self.state, self.now):
+                self.index += 1
+                self.state.apply(self.index, command)
+            self.check()
+
+    def _draw(self):
+        machine = self.random.choice(self.machines)
+        drawn = self.random.random()
+        if drawn < 0.001:
+            machine.restart_daemon()
+        elif drawn < 0.0015:
+            machine.restart_target()
+        elif drawn < 0.0025:
+            machine.next_report_s = self.now + self.random.uniform(1.0, 6.0)
+        elif drawn < 0.003:
+            self.leader = Leadership(self.leader.term + 1, self.lease_s, self.now)
+
+    def check(self):
+        """Fail if two lives hold one key, or a token doesn't rise."""
+        held = []
+        for machine in self.machines:
+            target = machine.target
+            target.held = [each for each in target.held if each.until_s > self.now]
+            held += [(target, each) for each in target.held]
+        for (one, a), (other, b) in itertools.combinations(held, 2):
+            if one is not other and overlaps(a, b):
+                raise TwoHoldersError(
+                    f"{self.now:.2f}: {one.name} {a}, {other.name} {b}"
+                )
+
+    def took(self, target, order):
+        """Fail if a life takes a token that isn't above all that others had."""
+        taken = (target, order.first, order.last, order.fence)
+        if taken in self._taken:
+            return
+        for life, first, last, fence in self._taken:
+            keys = attrs.evolve(order, first=first, last=last)
+            if life is not target and overlaps(keys, order) and fence >= order.fence:
+                raise TwoHoldersError(f"token {order.fence} after {fence}")
+        self._taken.add(taken)
+
+    def served(self):
+        """Return the part of the keys that some target holds now."""
+        count = sum(
+            each.last - each.first + 1
+            for machine in self.machines
+            for each in machine.target.held
+        )
+        return count / 65536
+
+
+def with_holds(holds):
+    """Return the table by which ``TargetState`` makes its books, with another class."""
+    return {**_target_state._HOLDS_BY_ORDERS, HoldOrders.CALLS: holds}
+
+
+__all__ = ["CalledHolds", "TwoHoldersError", "World", "with_holds"]
--- /dev/null
+++ b/tests/sidecar/test_called_holds.py
@@ -0,0 +1,214 @@
+"""Keys told by calls: renewals, releases, and no key with two holders."""
+
+import attrs
+import pytest
+
+from tamarackhaven.fleet import FleetLeaseSettings
+from tamarackhaven.fleet._messages import LeaseGrant
+from tamarackhaven.fleet._model import GrantId, Hold, KeyRange, TargetPhase
+from tamarackhaven.sidecar import _target_state
+from tamarackhaven.sidecar._called_holds import (
+    CALL_TIMEOUT_S,
+    CalledHolds,
+    GrantOrder,
+    OrderEnd,
+    ReleaseOrder,
+)
+from tamarackhaven.sidecar._target_state import Heartbeat
+from tests.sidecar.held_by_calls import TwoHoldersError, World, with_holds
+
+LEASE = FleetLeaseSettings()
+LIFE = "i@1@10.0.0.1:1"
+SLOWEST_CLOCK = 0.98
+
+
+def beat(sequence):
+    return Heartbeat("i", 1, "s", "z", 4, TargetPhase.READY, sequence)
+
+
+def grant(number, *ranges, lease_s=4.0):
+    rows = tuple(KeyRange(a, b, fence, LIFE, "old") for a, b, fence in ranges)
+    return LeaseGrant(1, GrantId(1, number), lease_s, LIFE, rows)
+
+
+def kinds(orders):
+    return [(type(each), each.first, each.last, each.fence) for each in orders]
+
+
+@pytest.fixture
+def holds():
+    made = CalledHolds(LEASE, LIFE)
+    made.heard(beat(1), 9.0)
+    return made
+
+
+def told(holds, now=10.0, *ranges):
+    """Grant ranges, and let the target take them."""
+    holds.take_grant(grant(1, *(ranges or ((0, 99, 7),))), now)
+    for order in holds.due(now):
+        holds.ended(order, OrderEnd.DONE, now)
+
+
+def test_a_granted_key_is_held_once_the_target_has_answered(holds):
+    holds.take_grant(grant(1, (0, 99, 7)), 10.0)
+    (order,) = holds.due(10.0)
+    assert (order.handover, order.fence) == ("old", 7)
+    assert holds.is_granted(5, 10.0) and not holds.holds(5, 10.0)
+    assert holds.due(10.0) == [], "one call at a time for the same keys"
+    holds.ended(order, OrderEnd.DONE, 10.0)
+    assert holds.holds(5, 10.0) and not holds.holds(500, 10.0)
+
+
+def test_a_hold_ends_before_the_lease_however_late_its_call_arrives(holds):
+    holds.take_grant(grant(1, (0, 99, 7)), 10.0)
+    (order,) = holds.due(10.5)
+    arrives_s = 10.5 + CALL_TIMEOUT_S
+    assert arrives_s + order.hold_s / SLOWEST_CLOCK < 14.0
+
+
+def test_a_hold_is_renewed_as_the_lease_is_but_not_with_each_grant(holds):
+    told(holds)
+    holds.take_grant(grant(2, (0, 99, 7)), 10.4)
+    assert holds.due(10.4) == []
+    holds.take_grant(grant(3, (0, 99, 7)), 10.8)
+    (order,) = holds.due(10.8)
+    assert isinstance(order, GrantOrder)
+
+
+def test_a_hanging_call_holds_up_no_other_keys(holds):
+    # A target leaves one call unanswered. The others must be renewed meanwhile, or
+    # requests for their keys end with the hold.
+    holds.take_grant(grant(1, (0, 99, 7), (200, 299, 8)), 10.0)
+    first, second = holds.due(10.0)
+    holds.ended(second, OrderEnd.DONE, 10.0)
+    holds.take_grant(grant(2, (0, 99, 7), (200, 299, 8)), 11.0)
+    assert kinds(holds.due(11.0)) == [(GrantOrder, 200, 299, 8)]
+    holds.ended(first, OrderEnd.UNANSWERED, 11.1)
+    assert kinds(holds.due(11.1)) == [(GrantOrder, 0, 99, 7)]
+
+
+def test_a_part_that_moves_away_is_released_and_the_rest_stays(holds):
+    told(holds)
+    holds.take_grant(grant(2, (0, 39, 7), (60, 99, 7)), 10.1)
+    (order,) = holds.due(10.1)
+    assert kinds([order]) == [(ReleaseOrder, 40, 59, 7)]
+    assert holds.holds(39, 10.1) and not holds.holds(40, 10.1)
+    assert Hold(40, 59, 7) in holds.held(10.1)
+    holds.ended(order, OrderEnd.DONE, 10.3, "token")
+    assert Hold(40, 59, 7) not in holds.held(10.3)
+    (release,) = holds.releases
+    assert (release.first, release.last, release.handover) == (40, 59, "token")
+
+
+def test_a_release_without_an_answer_is_none(holds):
+    told(holds)
+    holds.take_grant(grant(2), 10.1)
+    (order,) = holds.due(10.1)
+    holds.ended(order, OrderEnd.UNANSWERED, 11.6)
+    assert holds.held(11.6) == (Hold(0, 99, 7),)
+    (again,) = holds.due(11.6)
+    assert isinstance(again, ReleaseOrder)
+
+
+def test_keys_stay_held_while_an_unanswered_grant_may_still_give_them(holds):
+    # A call to hold keys has no answer, and its keys are released right after. The
+    # target carries the call out a second later and holds them again, beside the
+    # next owner.
+    told(holds)
+    holds.take_grant(grant(2, (0, 99, 7)), 11.0)
+    (renewal,) = holds.due(11.0)
+    holds.ended(renewal, OrderEnd.UNANSWERED, 11.4)
+    holds.take_grant(grant(3), 11.4)
+    (order,) = holds.due(11.4)
+    holds.ended(order, OrderEnd.DONE, 11.5, "token")
+    assert holds.held(11.5) == (Hold(0, 99, 7),)
+    assert holds.releases == ()
+    last_s = 11.0 + CALL_TIMEOUT_S + renewal.hold_s / SLOWEST_CLOCK
+    assert holds.held(last_s) == (Hold(0, 99, 7),)
+    assert holds.held(15.0) == ()
+    assert [each.handover for each in holds.releases] == ["token"]
+
+
+def test_keys_under_a_token_that_the_target_refused_are_not_ordered_again(holds):
+    holds.take_grant(grant(1, (0, 99, 7)), 10.0)
+    (order,) = holds.due(10.0)
+    holds.ended(order, OrderEnd.SUPERSEDED, 10.0)
+    assert holds.refused == (Hold(0, 99, 7),)
+    assert holds.due(10.1) == []
+    holds.take_grant(grant(2, (0, 99, 9)), 10.4)
+    assert kinds(holds.due(10.4)) == [(GrantOrder, 0, 99, 9)]
+    assert holds.refused == ()
+
+
+def test_a_restarted_daemon_counts_all_keys_as_held_until_old_leases_are_over():
+    # The process before told the target of keys that this one has never heard of.
+    restarted = CalledHolds(LEASE, LIFE)
+    restarted.heard(beat(7), 20.0)
+    assert restarted.held(20.0) == (Hold(0, 65535, 0),)
+    assert restarted.held(20.0 + LEASE.lease_s) == ()
+
+
+def test_keys_that_come_back_unchanged_come_with_their_own_handover(holds):
+    # A leader that moved keys away is lost after their release; the next one knows
+    # of no move. Without the token they would be slow, as after a crash.
+    told(holds)
+    holds.take_grant(grant(2), 10.1)
+    (order,) = holds.due(10.1)
+    holds.ended(order, OrderEnd.DONE, 10.2, "mine")
+    holds.take_grant(grant(3, (0, 99, 7)), 10.5)
+    (back,) = holds.due(10.5)
+    assert back.handover == "mine"
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_key_has_two_holders_whatever_becomes_of_calls(seed):
+    world = World(seed)
+    world.run(60.0)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_all_keys_are_held_again_once_calls_are_answered(seed):
+    world = World(seed)
+    world.run(30.0)
+    world.is_calm = True
+    world.run(15.0)
+    assert world.served() == 1.0
+
+
+class _NoLateCalls(CalledHolds):
+    def ended(self, order, end, now, handover=""):
+        super().ended(order, end, now, handover)
+        self._spans = [attrs.evolve(s, late_until_s=0.0) for s in self._spans]
+
+
+class _AnyReleaseCounts(CalledHolds):
+    def ended(self, order, end, now, handover=""):
+        if isinstance(order, ReleaseOrder):
+            end = OrderEnd.DONE
+        super().ended(order, end, now, handover)
+
+
+class _KnowsAllAtStart(CalledHolds):
+    def heard(self, beat, now):
+        reply = super().heard(beat, now)
+        self._unknown_until_s = now
+        return reply
+
+
+class _HoldsTooLong(CalledHolds):
+    def _longest_hold_s(self, now, delay_s=0.0):
+        return super()._longest_hold_s(now - 1.0)
+
+
+@pytest.mark.parametrize(
+    "holds", [_NoLateCalls, _AnyReleaseCounts, _KnowsAllAtStart, _HoldsTooLong]
+)
+def test_the_search_finds_each_missing_safeguard(holds, monkeypatch):
+    monkeypatch.setattr(_target_state, "_HOLDS_BY_ORDERS", with_holds(holds))
+
+    def run_all():
+        for seed in range(40):
+            World(seed).run(60.0)
+
+    with pytest.raises(TwoHoldersError):
+        run_all()
