--- /dev/null
+++ b/benches/measure.py
@@ -0,0 +1,166 @@
+"""Plays the same days for several checkouts in turn, and compares what they earn.
+
+One run is no measurement: a change counts if it is better over days and seeds by more
+than their spread. The program that plays a day is given by the caller; it must take
+``run SITE DAY --seed N --no-cpu --report FILE`` in a checkout's folder.
+"""
+
+import concurrent.futures
+import json
+import statistics
+import subprocess
+import tempfile
+from pathlib import Path
+
+import attrs
+import defopt
+
+# Prices below this are left out of the table, as parts of a day's worth.
+SMALL_PRICE = 0.002
+
+
+@attrs.frozen
+class Play:
+    """One day of a site under one seed; seed 0 is the day's own."""
+
+    site: Path
+    day: str
+    seed: int
+
+    @property
+    def name(self):
+        """What the tables call it."""
+        return f"{self.site.stem} {self.day} {self.seed or ''}".strip()
+
+
+@attrs.frozen
+class Result:
+    """What one checkout earned on one day; None where nothing was reported."""
+
+    worth: float | None
+    parts: dict
+    prices: dict
+    kinds: list
+    broken: list
+
+    @classmethod
+    def read(cls, path):
+        """Return the result in a report, or one that is empty."""
+        try:
+            report = json.loads(path.read_text())
+        except (OSError, json.JSONDecodeError):
+            return cls(None, {}, {}, [], ["no report"])
+        broken = [str(each) for each in report["breaks"]]
+        if report["fault"]:
+            broken.append(report["fault"])
+        return cls(
+            report["G"],
+            {name: value for name, _, value in report["parts"]},
+            {name: price for name, _, price in report["prices"]},
+            report["by_class"],
+            broken,
+        )
+
+
+def play(player, checkout, one, folder):
+    """Play a day in a checkout; return its ``Result``."""
+    name = f"{checkout.name}-{one.name}".replace(" ", "-")
+    report = folder / f"{name}.json"
+    command = [player, "run", str(one.site), one.day, "--no-cpu"]
+    command += ["--report", str(report), "--why", f"measure: {checkout.name}"]
+    if one.seed:
+        command += ["--seed", str(one.seed)]
+    log = (folder / f"{name}.log").open("w")
+    with log:
+        subprocess.run(command, cwd=checkout, stdout=log, stderr=log)
+    return Result.read(report)
+
+
+def show(plays, checkouts, result_by_key):
+    """Print one line a day, then each checkout's means against the first one's."""
+    width = max(len(one.name) for one in plays)
+    for one in plays:
+        cells = []
+        for checkout in checkouts:
+            result = result_by_key[checkout, one]
+            worth = "-" if result.worth is None else f"{result.worth:.3f}"
+            cells.append(f"{worth}{'!' if result.broken else ' '}")
+        print(f"{one.name:{width}}  {'  '.join(cells)}")
+        for checkout in checkouts:
+            for broken in result_by_key[checkout, one].broken:
+                print(f"{'':{width}}  {checkout.name}: {broken}")
+    for checkout in checkouts:
+        _show_means(checkout, checkouts[0], plays, result_by_key)
+
+
+def _show_means(checkout, first, plays, result_by_key):
+    pairs = [(result_by_key[checkout, one], result_by_key[first, one]) for one in plays]
+    pairs = [(a, b) for a, b in pairs if None not in (a.worth, b.worth)]
+    if not pairs:
+        return
+    worth = statistics.fmean(a.worth for a, _ in pairs)
+    gains = [a.worth - b.worth for a, b in pairs]
+    gain = statistics.fmean(gains)
+    spread = statistics.stdev(gains) / len(gains) ** 0.5 if len(gains) > 1 else 0.0
+    print(f"\n{checkout.name}: worth {worth:.4f}, gain {gain:+.4f} +- {spread:.4f}")
+    for name in pairs[0][0].parts:
+        _show_mean(name, [(a.parts[name], b.parts[name]) for a, b in pairs])
+    for name in pairs[0][0].prices:
+        values = [(a.prices[name], b.prices[name]) for a, b in pairs]
+        if max(max(pair) for pair in values) >= SMALL_PRICE:
+            _show_mean(f"price: {name}", values)
+    for number in range(len(pairs[0][0].kinds)):
+        values = [(a.kinds[number], b.kinds[number]) for a, b in pairs]
+        if all(None not in pair for pair in values):
+            _show_mean(f"kind {number} of request", values)
+
+
+def _show_mean(name, values):
+    mean = statistics.fmean(a for a, _ in values)
+    gain = mean - statistics.fmean(b for _, b in values)
+    print(f"  {name:52} {mean:7.4f} {gain:+8.4f}")
+
+
+def measure(
+    *,
+    player: str,
+    site: list[Path],
+    day: list[str],
+    checkout: list[Path],
+    seed: list[int] | None = None,
+    jobs: int = 3,
+):
+    """Play days for several checkouts and print what they earn.
+
+    Parameters
+    ----------
+    player
+        Program that plays a day.
+    site
+        Site files.
+    day
+        Names or files of days.
+    checkout
+        Folders of checkouts; the first one is what the others are compared with.
+    seed
+        Luck of the days; 0, the default, is each day's own.
+    jobs
+        Days at a time.
+    """
+    plays = [
+        Play(place.resolve(), name, number)
+        for place in site
+        for name in day
+        for number in seed or [0]
+    ]
+    checkouts = [each.resolve() for each in checkout]
+    keys = [(each, one) for one in plays for each in checkouts]
+    folder = Path(tempfile.mkdtemp(prefix="measure-"))
+    print(f"logs in {folder}")
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+        results = pool.map(lambda key: play(player, *key, folder), keys)
+        show(plays, checkouts, dict(zip(keys, results, strict=True)))
+
+
+if __name__ == "__main__":
+    defopt.run(measure)
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -14,6 +14,7 @@
 from tamarackhaven.sidecar._messages import PEER_CODEC
 from tamarackhaven.sidecar._peers import Peers, PeerServer
 from tamarackhaven.sidecar._runs import Runs
+from tamarackhaven.sidecar._target_client import TargetClient
 from tamarackhaven.sidecar._target_state import TargetState
 from tamarackhaven.sidecar._view import View
 
@@ -64,6 +65,7 @@
         self._key_calls = KeyCalls(
             self.state,
             self.inbound.client,
+            TargetClient(*split(settings.target)),
             dialect,
             log.part("keys"),
             metrics,
@@ -226,6 +228,7 @@
         before = self.state.target(boot_s())
         reply = self.state.take(beat, boot_s())
         after = self.state.target(boot_s())
+        self._key_calls.heard()
         if before != after:
             self.log.say(
                 "target told",
--- a/tamarackhaven/sidecar/_key_calls.py
+++ b/tamarackhaven/sidecar/_key_calls.py
@@ -5,12 +5,13 @@
 from tamarackhaven._clock import boot_s
 from tamarackhaven.sidecar._called_holds import (
     CALL_TIMEOUT_S,
+    MOST_OPEN,
     RELEASE_TIMEOUT_S,
     CalledHolds,
     OrderEnd,
     ReleaseOrder,
 )
-from tamarackhaven.sidecar._target_client import SendEnd
+from tamarackhaven.sidecar._target_client import SendEnd, any_reply
 
 # What is due without any event: renewals, and calls that failed.
 POLL_S = 0.1
@@ -24,7 +25,9 @@
     state : TargetState
         Of the target.
     client : TargetClient
-        Its connections.
+        Its connections for requests; releases go over them, too.
+    grants_client : TargetClient
+        Connections that carry nothing but calls to hold keys.
     dialect : Dialect
         Writes calls and reads their answers.
     log : Log
@@ -35,9 +38,12 @@
         Called once the target has let go of keys.
     """
 
-    def __init__(self, state, client, dialect, log, metrics, on_released):
+    def __init__(
+        self, state, client, grants_client, dialect, log, metrics, on_released
+    ):
         self._state = state
         self._client = client
+        self._grants_client = grants_client
         self._dialect = dialect
         self._log = log
         self._metrics = metrics
@@ -54,15 +60,28 @@
             for task in self._tasks:
                 task.cancel()
 
+    def heard(self):
+        """Be ready to call the life that a heartbeat has just come from.
+
+        Load: all slots of a target are busy, and so are the connections to it. Harm:
+        a new owner gets no call through, as a fresh connection may lead to another
+        life. Limit: connections of their own for as many calls as go side by side.
+        """
+        if isinstance(self._state.keys, CalledHolds):
+            self._start(self._grants_client.keep(MOST_OPEN))
+
     def kick(self):
         """Make the calls that are due now."""
         keys = self._state.keys
         if not isinstance(keys, CalledHolds):
             return
         for order in keys.due(boot_s()):
-            task = asyncio.get_running_loop().create_task(self._carry_out(keys, order))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start(self._carry_out(keys, order))
+
+    def _start(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _carry_out(self, keys, order):
         end, handover, detail = OrderEnd.UNANSWERED, "", ""
@@ -99,20 +118,17 @@
         name = beat.name if beat else ""
         call = self._dialect.order_call(order, name)
         is_release = isinstance(order, ReleaseOrder)
+        request = call.method, call.target, call.headers, call.body
+        if is_release:
+            # A later life holds nothing of the former one: to let go does no harm.
+            sending = self._client.send(*request, any_reply)
+        else:
+            sending = self._grants_client.send_to_life(*request, self._state.heard_s)
         timeout_s = RELEASE_TIMEOUT_S if is_release else CALL_TIMEOUT_S
         try:
             # Cancelled by the timeout, it closes its connection, so that nothing that
             # was not taken in by now still arrives.
-            sent = await asyncio.wait_for(
-                self._client.send_to_life(
-                    call.method,
-                    call.target,
-                    call.headers,
-                    call.body,
-                    self._state.heard_s,
-                ),
-                timeout_s,
-            )
+            sent = await asyncio.wait_for(sending, timeout_s)
         except TimeoutError:
             return OrderEnd.UNANSWERED, "", "timeout"
         if sent.end is SendEnd.NOT_SENT:
--- a/tamarackhaven/sidecar/_target_client.py
+++ b/tamarackhaven/sidecar/_target_client.py
@@ -30,7 +30,8 @@
     """No connection is old enough, and a new one would not be."""
 
 
-def _any_reply(_reply):
+def any_reply(_reply):
+    """Take whatever comes as the answer."""
     return True
 
 
@@ -65,6 +66,7 @@
         self._host = host
         self._port = port
         self._idle = []
+        self._used = 0
         self.opened = 0
 
     async def send(self, method, target, headers, body, is_reply):
@@ -83,11 +85,10 @@
         NOT_SENT also if there is no such connection before the next heartbeat.
         """
         opened_by_s = heard_s + SAME_LIFE_S
-        request = method, target, headers, body, _any_reply
+        request = method, target, headers, body, any_reply
         try:
             return await self._send(request, opened_by_s)
         except _NoneOpenedByError:
-            await self._keep_one()
             return Sent(SendEnd.NOT_SENT, None, "no connection to this life")
 
     async def _send(self, request, opened_by_s):
@@ -102,12 +103,15 @@
                     return Sent(SendEnd.NOT_SENT, None, repr(error), is_refused=True)
                 except OSError as error:
                     return Sent(SendEnd.NOT_SENT, None, repr(error))
+            self._used += 1
             try:
                 reply = await connection.request(*request)
             except RequestNotSentError:
                 continue
             except RequestUnansweredError as error:
                 return Sent(SendEnd.UNANSWERED, None, str(error))
+            finally:
+                self._used -= 1
             self._give_back(connection)
             return Sent(SendEnd.REPLIED, reply)
         return Sent(SendEnd.NOT_SENT, None, "closed while idle")
@@ -116,20 +120,24 @@
         self.opened += 1
         return await ClientConnection.open(self._host, self._port, OPEN_TIMEOUT_S)
 
-    async def _keep_one(self):
-        """Have a connection that a later heartbeat vouches for."""
-        if self._idle:
-            return
-        try:
-            self._give_back(await self._open())
-        except OSError:
-            # Nothing listens; the next heartbeat is of a process that does.
-            return
+    async def keep(self, count):
+        """Have ``count`` idle connections, for a heartbeat to vouch for."""
+        while len(self._idle) + self._used < count:
+            try:
+                self._give_back(await self._open())
+            except OSError:
+                # Nothing listens; the next heartbeat is of a process that does.
+                return
 
     def _take(self, opened_by_s):
-        """Return the idle connection used last, None if none may be used."""
+        """Return an idle connection, None if none may be used.
+
+        The one used last, so that spare ones are closed in time; where the age counts,
+        the one used first, so that all are kept.
+        """
         now = boot_s()
-        for connection in reversed(self._idle):
+        is_any = opened_by_s == ANY_TIME
+        for connection in reversed(self._idle) if is_any else tuple(self._idle):
             if not connection.is_open or not self._is_young(connection, now):
                 connection.close()
             elif connection.opened_s <= opened_by_s:
