Move no load away from targets whose holds are not known

These count all keys as held for a lease, so the moved ones stayed unserved for four seconds: 300 refusals a second for one owner. **Change:** a report says whether its holds are all; the leader balances nothing away from a target of which it isn't so.

--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -368,12 +368,27 @@
         ]
         moves = _placement.leave(still, leaving, shares)
         if not moves and not moving and not self._has_silent(ranges, candidates):
-            moves = _placement.balance(still, shares, MOST_MOVES)
+            moves = _placement.balance(
+                still, shares, MOST_MOVES, self._unsure(candidates)
+            )
         since = GrantId(self.term, self._number + 1)
         for move in moves:
             free_at_s = self.leases.until_s(move.old.owner)
             self._moving.append(_Moving(service, move, since, free_at_s))
 
+    def _unsure(self, candidates):
+        """Return the lives of which nobody knows what they hold.
+
+        Load: daemons that have just started again, and a balance that their absence
+        upset. Harm: keys that move away from such a target stay unserved until all that
+        it may have been told has run out, some seconds. Limit: those seconds.
+        """
+        return {
+            life
+            for life in candidates
+            if not self._known_by_life[life].report.knows_holds
+        }
+
     def _has_silent(self, ranges, candidates):
         """Whether the fate of too many owners is open; their keys need the room."""
         silent = {each.owner for each in ranges} - candidates.keys()
--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -124,6 +124,8 @@
         Requests a second for all other keys that the target owns.
     refused : tuple of Hold
         What the target won't hold under its present token.
+    knows_holds : bool
+        Whether ``holds`` is what the target may hold; else it may hold anything.
     """
 
     number: int
@@ -136,6 +138,7 @@
     key_load: tuple[tuple[int, float], ...] = ()
     key_rest: float = 0.0
     refused: tuple[Hold, ...] = ()
+    knows_holds: bool = True
 
 
 @attrs.frozen
--- a/tamarackhaven/fleet/_placement.py
+++ b/tamarackhaven/fleet/_placement.py
@@ -196,8 +196,11 @@
     return moves
 
 
-def balance(ranges, shares, most_moves):
-    """Return moves from the most to the least used targets, a few at a time."""
+def balance(ranges, shares, most_moves, fixed=()):
+    """Return moves from the most to the least used targets, a few at a time.
+
+    Nothing moves away from the lives in ``fixed``.
+    """
     moves = []
     ranges = list(ranges)
     nothing = NEXT_TO_NOTHING * shares.mean_use()
@@ -205,7 +208,7 @@
     # Failure: one key is too hot for any target. Symptom: its owner stays the most used
     # one, nothing of it can move, and nobody else's keys move either. Enough: who has
     # nothing to give is passed over.
-    stuck = set()
+    stuck = set(fixed)
     while len(moves) < most_moves:
         taker, giver = shares.least(), shares.most(but=stuck)
         if giver is None:
--- a/tamarackhaven/sidecar/_called_holds.py
+++ b/tamarackhaven/sidecar/_called_holds.py
@@ -352,9 +352,13 @@
             for each in self._spans
         )
 
+    def is_known(self, now):
+        """Whether nothing runs any more that an earlier process told the target."""
+        return self._unknown_until_s is not None and now >= self._unknown_until_s
+
     def held(self, now):
         """Return what the target may hold, as a tuple of ``Hold``."""
-        if self._unknown_until_s is not None and now < self._unknown_until_s:
+        if not self.is_known(now):
             return (Hold(0, KEY_COUNT - 1, 0),)
         self._forget(now)
         return tuple(Hold(each.first, each.last, each.fence) for each in self._spans)
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -191,6 +191,7 @@
             key_load=key_load,
             key_rest=key_rest,
             refused=state.refused,
+            knows_holds=state.knows_holds(now),
         )
 
     def _take(self, message):
--- a/tamarackhaven/sidecar/_key_holds.py
+++ b/tamarackhaven/sidecar/_key_holds.py
@@ -92,6 +92,10 @@
     def held(self, now):
         """Return what the target may hold, as a tuple of ``Hold``."""
 
+    def is_known(self, now):
+        """Whether ``held`` is all that the target may hold."""
+        return True
+
     @property
     @abc.abstractmethod
     def settled(self):
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -169,6 +169,10 @@
         """Return what the target may hold, as a tuple of ``Hold``."""
         return self._keys.held(now) if self._keys else ()
 
+    def knows_holds(self, now):
+        """Whether ``held`` is all that the target may hold."""
+        return self._keys is not None and self._keys.is_known(now)
+
     @property
     def settled(self):
         """The newest grant that ``held`` reflects."""
--- a/tests/fleet/test_leadership.py
+++ b/tests/fleet/test_leadership.py
@@ -272,3 +272,36 @@
     (command,) = group.leader.tick(group.state, group.now)
     group.leader.not_taken(command)
     assert group.report(b).ranges == tuple(group.owned(b))
+
+
+def test_keys_that_a_target_refuses_get_a_new_token(group):
+    # A target has seen a higher token than its owner's. It refuses every order for these
+    # keys, and callers wait for an owner that is there and never serves.
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    row = group.owned(b)[0]
+    refused = (Hold(row.first, row.last, row.fence),)
+    settled = group.grant_by_life[b.life].grant
+    group.report(b, holds=refused, refused=refused, settled=settled)
+    assert group.tick() == [], "what it was told before may still hold"
+    group.report(b, refused=refused, settled=settled)
+    (command,) = group.tick()
+    assert [(r.first, r.last) for r in command.ranges] == [(row.first, row.last)]
+    ranges = group.state.ranges_by_service[SERVICE]
+    assert max(r.fence for r in ranges if r.first == row.first) > row.fence
+
+
+def test_no_load_is_moved_from_a_target_whose_holds_nobody_knows(group):
+    # All daemons restart, and a target joins. Keys that move now stay unserved until
+    # all has run out that the targets may have been told before.
+    a, b, c = target("a"), target("b"), target("c")
+    group.run(4 * SETTLE_S, a, b)
+    for who in (a, b):
+        group.report(who, holds=(Hold(0, 65535, 0),), knows_holds=False)
+    group.report(c)
+    group.tick()
+    assert not group.leader._moving
+    for who in (a, b):
+        group.beat(who)
+    group.tick()
+    assert group.leader._moving
