--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -5,7 +5,7 @@
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven.fleet import split
-from tamarackhaven.fleet._messages import DaemonHello, Report
+from tamarackhaven.fleet._messages import DaemonHello, KeysView, Report
 from tamarackhaven.net import HttpResponse, HttpServer, LinkServer, listen
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._control_link import ControlLink
@@ -201,10 +201,22 @@
             return
         if self.view.table is not before:
             self._configured()
+        if self._gives_keys(message):
+            self._control.kick()
         if self.view.zones_out != zones_before:
             self.log.say("zones out changed", zones=sorted(self.view.zones_out))
         self.inbound.target_changed()
 
+    def _gives_keys(self, message):
+        """Whether the target beside this daemon has become the owner of keys.
+
+        The lease on them comes in answer to a report, and the next one is due only
+        after some tenths of a second.
+        """
+        return isinstance(message, KeysView) and any(
+            each.owner == self.state.life for each in message.ranges
+        )
+
     def _configured(self):
         configuration = self.view.table.configuration
         for server in (self._callers, self._registry):
