--- a/tests/fleet/test_leadership.py
+++ b/tests/fleet/test_leadership.py
@@ -275,8 +275,8 @@
 
 
 def test_keys_that_a_target_refuses_get_a_new_token(group):
-    # A target has seen a higher token than its owner's. It refuses every order for these
-    # keys, and callers wait for an owner that is there and never serves.
+    # A target has seen a higher token than its owner's. It refuses every order for
+    # these keys, and callers wait for an owner that is there and never serves.
     a, b = target("a"), target("b")
     group.run(4 * SETTLE_S, a, b)
     row = group.owned(b)[0]
