--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -161,7 +161,14 @@
         owned = self._without_moving(owned, target.life)
         owned = self._without_undecided(owned, ranges)
         self.leases.granted(target.life, now)
-        return LeaseGrant(report.number, grant, self.leases.lease_s, target.life, owned)
+        return LeaseGrant(
+            report.number,
+            grant,
+            self.leases.lease_s,
+            target.life,
+            owned,
+            state.index_by_service.get(target.service, -1),
+        )
 
     def _without_moving(self, owned, life):
         """Leave out the pieces of ranges that are on the move."""
--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -157,6 +157,8 @@
         Which life of the target it is for.
     ranges : tuple of KeyRange
         All that this life may hold.
+    keys_index : int
+        Log index of the service's owners that the leader went by.
     """
 
     number: int
@@ -164,6 +166,7 @@
     lease_s: float
     life: str = ""
     ranges: tuple[KeyRange, ...] = ()
+    keys_index: int = -1
 
 
 @attrs.frozen
--- a/tamarackhaven/net/_link.py
+++ b/tamarackhaven/net/_link.py
@@ -102,7 +102,7 @@
         elif self.is_open:
             self._transport.write(_HEAD.pack(_PONG))
 
-    def probe(self, now, silent_s):
+    def probe(self, now, silent_s, quiet_s=0.0):
         """Ask whether the other end is there; abort a link that is silent.
 
         Parameters
@@ -111,14 +111,17 @@
             Seconds of the boot clock.
         silent_s : float
             An unanswered probe of this age shows that the link is dead.
+        quiet_s : float
+            A link that has brought something within this time is not asked.
         """
         if not self.is_open:
             return
-        if self._pinged_at_s is None:
+        if self._pinged_at_s is not None:
+            if now - max(self._pinged_at_s, self.heard_at_s) > silent_s:
+                self.abort()
+        elif now - self.heard_at_s >= quiet_s:
             self._pinged_at_s = now
             self._transport.write(_HEAD.pack(_PING))
-        elif now - max(self._pinged_at_s, self.heard_at_s) > silent_s:
-            self.abort()
 
     def abort(self):
         """Close at once; what is unsent is dropped."""
--- a/tamarackhaven/sidecar/_called_holds.py
+++ b/tamarackhaven/sidecar/_called_holds.py
@@ -145,6 +145,15 @@
 
     # What comes in.
 
+    def take_grant(self, grant, asked_s):
+        """Take in a grant; its lease counts from when it was asked for."""
+        former = self._grant
+        super().take_grant(grant, asked_s)
+        if self._grant is not None and (
+            former is None or former.ranges != self._grant.ranges
+        ):
+            self._cut(self._grant.ranges)
+
     def heard(self, beat, now):
         """Take in a heartbeat of this life; it says nothing about keys."""
         if self._unknown_until_s is None:
@@ -208,8 +217,6 @@
         if self._grant is None or now >= self._lease_until_s:
             return []
         wanted = self._grant.ranges
-        for row in wanted:
-            self._cut(row.first, row.last)
         return [*self._due_releases(wanted, now), *self._due_grants(wanted, now)]
 
     def _due_releases(self, wanted, now):
@@ -232,12 +239,16 @@
         if hold_s < SHORTEST_HOLD_S:
             return []
         orders = []
-        for row in sorted(wanted, key=self._held_until_s):
+        span_by_keys = {
+            (each.first, each.last, each.fence): each for each in self._spans
+        }
+        due = [(self._held_until_s(row, span_by_keys), row) for row in wanted]
+        due = [each for each in due if now + hold_s - each[0] >= RENEWED_S]
+        for _, row in sorted(due, key=lambda each: each[0]):
             if len(self._open(GrantOrder)) >= MOST_OPEN:
                 break
-            lasts_longer_s = now + hold_s - self._held_until_s(row)
             is_refused = Hold(row.first, row.last, row.fence) in self._refused
-            if lasts_longer_s < RENEWED_S or is_refused or self._is_open(row):
+            if is_refused or self._is_open(row):
                 continue
             order = GrantOrder(
                 next(self._numbers),
@@ -286,8 +297,11 @@
     def _inside(self, keys):
         return [span for span in self._spans if span.is_inside(keys)]
 
-    def _held_until_s(self, row):
+    def _held_until_s(self, row, span_by_keys):
         """Return until when the target certainly holds all keys of a granted row."""
+        same = span_by_keys.get((row.first, row.last, row.fence))
+        if same is not None and not same.is_released:
+            return same.held_until_s
         parts = [
             each
             for each in self._inside(row)
@@ -310,13 +324,14 @@
                 return release.handover
         return ""
 
-    def _cut(self, first, last):
-        """Split spans, so that each lies inside ``first`` to ``last`` or outside."""
-        edges = {first, last + 1}
+    def _cut(self, rows):
+        """Split spans, so that each lies inside one of ``rows`` or outside of all."""
+        edges = sorted({each.first for each in rows} | {each.last + 1 for each in rows})
         spans = []
         for span in self._spans:
-            starts = [span.first, *sorted(e for e in edges if _splits(e, span))]
-            ends = [*(start - 1 for start in starts[1:]), span.last]
+            inner = [edge for edge in edges if span.first < edge <= span.last]
+            starts = [span.first, *inner]
+            ends = [*(edge - 1 for edge in inner), span.last]
             spans += [
                 attrs.evolve(span, first=a, last=b)
                 for a, b in zip(starts, ends, strict=True)
@@ -380,7 +395,3 @@
 def _until_s(order):
     """Return when everything that a grant could give has run out."""
     return order.made_s + CALL_TIMEOUT_S + order.hold_s * HOLD_STRETCH
-
-
-def _splits(edge, span):
-    return span.first < edge <= span.last
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -69,6 +69,7 @@
             dialect,
             log.part("keys"),
             metrics,
+            self.inbound.keys_told,
             lambda: self._control.kick(),
         )
         self._runs = Runs(self.inbound)
@@ -232,6 +233,7 @@
 
     def _take_grant(self, grant, asked_s):
         self.state.take_grant(grant, asked_s)
+        self.inbound.keys_told()
         self._key_calls.kick()
 
     # The target.
@@ -242,6 +244,7 @@
         reply = self.state.take(beat, boot_s())
         after = self.state.target(boot_s())
         self._key_calls.heard()
+        self.inbound.keys_told()
         if before != after:
             self.log.say(
                 "target told",
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -10,6 +10,7 @@
 from tamarackhaven.sidecar._gate import Gate, Offer, Refuse, Start
 from tamarackhaven.sidecar._key_load import KeyLoad
 from tamarackhaven.sidecar._messages import Answered, GateLoad, Lost, NotRun
+from tamarackhaven.sidecar._pulse import Pulse
 from tamarackhaven.sidecar._target_client import SendEnd, TargetClient
 
 # The target answers a deadline that it keeps itself a little earlier, so that its
@@ -18,9 +19,12 @@
 # An owner in a zone that is out serves its keys for this part of the allowed time; the
 # rest covers a daemon that hears of the change late.
 ZONE_GRACE_PART = 0.4
-# A request for a key that is about to arrive looks for it so often; the answer to the
-# target's heartbeat decides, there is nothing else to wait for.
-KEY_POLL_S = 0.02
+# A request for a key that is about to arrive looks for it so often, and whenever the
+# target was told of keys.
+KEY_POLL_S = 0.1
+# Load: a daemon that is cut off from the control VMs, and its target's new keys. Harm:
+# callers are held for a lease that doesn't come. Limit: this part of the time left.
+KEY_PATIENCE = 0.5
 # The gate is asked again when nothing else happens, so that a request that can't
 # start in time any more is told so.
 SETTLE_S = 0.05
@@ -66,6 +70,8 @@
         self._key_load = KeyLoad()
         self._refused_since_s = None
         self._refusals = 0
+        self._told = Pulse()
+        self._settling = None
         self.on_ended = lambda: None
         # Failure: requests for this target's keys keep coming until the process must
         # end. Symptom: those that run then are cut. Enough: nothing new starts in the
@@ -105,6 +111,10 @@
         self._follow_cold()
         self._carry_out(self._gate.settle(boot_s()))
 
+    def keys_told(self):
+        """Wake the requests for keys that the target may have been told to hold."""
+        self._told.set()
+
     def _follow_cold(self):
         service = self._view.service(self._state.heartbeat)
         if service is None or not self._state.is_cold(boot_s()):
@@ -173,16 +183,33 @@
         kind = self._closed(forward)
         if kind is not None or forward.key < 0:
             return kind
+        now = boot_s()
+        patience_s = now + KEY_PATIENCE * (deadline_s - now)
         while not self._state.holds(forward.key, boot_s()):
-            # The keys are on their way: the target hears of them at its next
-            # heartbeat. A refusal would send the caller away for longer than that.
-            if not self._state.is_granted(forward.key, boot_s()):
+            # The keys are on their way: the target is told of them within a heartbeat.
+            # A refusal would send the caller away for longer than that.
+            if not self._is_coming(forward):
                 return ErrorKind.NOT_OWNER
-            if boot_s() + KEY_POLL_S >= deadline_s:
+            if boot_s() + KEY_POLL_S >= patience_s:
                 return ErrorKind.MOVING
-            await asyncio.sleep(KEY_POLL_S)
+            await self._told.wait(KEY_POLL_S)
+            if self._closed(forward) is not None:
+                break
         return self._closed(forward)
 
+    def _is_coming(self, forward):
+        """Whether the target is about to be told to hold a request's key.
+
+        Its daemon may have heard of the new owner and not yet have got the lease. A
+        lease that goes by the same owners and leaves the key out means that it leaves.
+        """
+        if self._state.is_granted(forward.key, boot_s()):
+            return True
+        owner = self._view.owner(forward.service, forward.key)
+        is_ours = owner is not None and owner.life == self._state.life
+        known = self._view.keys_index(forward.service)
+        return is_ours and self._state.keys_index < known
+
     def _not_held(self, forward):
         held = forward.key < 0 or self._state.holds(forward.key, boot_s())
         return None if held else ErrorKind.NOT_OWNER
@@ -221,11 +248,11 @@
             return None
         future = asyncio.get_running_loop().create_future()
         self._start_by_number[offer.number] = future
+        if self._settling is None:
+            self._settle_later()
         try:
-            while not future.done():
-                await asyncio.wait([future], timeout=SETTLE_S)
-                self._follow_cold()
-                self._carry_out(self._gate.settle(boot_s()))
+            # Not awaited itself: a caller that leaves must not cancel the decision.
+            await asyncio.wait([future])
         except asyncio.CancelledError:
             if future.done() and isinstance(future.result(), Start):
                 self._carry_out(self._gate.finish(offer.number, False, boot_s()))
@@ -236,6 +263,18 @@
         decision = future.result()
         return decision if isinstance(decision, Refuse) else None
 
+    def _settle_later(self):
+        loop = asyncio.get_running_loop()
+        self._settling = loop.call_later(SETTLE_S, self._settle)
+
+    def _settle(self):
+        """Ask the gate again, as long as requests wait there."""
+        self._settling = None
+        self._follow_cold()
+        self._carry_out(self._gate.settle(boot_s()))
+        if self._start_by_number:
+            self._settle_later()
+
     def _carry_out(self, decisions):
         for decision in decisions:
             future = self._start_by_number.get(decision.number)
--- a/tamarackhaven/sidecar/_key_calls.py
+++ b/tamarackhaven/sidecar/_key_calls.py
@@ -34,12 +34,12 @@
         Of the part ``keys``.
     metrics : Metrics
         Of the process.
-    on_released : callable
-        Called once the target has let go of keys.
+    on_held, on_released : callable
+        Called once the target holds keys, and once it has let go of some.
     """
 
     def __init__(
-        self, state, client, grants_client, dialect, log, metrics, on_released
+        self, state, client, grants_client, dialect, log, metrics, on_held, on_released
     ):
         self._state = state
         self._client = client
@@ -47,6 +47,7 @@
         self._dialect = dialect
         self._log = log
         self._metrics = metrics
+        self._on_held = on_held
         self._on_released = on_released
         self._tasks = set()
 
@@ -110,6 +111,8 @@
         if end is OrderEnd.DONE:
             if is_release:
                 self._on_released()
+            else:
+                self._on_held()
             self.kick()
 
     async def _call(self, order):
--- a/tamarackhaven/sidecar/_key_holds.py
+++ b/tamarackhaven/sidecar/_key_holds.py
@@ -61,6 +61,11 @@
             return False
         return _covers(self._grant.ranges, key)
 
+    @property
+    def keys_index(self):
+        """Log index of the owners that the newest grant goes by, -1 without one."""
+        return self._grant.keys_index if self._grant else -1
+
     def _longest_hold_s(self, now, delay_s=0.0):
         """Return for how long the target may be told to hold, below 0 if not at all.
 
--- a/tamarackhaven/sidecar/_peers.py
+++ b/tamarackhaven/sidecar/_peers.py
@@ -27,8 +27,9 @@
 )
 from tamarackhaven.sidecar._runs import REATTACH_S
 
-# While requests wait, a silent link is probed so often, and given up after so long:
-# a link between zones answers within milliseconds.
+# While requests wait, a link that has been quiet for so long is probed, and given up
+# after so long: a link between zones answers within milliseconds. Most answers come
+# sooner; a probe with each request would double what crosses zones in small packets.
 PROBE_S = 0.25
 SILENT_S = 0.75
 REDIAL_S = 0.05
@@ -133,8 +134,8 @@
             while self._open_by_number:
                 link = self._link
                 if link is not None and link.is_open:
-                    link.probe(boot_s(), SILENT_S)
                     await asyncio.sleep(PROBE_S)
+                    link.probe(boot_s(), SILENT_S, PROBE_S)
                 else:
                     await self._dial()
         finally:
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -165,6 +165,11 @@
         """Whether the target holds ``key`` or is about to be told to."""
         return self._keys is not None and self._keys.is_granted(key, now)
 
+    @property
+    def keys_index(self):
+        """Log index of the owners that the newest grant goes by, -1 without one."""
+        return self._keys.keys_index if self._keys else -1
+
     def held(self, now):
         """Return what the target may hold, as a tuple of ``Hold``."""
         return self._keys.held(now) if self._keys else ()
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -1,6 +1,5 @@
 """What a daemon knows from the control group; it never goes back to older state."""
 
-import asyncio
 import functools
 
 from tamarackhaven._clock import boot_s
@@ -15,6 +14,7 @@
 from tamarackhaven.fleet._model import TargetPhase
 from tamarackhaven.fleet._ranges import RangeIndex, assigned
 from tamarackhaven.routing import Configuration, RouteTable, edited
+from tamarackhaven.sidecar._pulse import Pulse
 
 
 class View:
@@ -30,7 +30,7 @@
         self._lives_by_service = {}
         self._keys_by_service = {}
         self._index_by_part = {}
-        self._changed = asyncio.Event()
+        self._changed = Pulse()
 
     @property
     def state_index(self):
@@ -120,15 +120,11 @@
 
     def _wake(self):
         self._changed.set()
-        self._changed = asyncio.Event()
         return True
 
     async def changed(self, timeout_s):
         """Wait for the next change, ``timeout_s`` seconds at most."""
-        try:
-            await asyncio.wait_for(self._changed.wait(), timeout_s)
-        except TimeoutError:
-            return
+        await self._changed.wait(timeout_s)
 
     # Questions.
 
@@ -149,6 +145,10 @@
             return None
         return self.target_by_life.get(index.find(key).owner)
 
+    def keys_index(self, service):
+        """Return the log index of a service's owners, -1 if they are not known."""
+        return self._index_by_part.get(_keys_part(service), -1)
+
     def choices(self, service):
         """Return the targets of a service that may get new requests."""
         return [
