--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -11,7 +11,7 @@
 from tamarackhaven.net import HttpResponse
 from tamarackhaven.routing import RequestKind, Splitter
 from tamarackhaven.sidecar._budget import RepeatBudget
-from tamarackhaven.sidecar._choice import Chooser
+from tamarackhaven.sidecar._choice import Chooser, has_failed
 from tamarackhaven.sidecar._messages import (
     Answered,
     Forward,
@@ -380,16 +380,11 @@
             self._chooser.ended(target.life, asked.route.name, None, None, now)
             return
         is_away = end.kind in _AWAY if isinstance(end, NotRun) else False
-        failed = None
-        if isinstance(end, Answered):
-            failed = end.status >= 500
-        elif not isinstance(end, NotRun):
-            failed = True
         if isinstance(end, Answered) or not isinstance(end, NotRun) or end.was_offered:
             asked.sends += 1
         # An end that this daemon concluded by itself says nothing of the load there.
         load = end.load if end.load != GateLoad() else None
-        self._chooser.ended(target.life, asked.route.name, load, failed, now)
+        self._chooser.ended(target.life, asked.route.name, load, has_failed(end), now)
         if is_away:
             self._chooser.unreachable(target.life, now)
         self._log.say(
--- a/tamarackhaven/sidecar/_choice.py
+++ b/tamarackhaven/sidecar/_choice.py
@@ -8,6 +8,9 @@
 
 import attrs
 
+from tamarackhaven.errors import ErrorKind
+from tamarackhaven.sidecar._messages import Answered, NotRun
+
 # What a daemon said of its load fades: with 100 ms of work a second is ten turns.
 LOAD_LIFE_S = 2.0
 # Before any answer, all targets count as equal.
@@ -183,6 +186,20 @@
                 del self._seen_by_life[life]
 
 
+def has_failed(end):
+    """Tell whether the end of a request speaks against its target; None for neither.
+
+    Load: a target that turns away part of what it gets, though it has room. Harm: it
+    looks idle, so that more and more goes there. Limit: it counts as failing by that
+    part, as if it had run and failed.
+    """
+    if isinstance(end, Answered):
+        return end.status >= 500
+    if isinstance(end, NotRun) and end.kind != ErrorKind.TARGET_REFUSED.name:
+        return None
+    return True
+
+
 def _kept(age_s):
     """Return the part of something heard that still counts at this age."""
     return 0.5 ** (age_s / WORK_HALF_LIFE_S)
--- a/tests/sidecar/test_choice.py
+++ b/tests/sidecar/test_choice.py
@@ -2,9 +2,10 @@
 
 import pytest
 
+from tamarackhaven.errors import ErrorKind
 from tamarackhaven.fleet._model import Target
-from tamarackhaven.sidecar._choice import FIRST_PAUSE_S, Chooser
-from tamarackhaven.sidecar._messages import GateLoad
+from tamarackhaven.sidecar._choice import FIRST_PAUSE_S, Chooser, has_failed
+from tamarackhaven.sidecar._messages import Answered, GateLoad, Lost, NotRun
 
 
 def target(name, zone="a", slots=10):
@@ -95,5 +96,23 @@
     assert chooser.pick([A, B], "r", 0.1) is B
 
 
+def test_one_that_turns_requests_away_is_avoided(chooser):
+    # A faulty target refuses half of what it gets. It runs little, so it looks like the
+    # one with most room, and gets most of all requests.
+    refused = NotRun(1, ErrorKind.TARGET_REFUSED.name, was_offered=True)
+    answered = Answered(2, 200, (), b"")
+    for number in range(10):
+        end = refused if number % 2 else answered
+        tell(chooser, A, failed=has_failed(end), running=1)
+        tell(chooser, B, failed=has_failed(answered), running=9, work_ms=150.0)
+    assert chooser.pick([A, B], "r", 0.1) is B
+
+
+def test_a_full_gate_does_not_speak_against_its_target():
+    assert has_failed(NotRun(1, ErrorKind.QUEUE_FULL.name)) is None
+    assert has_failed(Lost(1, ErrorKind.TARGET_SENT_NOTHING.name))
+    assert has_failed(Answered(1, 500, (), b""))
+
+
 def test_those_tried_already_are_avoided(chooser):
     assert chooser.pick([A], "r", 0.0, {A.life}) is None
