--- a/tamarackhaven/_raft.py
+++ b/tamarackhaven/_raft.py
@@ -75,7 +75,7 @@
         self._election = None
         self._leadership = None
         self._receiver = _raft_follower.SnapshotReceiver()
-        self._reset_election_timer()
+        self._start_election_timer()
 
     # What others may see.
 
@@ -218,6 +218,17 @@
         heard_lately = self._now - self._heard_at < self._core.election_s
         return self._leadership is not None or heard_lately
 
+    def _start_election_timer(self):
+        """Wait for a first election.
+
+        Load: all members start at once, and nobody leads. Harm: everything waits for a
+        whole election timeout although there is no leader that could be late. Limit:
+        where one does lead, the others hear it and refuse the pre-vote.
+        """
+        settings = self._core.settings
+        first_s = (settings.first_election_ms or settings.election_ms) / 1000
+        self._election_due = self._now + first_s * (1 + self._rng.random())
+
     def _reset_election_timer(self):
         wait = self._core.election_s * (1 + self._rng.random())
         self._election_due = self._now + wait
--- a/tamarackhaven/_settings.py
+++ b/tamarackhaven/_settings.py
@@ -90,6 +90,8 @@
     ----------
     heartbeat_ms, election_ms : int
         An election starts after ``election_ms`` to twice that without a leader.
+    first_election_ms : int
+        The same for a member that has just started; 0 for no difference.
     batch_entries : int
         Most entries in one message.
     snapshot_entries : int
@@ -100,6 +102,7 @@
 
     heartbeat_ms: int = _whole(50, 5, 5_000)
     election_ms: int = _whole(300, 50, 30_000)
+    first_election_ms: int = _whole(0, 0, 30_000)
     batch_entries: int = _whole(256, 1, 10_000)
     snapshot_entries: int = _whole(4096, 16, 1_000_000)
     chunk_bytes: int = _whole(256 * 1024, 1024, 4 * 1024 * 1024)
--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -34,7 +34,7 @@
 from tamarackhaven.net import LinkServer, Packed, listen
 
 # Heartbeats cross zones in a millisecond; a leader is missed after five of them.
-RAFT = RaftSettings(heartbeat_ms=100, election_ms=500)
+RAFT = RaftSettings(heartbeat_ms=100, election_ms=500, first_election_ms=200)
 # The leader looks at targets, keys and members so often.
 TICK_S = 0.1
 # Reports that come within this time share one round of heartbeats; it delays a lease
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -24,7 +24,7 @@
 )
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tests import golden
-from tests.raft_group import Group, membership
+from tests.raft_group import SETTINGS, Group, membership
 
 
 def session(*names, leader=None):
@@ -142,6 +142,39 @@
     assert {node.term for node in group.nodes.values()} == {term}
 
 
+def test_members_that_start_together_elect_a_leader_sooner():
+    """Callers wait for a leader after a loss of power that nobody could have led.
+
+    All members start at the same moment. None of them can have missed a leader's
+    heartbeat, so there is no reason to wait a whole election timeout for one.
+    """
+    settings = attrs.evolve(SETTINGS, election_ms=500, first_election_ms=100)
+    group = Group("a", "b", "c", settings=settings)
+    group.run(0.3)
+    assert group.leader()
+
+
+def test_member_that_restarts_deposes_no_leader_by_its_short_first_wait():
+    """Callers see no pause when one member restarts while another leads.
+
+    It runs out of patience before it hears the leader, and asks for pre-votes. The
+    others hear the leader and refuse.
+    """
+    settings = attrs.evolve(SETTINGS, election_ms=500, first_election_ms=20)
+    group = Group("a", "b", "c", settings=settings)
+    group.run(1.0)
+    leader, term = group.leader(), group.nodes[group.leader()].term
+    other = next(name for name in group.nodes if name != leader)
+    group.crash(other)
+    group.start(other)
+    group.blocked |= {(leader, other)}
+    group.run(0.2)
+    group.heal()
+    group.run(0.5)
+    assert group.leader() == leader
+    assert group.nodes[leader].term == term
+
+
 def test_leader_that_hears_nobody_steps_down():
     """A caller of a leader on the far side of a partition gets no stale answer.
 
