--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -118,7 +118,7 @@
         service = ""
         route = ""
         try:
-            asked = self._read(request)
+            asked = await self._read(request)
             attempt_id = asked.request.attempt_id
             service = asked.spec.name
             route = asked.route.name
@@ -151,16 +151,12 @@
         table = self._view.table
         return table.configuration.version if table else 0
 
-    def _read(self, request):
+    async def _read(self, request):
         """Return the ``_Asked`` of a request."""
-        table = self._view.table
         if self.is_closing:
             raise TamarackhavenError(ErrorKind.DRAINING, "", UNKNOWN_RETRY_S)
-        if table is None:
-            raise TamarackhavenError(
-                ErrorKind.STATE_STALE, "no configuration is known yet", UNKNOWN_RETRY_S
-            )
         caller = self._dialect.read_request(request)
+        table = await self._table(request, caller)
         route = table.find(caller.host, request.path)
         if route is None:
             raise TamarackhavenError(ErrorKind.UNKNOWN_SERVICE, request.path)
@@ -174,6 +170,27 @@
         objective_s = request.arrived_s + route.objective_s
         return _Asked(caller, route, spec, request.arrived_s, deadline_s, objective_s)
 
+    async def _table(self, request, caller):
+        """Return the ``RouteTable``, once there is one.
+
+        Load: all daemons start at once and must hear of the configuration first. Harm:
+        each caller is sent away in the tenths of a second that this takes, and many
+        have no other try. Limit: half of the time that a caller has.
+        """
+        time_s = UNKNOWN_RETRY_S
+        if caller.deadline_ms is not None:
+            time_s = OWNER_PATIENCE * caller.deadline_ms / 1000
+        patience_s = request.arrived_s + time_s
+        while self._view.table is None:
+            if boot_s() >= patience_s:
+                raise TamarackhavenError(
+                    ErrorKind.STATE_STALE,
+                    "no configuration is known yet",
+                    UNKNOWN_RETRY_S,
+                )
+            await self._view.changed(patience_s - boot_s())
+        return self._view.table
+
     async def _serve(self, asked):
         """Return the target's ``Answered``, or raise."""
         self._budget(asked.spec.name).request(boot_s())
--- /dev/null
+++ b/tests/sidecar/test_callers.py
@@ -0,0 +1,123 @@
+"""A caller's request at its own daemon, with the rest of the fleet played."""
+
+import asyncio
+
+import attrs
+
+from tamarackhaven._clock import boot_s
+from tamarackhaven._metrics import Metrics
+from tamarackhaven.errors import ErrorKind
+from tamarackhaven.fleet import DaemonSettings
+from tamarackhaven.fleet._messages import ConfigurationView, TargetsView
+from tamarackhaven.fleet._model import Target
+from tamarackhaven.net import HttpRequest, HttpResponse
+from tamarackhaven.routing import (
+    Configuration,
+    RequestKind,
+    Route,
+    ServiceSpec,
+    WeightedService,
+)
+from tamarackhaven.sidecar import CallerRequest
+from tamarackhaven.sidecar._callers import Callers
+from tamarackhaven.sidecar._messages import Answered
+from tamarackhaven.sidecar._view import View
+
+ADDRESS = "10.0.0.1:80"
+SETTINGS = DaemonSettings(
+    name="vm",
+    zone="a",
+    callers=ADDRESS,
+    readiness=ADDRESS,
+    registry=ADDRESS,
+    links=ADDRESS,
+    target=ADDRESS,
+    service="s",
+)
+LIFE = "i@1@h:1"
+CONFIGURATION = Configuration(
+    1,
+    (ServiceSpec("s"),),
+    (Route("r", "h", "/", RequestKind.SAFE, (WeightedService("s", 1.0),), 2.0, 1.0),),
+)
+
+
+class Log:
+    def say(self, sentence, **fields):
+        pass
+
+
+class Dialect:
+    """Reads nothing from the request but its time."""
+
+    def __init__(self, deadline_ms):
+        self.deadline_ms = deadline_ms
+
+    def read_request(self, request):
+        return CallerRequest(
+            "a", self.deadline_ms, None, "h", "GET", request.target, (), b""
+        )
+
+    def refusal(self, error):
+        return HttpResponse(503, ((b"Kind", error.kind.name.encode()),))
+
+
+@attrs.define
+class State:
+    life: str = LIFE
+
+
+class Runs:
+    """Answers each forward at once."""
+
+    async def run(self, key, forward):
+        return Answered(forward.number, 200, (), b"done")
+
+
+class Peers:
+    def is_leaving(self, address):
+        return False
+
+
+def ask(view, deadline_ms, *events):
+    """Return the response to a request, and how long it took; events as (s, action)."""
+
+    async def main():
+        callers = Callers(
+            SETTINGS,
+            view,
+            State(),
+            Dialect(deadline_ms),
+            Runs(),
+            Peers(),
+            Log(),
+            Metrics(),
+        )
+        for delay_s, action in events:
+            asyncio.get_running_loop().call_later(delay_s, action)
+        began_s = boot_s()
+        request = HttpRequest("GET", "/x", (), b"", began_s)
+        response = await callers.handle(request)
+        return response, boot_s() - began_s
+
+    return asyncio.run(main())
+
+
+def tell(view):
+    view.take(TargetsView(1, (Target(LIFE, "i", 1, "s", "a", "h", 1, 4),)))
+    view.take(ConfigurationView(1, CONFIGURATION))
+
+
+def test_a_request_waits_for_the_first_configuration():
+    # All daemons were killed and start again. A caller that is sent away now has no
+    # other try, while the configuration is there in some tenths of a second.
+    view = View()
+    response, took_s = ask(view, 2000.0, (0.2, lambda: tell(view)))
+    assert response.status == 200
+    assert took_s >= 0.2
+
+
+def test_a_request_waits_half_of_its_time_at_most():
+    response, took_s = ask(View(), 400.0)
+    assert response.headers == ((b"Kind", ErrorKind.STATE_STALE.name.encode()),)
+    assert 0.19 <= took_s < 2.0
