--- a/tamarackhaven/sidecar/_gate.py
+++ b/tamarackhaven/sidecar/_gate.py
@@ -39,6 +39,17 @@
 SHORT_PART = 0.6
 
 
+# Load: a zone comes back cold, with the demand of before. Harm: at the cold rate alone
+# most of it is turned away, though targets fall over only well above that. Limit: so
+# many times the cold rate; half as much again is too much.
+COLD_USE = 1.25
+
+
+def cold_starts(per_s):
+    """Return the starts in any second that a cold target is given; at least 1."""
+    return max(int(COLD_USE * per_s), 1)
+
+
 @attrs.frozen
 class Offer:
     """A request at the gate; times in seconds of the boot clock.
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -7,7 +7,7 @@
 from tamarackhaven._clock import boot_s
 from tamarackhaven.errors import ErrorKind
 from tamarackhaven.sidecar._dialect import Verdict
-from tamarackhaven.sidecar._gate import Gate, Offer, Refuse, Start
+from tamarackhaven.sidecar._gate import Gate, Offer, Refuse, Start, cold_starts
 from tamarackhaven.sidecar._key_load import KeyLoad
 from tamarackhaven.sidecar._messages import Answered, GateLoad, Lost, NotRun
 from tamarackhaven.sidecar._pulse import Pulse
@@ -120,8 +120,7 @@
         if service is None or not self._state.is_cold(boot_s()):
             self._gate.set_cold(None)
             return
-        # A slack in the allowance covers what crosses a second's border, no more.
-        self._gate.set_cold(max(int(service.cold_per_s), 1))
+        self._gate.set_cold(cold_starts(service.cold_per_s))
 
     def expected_wait_s(self, query):
         """Return about how long a request would wait, None if none is taken."""
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tamarackhaven.errors import ErrorKind
-from tamarackhaven.sidecar._gate import Gate, Offer, Refuse, Start
+from tamarackhaven.sidecar._gate import Gate, Offer, Refuse, Start, cold_starts
 
 MIDDLE = 0.5
 
@@ -97,6 +97,14 @@
         assert sum(first <= at < first + 0.999 for at in started) <= 5
 
 
+@pytest.mark.parametrize(("per_s", "starts"), [(14.0, 17), (4.6, 5), (0.3, 1)])
+def test_a_cold_target_gets_a_little_more_than_its_rate(per_s, starts):
+    # A zone comes back cold: at the bare rate most callers are turned away, while half
+    # as much again would make the targets fall over.
+    assert cold_starts(per_s) == starts
+    assert cold_starts(per_s) < 1.5 * per_s + 1
+
+
 def test_a_refusal_of_a_cold_target_says_so():
     made = gate(slots=100)
     made.set_cold(1)
