--- a/tamarackhaven/_control.py
+++ b/tamarackhaven/_control.py
@@ -17,7 +17,8 @@
 from tamarackhaven._loop import LoopThread
 from tamarackhaven._machine import Machine
 from tamarackhaven._members import Member, Membership
-from tamarackhaven._metrics import Metrics, metrics_server
+from tamarackhaven._metrics import Metrics
+from tamarackhaven._metrics_app import metrics_server
 from tamarackhaven._model import TargetState, ZoneState
 from tamarackhaven._peers import FenceAnswer, Peers
 from tamarackhaven._raft import Role
--- a/tamarackhaven/_control_process.py
+++ b/tamarackhaven/_control_process.py
@@ -4,7 +4,8 @@
 
 from tamarackhaven._control import Control
 from tamarackhaven._control_client import ControlClient
-from tamarackhaven._logs import Log, open_logs
+from tamarackhaven._eliot_lines import open_logs
+from tamarackhaven._logs import Log
 from tamarackhaven._storage import Storage
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
--- a/tamarackhaven/_daemon.py
+++ b/tamarackhaven/_daemon.py
@@ -14,7 +14,7 @@
 from tamarackhaven._grants import Grants
 from tamarackhaven._http_server import MAX_HEADER_BYTES, HttpServer
 from tamarackhaven._ledger import Ledger
-from tamarackhaven._metrics import metrics_server
+from tamarackhaven._metrics_app import metrics_server
 from tamarackhaven._model import PolicyMode, ZoneState
 from tamarackhaven._owner import Owner
 from tamarackhaven._owner_route import OwnerRoute
--- a/tamarackhaven/_daemon_process.py
+++ b/tamarackhaven/_daemon_process.py
@@ -9,11 +9,12 @@
 from tamarackhaven._changes import JoinTarget, LeaveTarget, RetireTarget
 from tamarackhaven._control_client import ControlClient
 from tamarackhaven._daemon import Daemon
+from tamarackhaven._eliot_lines import open_logs
 from tamarackhaven._fetch_pace import RETRY_S as FETCH_RETRY_S, FetchPace
 from tamarackhaven._handover import ArrivedParts, Handover
 from tamarackhaven._lease_client import LeaseClient
 from tamarackhaven._load_reports import LoadReports
-from tamarackhaven._logs import Log, open_logs
+from tamarackhaven._logs import Log
 from tamarackhaven._members import Member, Membership
 from tamarackhaven._metrics import Metrics
 from tamarackhaven._model import Address, TargetState, ZoneState
--- a/tamarackhaven/_logs.py
+++ b/tamarackhaven/_logs.py
@@ -1,11 +1,8 @@
-"""Logs: JSON lines by ``eliot``, a short sentence with the fixed prefix of its part."""
+"""Logs: short sentences with the fixed prefix of their part, as JSON lines."""
 
-import pathlib
-import sys
 import threading
 
 import attrs
-import eliot
 
 from tamarackhaven._clock import boot_s
 
@@ -96,36 +93,7 @@
         self._window_by_sentence[sentence] = window
 
 
-def _write_eliot(part, **fields):
-    eliot.log_message(message_type=f"tamarackhaven:{part}", **fields)
+def _write_eliot(**fields):
+    from tamarackhaven import _eliot_lines
 
-
-def open_logs(settings, data_folder):
-    """Send all lines to the file of the settings, or to standard error.
-
-    Parameters
-    ----------
-    settings : LogSettings
-        The file's name below the data folder; empty for standard error.
-    data_folder : str or Path
-        Made if it is not there.
-
-    Returns
-    -------
-    callable
-        Ends the writing and closes the file.
-    """
-    file = sys.stderr
-    if settings.file:
-        path = pathlib.Path(data_folder) / settings.file
-        path.parent.mkdir(parents=True, exist_ok=True)
-        file = path.open("a", encoding="utf-8")
-    destination = eliot.FileDestination(file=file)
-    eliot.add_destinations(destination)
-
-    def close():
-        eliot.remove_destination(destination)
-        if settings.file:
-            file.close()
-
-    return close
+    _eliot_lines.write_line(**fields)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,7 +2,8 @@
 
 import json
 
-from tamarackhaven._logs import WINDOW_S, Log, open_logs
+from tamarackhaven._eliot_lines import open_logs
+from tamarackhaven._logs import WINDOW_S, Log
 from tamarackhaven._settings import LogSettings
 
 
