--- a/tamarackhaven/net/_link.py
+++ b/tamarackhaven/net/_link.py
@@ -13,6 +13,8 @@
 # Load: a peer that stops reading. Harm: what waits for it fills this process's memory.
 # Limit: some thousand usual messages; beyond it the link is as good as dead.
 MAX_UNSENT_BYTES = 80 << 20
+# Larger frames are not copied once more to stand in one write with their length.
+LARGE_FRAME_BYTES = 65_536
 # Frames without a message: a question whether the other end is there, and the answer.
 _PING = 0xFFFF_FFFF
 _PONG = 0xFFFF_FFFE
@@ -44,6 +46,7 @@
         self._buffer = bytearray()
         self._transport = None
         self._pinged_at_s = None
+        self._unsent_bytes = 0
         self.heard_at_s = boot_s()
 
     @property
@@ -72,7 +75,8 @@
             end = _HEAD.size + size
             if len(self._buffer) < end:
                 return
-            frame = bytes(self._buffer[_HEAD.size : end])
+            with memoryview(self._buffer) as view:
+                frame = bytes(view[_HEAD.size : end])
             del self._buffer[:end]
             try:
                 message = self._codec.unpack(frame)
@@ -93,7 +97,11 @@
         if self._transport.get_write_buffer_size() + len(data) > MAX_UNSENT_BYTES:
             self.abort()
             return False
-        self._transport.write(_HEAD.pack(len(data)) + data)
+        if len(data) > LARGE_FRAME_BYTES:
+            self._transport.write(_HEAD.pack(len(data)))
+            self._transport.write(data)
+        else:
+            self._transport.write(_HEAD.pack(len(data)) + data)
         return True
 
     def _on_probe(self, kind):
@@ -116,6 +124,7 @@
         """
         if not self.is_open:
             return
+        self._note_progress(now)
         if self._pinged_at_s is not None:
             if now - max(self._pinged_at_s, self.heard_at_s) > silent_s:
                 self.abort()
@@ -123,6 +132,18 @@
             self._pinged_at_s = now
             self._transport.write(_HEAD.pack(_PING))
 
+    def _note_progress(self, now):
+        """Count bytes that the other end takes as a sign of it.
+
+        Failure: a large message fills a slow link, and the answer to a probe waits
+        behind it. Symptom: a link that works is given up, with all it carries. Enough:
+        as long as what is unsent shrinks, the other end acknowledges.
+        """
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes < self._unsent_bytes:
+            self.heard_at_s = now
+        self._unsent_bytes = unsent_bytes
+
     def abort(self):
         """Close at once; what is unsent is dropped."""
         if self._transport is not None:
--- a/tamarackhaven/sidecar/_peers.py
+++ b/tamarackhaven/sidecar/_peers.py
@@ -33,6 +33,9 @@
 PROBE_S = 0.25
 SILENT_S = 0.75
 REDIAL_S = 0.05
+# Larger bodies go over a link of their own; on the smallest links of VMs, some megabits
+# a second, this takes some hundredths of a second.
+BULK_BYTES = 16_384
 # A question for a place takes some milliseconds; a daemon that is busier than that is
 # no better than the others.
 ASK_TIMEOUT_S = 0.04
@@ -219,11 +222,18 @@
 
 
 class Peers:
-    """All other daemons that requests were sent to."""
+    """All other daemons that requests were sent to.
+
+    Load: bodies of hundreds of kilobytes on a VM's small link. Harm: short calls stand
+    behind them, and so do the answers to probes, so that the link counts as dead and
+    all that it carries is lost. Limit: large bodies have a link of their own, which the
+    other daemon knows as that of another run.
+    """
 
     def __init__(self, boot):
         self._boot = boot
         self._peer_by_address = {}
+        self._bulk_peer_by_address = {}
 
     def _peer(self, address):
         peer = self._peer_by_address.get(address)
@@ -231,23 +241,34 @@
             peer = self._peer_by_address[address] = _Peer(address, self._boot)
         return peer
 
+    def _bulk_peer(self, address):
+        peer = self._bulk_peer_by_address.get(address)
+        if peer is None:
+            peer = _Peer(address, f"{self._boot}/bulk")
+            self._bulk_peer_by_address[address] = peer
+        return peer
+
     async def ask(self, address, query):
         """Return the wait at the daemon at ``address`` in seconds, None if unknown."""
         return await self._peer(address).ask(query)
 
     async def run(self, address, forward, deadline_s, objective_s):
         """Run a request at the daemon at ``address``; return its end."""
-        return await self._peer(address).run(forward, deadline_s, objective_s)
+        is_bulk = len(forward.body) > BULK_BYTES
+        peer = self._bulk_peer(address) if is_bulk else self._peer(address)
+        return await peer.run(forward, deadline_s, objective_s)
 
     def is_leaving(self, address):
         """Whether the daemon at ``address`` said that it stops soon."""
-        peer = self._peer_by_address.get(address)
-        return peer is not None and peer.is_leaving
+        peers = self._peer_by_address, self._bulk_peer_by_address
+        known = [each[address] for each in peers if address in each]
+        return any(peer.is_leaving for peer in known)
 
     def close(self):
         """Close all links."""
-        for peer in self._peer_by_address.values():
-            peer.close()
+        for peers in (self._peer_by_address, self._bulk_peer_by_address):
+            for peer in peers.values():
+                peer.close()
 
 
 class PeerServer:
--- a/tests/sidecar/test_peers.py
+++ b/tests/sidecar/test_peers.py
@@ -15,7 +15,7 @@
     NotRun,
     WaitQuery,
 )
-from tamarackhaven.sidecar._peers import Peers, PeerServer
+from tamarackhaven.sidecar._peers import BULK_BYTES, Peers, PeerServer
 from tamarackhaven.sidecar._runs import Runs
 
 FORWARD = Forward(
@@ -134,6 +134,21 @@
     run(test)
 
 
+def test_a_large_body_goes_over_a_link_of_its_own():
+    # A body fills the small link of a VM for seconds. On the same link, a short call
+    # would wait behind it until the work that it belongs to is too late.
+    async def test(pair):
+        pair.target.may_end.set()
+        await pair.forward()
+        assert len(pair.links.links) == 1
+        large = await pair.forward(number=2, body=bytes(BULK_BYTES + 1))
+        assert large.body == b"done"
+        assert len(pair.links.links) == 2
+        assert pair.target.ran == [1, 2]
+
+    run(test)
+
+
 def test_what_a_restarted_daemon_had_is_lost_and_not_run_again():
     async def test(pair):
         waiting = pair.forward(is_safe=False)
