Bound the bytes of callers' bodies that a daemon holds

**Cause:** bodies are collected whole; the further customer allows 64 MiB each and a process has 300 MB. Pieces of a body were kept beside the joined one until the answer had left. **Change:** a daemon takes 64 MiB of callers' bodies at a time (one of any allowed size fits alone) and refuses more with TH309 before it is read; pieces are dropped once joined. Streaming was weighed: bodies here have 60 kB in the mean and 360 kB at most, and a second try of a refused one needs the whole. **Measured:** tests; bodies that other daemons forward are not bounded yet (listed as open).

--- a/tamarackhaven/errors.py
+++ b/tamarackhaven/errors.py
@@ -58,6 +58,7 @@
     DRAINING = "TH306"
     ZONE_OUT = "TH307"
     CONNECTIONS_FULL = "TH308"
+    BODIES_FULL = "TH309"
     # What the target did.
     TARGET_UNREACHABLE = "TH401"
     TARGET_REFUSED = "TH402"
@@ -190,6 +191,9 @@
     ),
     _K.DRAINING: Answer(503, 31, _NO, _LATER, "The target is leaving."),
     _K.ZONE_OUT: Answer(503, 31, _NO, _LATER, "The availability zone is taken out."),
+    _K.BODIES_FULL: Answer(
+        503, 30, _NO, _LATER, "The daemon holds as many bytes of bodies as it may."
+    ),
     _K.CONNECTIONS_FULL: Answer(
         503, 30, _NO, _LATER, "All connections to the target are in use."
     ),
--- a/tamarackhaven/net/_http_server.py
+++ b/tamarackhaven/net/_http_server.py
@@ -14,6 +14,7 @@
 from tamarackhaven._clock import boot_s
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.net import _http_head
+from tamarackhaven.net._body_budget import BodyBudget
 from tamarackhaven.net._http_head import find
 from tamarackhaven.routing import Limits
 
@@ -21,6 +22,11 @@
 # memory. Limit: more than any usual caller pipelines; reading goes on when one is done.
 MAX_PIPELINED = 32
 BACKLOG = 1024
+# A body is copied about three times on its way through a process: this much, three
+# times, and the process itself fit a VM that has 300 MB for it.
+MOST_BODY_BYTES = 64 << 20
+# Bodies of this kind take some tenths of a second to pass on.
+BODIES_RETRY_S = 0.3
 # Idle connections are kept a little longer than callers are told, so that a request
 # sent at the last moment still finds its connection.
 IDLE_GRACE_S = 3.0
@@ -83,6 +89,7 @@
         self.arrived_s = None
         self.body = []
         self.body_bytes = 0
+        self.taken_bytes = 0
         self.task = None
         self.response = None
         self.closes = False
@@ -108,6 +115,9 @@
     def connection_lost(self, _error):
         self._server.connections.discard(self)
         self._cancel_all()
+        if self._reading is not None:
+            self._release(self._reading)
+            self._reading = None
 
     def eof_received(self):
         # A caller that closes its connection no longer waits for any answer.
@@ -122,6 +132,7 @@
 
     def _cancel_all(self):
         for exchange in self._waiting:
+            self._release(exchange)
             if exchange.task is not None:
                 exchange.task.cancel()
         self._waiting.clear()
@@ -207,8 +218,10 @@
         exchange.request = event
         exchange.arrived_s = boot_s()
         for name, value in event.headers:
-            if name == b"content-length" and int(value) > self._max_body:
-                raise self._too_large()
+            if name == b"content-length":
+                if int(value) > self._max_body:
+                    raise self._too_large()
+                self._take(exchange, int(value))
             if name == b"expect" and value.lower() == b"100-continue":
                 self._transport.write(
                     exchange.parser.send(
@@ -231,6 +244,21 @@
         self.active_s = boot_s()
         if exchange.body_bytes > self._max_body:
             raise self._too_large()
+        if exchange.body_bytes > exchange.taken_bytes:
+            self._take(exchange, exchange.body_bytes - exchange.taken_bytes)
+
+    def _take(self, exchange, count):
+        """Take room for bytes of a body, or refuse it."""
+        if not self._server.bodies.take(count, exchange.taken_bytes):
+            held_bytes = self._server.bodies.held_bytes
+            raise TamarackhavenError(
+                ErrorKind.BODIES_FULL, f"{held_bytes} bytes", BODIES_RETRY_S
+            )
+        exchange.taken_bytes += count
+
+    def _release(self, exchange):
+        self._server.bodies.give_back(exchange.taken_bytes)
+        exchange.taken_bytes = 0
 
     def _end(self, exchange):
         self._reading = None
@@ -257,6 +285,7 @@
             b"".join(exchange.body),
             exchange.arrived_s,
         )
+        exchange.body = []
         self._waiting.append(exchange)
         exchange.task = asyncio.get_running_loop().create_task(
             self._answer(exchange, request)
@@ -281,6 +310,7 @@
         exchange = self._reading or _Exchange(h11.Connection(h11.SERVER))
         self._reading = None
         self._buffer = b""
+        self._release(exchange)
         exchange.closes = True
         exchange.response = _response_of(error)
         self._server.on_bad_request(error)
@@ -294,6 +324,7 @@
         was_full = len(self._waiting) >= MAX_PIPELINED
         while self._waiting and self._waiting[0].response is not None:
             exchange = self._waiting.popleft()
+            self._release(exchange)
             if self._transport.is_closing():
                 return
             closes = self._write(exchange)
@@ -372,6 +403,7 @@
         self.on_error = on_error
         self.on_bad_request = on_bad_request
         self.limits = Limits()
+        self.bodies = BodyBudget(MOST_BODY_BYTES)
         self.connections = set()
         self.is_closing = False
         self._server = None
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -13,6 +13,7 @@
 ROOT = Path(__file__).parents[2] / "tamarackhaven"
 PURE = [
     *(f"routing/{name}" for name in ("_model", "_edit", "_match")),
+    "net/_body_budget",
     *(
         f"fleet/{name}"
         for name in (
@@ -30,8 +31,10 @@
         f"sidecar/{name}"
         for name in (
             "_budget",
+            "_called_holds",
             "_choice",
             "_gate",
+            "_key_holds",
             "_key_load",
             "_offers",
             "_target_state",
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tamarackhaven.net import HttpResponse, HttpServer
+from tamarackhaven.net._body_budget import BodyBudget
 from tamarackhaven.routing import Limits
 
 HOST = b"Host: h.example\r\n"
@@ -116,6 +117,50 @@
     run(test)
 
 
+def test_bodies_beyond_the_bytes_held_are_refused_before_they_are_read():
+    # Many callers send large bodies at once. Collected whole, they would fill the
+    # memory, and the process would be ended with all that it works on.
+    async def test(site):
+        site.server.bodies = BodyBudget(1000)
+        site.gate_by_target["/slow"] = asyncio.Event()
+        head = b"POST %s HTTP/1.1\r\n" + HOST + b"Content-Length: %d\r\n\r\n"
+        _, writer = await site.open()
+        writer.write(head % (b"/slow", 900) + bytes(900))
+        while not site.seen:
+            await asyncio.sleep(0.005)
+        refused = await site.talk(head % (b"/x", 200))
+        assert refused.startswith(b"HTTP/1.1 503") and b"Retry-After" in refused
+        assert (await site.talk(head % (b"/y", 5) + b"hello")).endswith(b"/y hello")
+        site.gate_by_target["/slow"].set()
+        while site.server.bodies.held_bytes:
+            await asyncio.sleep(0.005)
+        assert (await site.talk(head % (b"/z", 200) + bytes(200))).endswith(bytes(200))
+        writer.close()
+
+    run(test)
+
+
+def test_a_caller_that_leaves_gives_its_bytes_back():
+    async def test(site):
+        _, writer = await site.open()
+        writer.write(b"POST / HTTP/1.1\r\n" + HOST + b"Content-Length: 900\r\n\r\nhalf")
+        while not site.server.bodies.held_bytes:
+            await asyncio.sleep(0.005)
+        writer.transport.abort()
+        while site.server.bodies.held_bytes:
+            await asyncio.sleep(0.005)
+
+    run(test)
+
+
+def test_one_body_of_any_size_fits_alone():
+    budget = BodyBudget(100)
+    assert budget.take(150) and budget.take(50, own_bytes=150)
+    assert not budget.take(1)
+    budget.give_back(200)
+    assert budget.take(100) and not budget.take(1)
+
+
 @pytest.mark.parametrize(
     "head",
     [
