--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -31,6 +31,10 @@
 # takes about a heartbeat, which fits, the loss of a VM does not.
 OWNER_PATIENCE = 0.5
 OWNER_RETRY_S = 0.5
+# Load: daemons are restarted in turn, each away for about a second. Harm: callers for
+# its target's keys give up just before it is back, and come again just too late. Limit:
+# a restart that was announced is soon over; they wait for this part of their time.
+RESTART_PATIENCE = 0.7
 # An owner that refused since its keys move is asked again after this time, or when the
 # view changes.
 OWNER_POLL_S = 0.1
@@ -210,7 +214,8 @@
     async def _serve_owned(self, asked):
         """Run a request at the owner of its key, once it has one."""
         now = boot_s()
-        patience_s = now + OWNER_PATIENCE * (asked.deadline_s - now)
+        left_s = asked.deadline_s - now
+        patience_s = now + OWNER_PATIENCE * left_s
         kind = ErrorKind.NO_OWNER
         while True:
             target = self._view.owner(asked.spec.name, asked.request.key)
@@ -224,6 +229,8 @@
                         raise _error(end)
                 elif end.kind in _FULL:
                     raise _error(end)
+                if self._peers.is_restarting((target.host, target.port)):
+                    patience_s = now + RESTART_PATIENCE * left_s
             if boot_s() >= patience_s:
                 raise TamarackhavenError(
                     _for_caller(kind), f"key {asked.request.key}", OWNER_RETRY_S
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -23,7 +23,10 @@
 LEAVE_AT_LEAST_S = 2.6
 # The last part of the grace time is left for the process to end by itself.
 END_MARGIN_S = 0.4
+# Callers' requests may still be on their way for so long after the last one; other
+# daemons know by then that this one takes nothing new.
 QUIET_S = 0.3
+TARGET_QUIET_S = 0.05
 POLL_S = 0.05
 
 
@@ -138,11 +141,14 @@
         self._callers.is_closing = True
         self._peer_server.leave()
         last_s = started_s + self.settings.grace_s - END_MARGIN_S
-        quiet_since_s = boot_s()
+        called_s = worked_s = boot_s()
         while boot_s() < last_s:
-            if self._callers.busy or self.inbound.running:
-                quiet_since_s = boot_s()
-            is_quiet = boot_s() - quiet_since_s >= QUIET_S
+            now = boot_s()
+            if self._callers.busy:
+                called_s = now
+            if self.inbound.running:
+                worked_s = now
+            is_quiet = now - called_s >= QUIET_S and now - worked_s >= TARGET_QUIET_S
             if boot_s() - started_s >= LEAVE_AT_LEAST_S:
                 self._take_nothing_new()
                 if is_quiet:
--- a/tamarackhaven/sidecar/_peers.py
+++ b/tamarackhaven/sidecar/_peers.py
@@ -42,6 +42,8 @@
 # A daemon that leaves is gone after its grace time; a link that breaks silently must
 # not mark it for longer.
 LEAVING_S = 8.0
+# A process that was stopped in order is back within this time, or its VM goes for good.
+RESTART_S = 2.0
 
 
 @attrs.define(eq=False)
@@ -83,6 +85,12 @@
         self._welcomed = False
         self._task = None
         self._leaving_until_s = float("-inf")
+        self._restarting_until_s = float("-inf")
+
+    @property
+    def is_restarting(self):
+        """Whether the daemon said that it stops, and is probably not back yet."""
+        return boot_s() < max(self._leaving_until_s, self._restarting_until_s)
 
     @property
     def is_leaving(self):
@@ -194,6 +202,7 @@
                 entry.future.set_result(message)
 
     def _on_welcome(self, message):
+        self._restarting_until_s = float("-inf")
         restarted = self._peer_boot not in (None, message.boot)
         self._peer_boot = message.boot
         self._welcomed = True
@@ -211,6 +220,8 @@
             # Failure: nobody asks a daemon that leaves, so nobody finds out that it is
             # back. Symptom: after all daemons were restarted once, no target is left.
             # Enough: its process has ended with the link, the next one starts afresh.
+            if self.is_leaving:
+                self._restarting_until_s = boot_s() + RESTART_S
             self._leaving_until_s = float("-inf")
 
     def close(self):
@@ -258,11 +269,17 @@
         peer = self._bulk_peer(address) if is_bulk else self._peer(address)
         return await peer.run(forward, deadline_s, objective_s)
 
+    def is_restarting(self, address):
+        """Whether the daemon at ``address`` stopped in order and may soon be back."""
+        return any(peer.is_restarting for peer in self._known(address))
+
     def is_leaving(self, address):
         """Whether the daemon at ``address`` said that it stops soon."""
+        return any(peer.is_leaving for peer in self._known(address))
+
+    def _known(self, address):
         peers = self._peer_by_address, self._bulk_peer_by_address
-        known = [each[address] for each in peers if address in each]
-        return any(peer.is_leaving for peer in known)
+        return [each[address] for each in peers if address in each]
 
     def close(self):
         """Close all links."""
--- a/tests/sidecar/test_peers.py
+++ b/tests/sidecar/test_peers.py
@@ -216,6 +216,37 @@
     run(test)
 
 
+def test_a_daemon_that_stopped_in_order_counts_as_restarting_until_it_is_back():
+    # Callers for its target's keys wait a little longer for it than for one that is
+    # lost: it is back within a second or so.
+    async def test(pair):
+        pair.target.may_end.set()
+        await pair.forward()
+        assert not pair.peers.is_restarting(pair.address)
+        pair.server.leave()
+        await pair.until(lambda: pair.peers.is_leaving(pair.address))
+        pair.links.close()
+        await pair.until(lambda: not pair.peers.is_leaving(pair.address))
+        assert pair.peers.is_restarting(pair.address)
+        await pair.start(boot="two")
+        pair.target.may_end.set()
+        await pair.forward(number=2)
+        assert not pair.peers.is_restarting(pair.address)
+
+    run(test)
+
+
+def test_a_daemon_that_is_lost_does_not_count_as_restarting():
+    async def test(pair):
+        pair.target.may_end.set()
+        await pair.forward()
+        pair.links.close()
+        await asyncio.sleep(0.05)
+        assert not pair.peers.is_restarting(pair.address)
+
+    run(test)
+
+
 def test_two_questions_at_once_get_their_own_answers():
     # Two lives of a target at one place are both known for a moment, and both are asked
     # on the same link at the same time.
