--- a/tamarackhaven/__main__.py
+++ b/tamarackhaven/__main__.py
@@ -16,6 +16,7 @@
     porcelain.watch,
     porcelain.explain,
     porcelain.trace,
+    porcelain.losses,
     porcelain.status,
     porcelain.member_add,
     porcelain.member_promote,
--- a/tamarackhaven/porcelain.py
+++ b/tamarackhaven/porcelain.py
@@ -7,7 +7,7 @@
 import threading
 from typing import Literal
 
-from tamarackhaven import _codec, _trace, plumbing
+from tamarackhaven import _codec, _losses, _trace, plumbing
 from tamarackhaven._members import Member, Step
 from tamarackhaven._model import ShardGrant, TargetMember
 from tamarackhaven._settings import ControlSettings, DaemonSettings, OperatorSettings
@@ -230,6 +230,16 @@
         _print(line, output, line.text)
 
 
+def losses(*logs: str, output: Output = "text"):
+    """Print what callers did not get in time and why, by route, from a fleet's logs.
+
+    :param logs: Log files of all daemons; - for standard input.
+    :param output: text or json.
+    """
+    for loss in _losses.losses(_trace.read_lines(plumbing.log_lines(logs))):
+        _print(loss, output, loss.text)
+
+
 def status(*, settings: str, output: Output = "text"):
     """Print what each control VM says of the group.
 
--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -419,6 +419,9 @@
             end=type(end).__name__,
             kind=getattr(end, "kind", str(getattr(end, "status", ""))),
             after_s=round(now - asked.arrived_s, 3),
+            objective_s=asked.route.objective_s,
+            waited_s=round(getattr(end, "waited_ms", 0.0) / 1000, 3),
+            worked_s=round(getattr(end, "worked_ms", 0.0) / 1000, 3),
             load=[end.load.running, end.load.waiting, end.load.slots],
         )
 
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -4,6 +4,8 @@
 import itertools
 import random
 
+import attrs
+
 from tamarackhaven._clock import boot_s
 from tamarackhaven.errors import ErrorKind
 from tamarackhaven.sidecar._dialect import Verdict
@@ -157,7 +159,9 @@
             deadline_s,
             forward.waits,
         )
+        offered_s = boot_s()
         refuse = await self._enter(offer)
+        waited_s = boot_s() - offered_s
         if refuse is not None and not forward.waits:
             return self._busy(forward, refuse)
         if refuse is not None:
@@ -172,6 +176,8 @@
         try:
             result = await self._send(forward, deadline_s)
             worked = isinstance(result, Answered)
+            if worked:
+                return attrs.evolve(result, waited_ms=round(waited_s * 1000, 1))
             return result
         finally:
             self._sending.discard(id(forward))
@@ -328,6 +334,7 @@
                 reply.headers,
                 reply.body,
                 self.load(forward.route),
+                worked_ms=round((boot_s() - started_s) * 1000, 1),
             )
         if verdict is Verdict.REFUSED:
             return self._not_run(forward, ErrorKind.TARGET_REFUSED, offered=True)
--- a/tamarackhaven/sidecar/_messages.py
+++ b/tamarackhaven/sidecar/_messages.py
@@ -90,13 +90,21 @@
 
 @attrs.frozen
 class Answered:
-    """The target's whole answer."""
+    """The target's whole answer.
+
+    Parameters
+    ----------
+    waited_ms, worked_ms : float
+        How long the request was at the gate, and at the target, in milliseconds.
+    """
 
     number: int
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     load: GateLoad = GateLoad()
+    waited_ms: float = 0.0
+    worked_ms: float = 0.0
 
 
 @attrs.frozen
