Say whom a control VM asks to be let in, and who asked

**Cause:** the logs of a lost control group can't tell a request to join that never reached the leader from one that the leader dropped: neither end said anything. **Change:** lines `asks to join` (addresses, for how long without a leader) and `asked to join` (who, whether this VM leads, who does).

--- a/tamarackhaven/fleet/_group_keeper.py
+++ b/tamarackhaven/fleet/_group_keeper.py
@@ -48,6 +48,14 @@
 
     def asked(self, request, now):
         """Note a ``JoinGroup`` of another control VM."""
+        status = self._consensus.status()
+        self._log.say(
+            "asked to join",
+            member=request.name,
+            leads=status.leader == status.name,
+            leader=status.leader,
+            term=status.term,
+        )
         newcomer = _growth.Newcomer(request.name, request.host, request.port)
         self._links.know(request.name, request.host, request.port)
         self._newcomer_by_name[request.name] = (newcomer, now)
@@ -107,4 +115,10 @@
         port = split(self._settings.links)[1]
         addresses = {(split(seed)[0], port) for seed in self._settings.seeds}
         addresses |= {(each.host, each.port) for each in status.membership.members}
+        self._log.say(
+            "asks to join",
+            addresses=sorted(f"{host}:{port}" for host, port in addresses),
+            is_member=is_member,
+            without_leader_s=round(now - self._lonely_since_s, 3),
+        )
         self._links.ask_to_join(addresses)
