--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 import random
-import shutil
 import signal
 
 import attrs
@@ -175,10 +174,7 @@
         return
     control = fleet.controls[fault.where % len(fleet.controls)]
     async with fleet.taken(control):
-        control.kill()
-        shutil.rmtree(fleet.folder / control.name)
-        fleet.not_first(control)
-        control.start()
+        fleet.wipe_control(control)
 
 
 @bring.register
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -100,12 +100,6 @@
     def _with_links_listen(self, process, listen):
         return f'links_listen = "{listen}"\n{process.settings}'
 
-    def not_first(self, control):
-        """Tell a control VM that the whole system has started before."""
-        control.write(
-            control.settings.replace("is_first_start = true", "is_first_start = false")
-        )
-
     # Parts that a fault has in its hands.
 
     @contextlib.asynccontextmanager
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -8,6 +8,7 @@
 import itertools
 import json
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -354,6 +355,30 @@
 """
         return Process("control", host, text, self.folder)
 
+    def add_control(self, host, seed_hosts):
+        """Start a control VM with an empty disk that is told some control VMs.
+
+        Returns
+        -------
+        Process
+            Also the last of ``controls``.
+        """
+        seeds = [f"{each}:{PORTS['operators']}" for each in seed_hosts]
+        control = self._control(host, seeds, is_first=False)
+        self.control_hosts.append(host)
+        self.controls.append(control)
+        control.start()
+        return control
+
+    def wipe_control(self, control):
+        """Kill a control VM and let it come back with an empty disk."""
+        control.kill()
+        shutil.rmtree(self.folder / control.name)
+        control.write(
+            control.settings.replace("is_first_start = true", "is_first_start = false")
+        )
+        control.start()
+
     def _daemon(self, target, seeds):
         host = target.host
         text = f"""
