Let a control VM find its group through anybody who knows it

One that doesn't lead kept the request to itself, so a newcomer that was told followers, lost VMs or other newcomers was never a member, and the group was a voter short for good. Of one class with it: the settings of a control VM were never read again, and links from members to an empty VM at a lost member's address taught it nothing. **Change:** whoever is asked answers with all control VMs that it knows (`GroupHint`), and a newcomer asks those at once (`_joining`, pure). It also asks whoever greets it. Control VMs reread their seeds as daemons do, by the same code. A daemon is told of control VMs outside the membership, too. Of two names from one address the newest counts.

--- a/tamarackhaven/_process.py
+++ b/tamarackhaven/_process.py
@@ -8,6 +8,7 @@
 from tamarackhaven._json_lines import JsonLines
 from tamarackhaven._logs import Log
 from tamarackhaven._metrics import CONTENT_TYPE, METRICS_PATH
+from tamarackhaven._settings_file import load_settings
 from tamarackhaven.errors import TamarackhavenError
 from tamarackhaven.net import HttpResponse, HttpServer
 
@@ -15,6 +16,8 @@
 # one; at a hundred a second the counters tell the rest.
 REPEATS_PER_MINUTE = 6000
 FLUSH_S = 0.25
+# The file may also change without a signal.
+REREAD_S = 2.0
 
 
 def open_log(prefix, name):
@@ -50,6 +53,34 @@
         lines.flush()
 
 
+def reload_settings(path, owner, log):
+    """Let a process take its file's settings, or go on with its own if they are wrong.
+
+    Parameters
+    ----------
+    path : str
+        Settings file, TOML.
+    owner : object
+        Has ``settings`` and ``reload(settings)``.
+    log : Log
+        Of the process.
+    """
+    try:
+        settings = load_settings(path, type(owner.settings))
+    except TamarackhavenError as error:
+        log.say("settings not reloaded", error=str(error))
+        return
+    if settings != owner.settings:
+        owner.reload(settings)
+
+
+async def keep_rereading(path, owner, log):
+    """Look at the settings file again and again, as ``reload_settings``."""
+    while True:
+        await asyncio.sleep(REREAD_S)
+        reload_settings(path, owner, log)
+
+
 async def serve_metrics(metrics, host, port):
     """Serve the metrics page; return its server."""
 
--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -110,7 +110,7 @@
         storage = Storage.open(Path(self._settings.data_folder) / "group")
         name, membership = self._identity(storage)
         hello = MemberHello(name, self._host, self._port)
-        self._links = GroupLinks(hello)
+        self._links = GroupLinks(hello, self._on_hint)
         for member in membership.members:
             self._links.know(member.name, member.host, member.port)
         self.consensus = Consensus(
@@ -150,6 +150,17 @@
         # gets a name that never voted.
         return f"{self._host}:{self._port}/{os.urandom(6).hex()}", Membership(())
 
+    @property
+    def settings(self):
+        """The settings in force."""
+        return self._settings
+
+    def reload(self, settings):
+        """Take the settings that may change while the process runs."""
+        self._settings = settings
+        self._keeper.reload(settings)
+        self._log.say("settings reloaded", seeds=settings.seeds)
+
     async def stop(self):
         """Stop everything this process started."""
         for task in self._tasks:
@@ -199,13 +210,17 @@
             self.consensus.deliver(self._links.heard(message.messages))
         elif isinstance(message, MemberHello):
             self._links.know(message.name, message.host, message.port)
+            self._keeper.heard_of([(message.host, message.port)])
         elif isinstance(message, JoinGroup):
-            self._keeper.asked(message, boot_s())
+            link.send(self._keeper.asked(message, boot_s()))
         elif isinstance(message, DaemonHello):
             self._greet(link, message)
         elif isinstance(message, Report):
             self._take_report(link, message)
 
+    def _on_hint(self, hint):
+        self._keeper.heard_of(hint.control)
+
     def _on_closed(self, link):
         session = self._session_by_link.pop(link, None)
         if session is not None:
@@ -215,7 +230,7 @@
         status = self.consensus.status()
         leader = status.membership.by_name.get(status.leader)
         address = (leader.host, leader.port) if leader else None
-        control = tuple((m.host, m.port) for m in status.membership.members)
+        control = (*self._keeper.addresses, (self._host, self._port))
         link.send(LeaderHint(self.leads, status.term, address, control))
         if not self.leads:
             return
--- a/tamarackhaven/fleet/_group_keeper.py
+++ b/tamarackhaven/fleet/_group_keeper.py
@@ -5,11 +5,10 @@
 from tamarackhaven._clock import boot_s
 from tamarackhaven.errors import TamarackhavenError
 from tamarackhaven.fleet import _growth
+from tamarackhaven.fleet._joining import JOIN_PAUSE_S, Joining
+from tamarackhaven.fleet._messages import GroupHint
 from tamarackhaven.fleet._settings import split
 
-# Without a leader for so long, a member asks the others to be let in again.
-LONELY_S = 1.0
-JOIN_PAUSE_S = 0.5
 # A request to join counts for some more pauses: one may be lost.
 ASKED_LIFE_S = 4 * JOIN_PAUSE_S
 # A membership change is one commit; longer means that the quorum is gone.
@@ -39,15 +38,28 @@
         self._consensus = consensus
         self._links = links
         self._log = log
-        self._newcomer_by_name = {}
+        self._newcomer_by_address = {}
         self._started_s = boot_s()
-        self._lonely_since_s = boot_s()
-        self._asked_s = float("-inf")
+        self._port = split(settings.links)[1]
+        self._joining = Joining(split(settings.links), self._started_s)
 
-    # A member that leads.
+    @property
+    def addresses(self):
+        """Known addresses of the other control VMs, in no order."""
+        membership = self._consensus.status().membership
+        return tuple(self._joining.addresses(membership, self._seeds()))
+
+    def reload(self, settings):
+        """Take the settings that may change while the process runs."""
+        self._settings = settings
+
+    def _seeds(self):
+        return [(split(seed)[0], self._port) for seed in self._settings.seeds]
+
+    # A member that is asked, and one that leads.
 
     def asked(self, request, now):
-        """Note a ``JoinGroup`` of another control VM."""
+        """Note a ``JoinGroup`` of another control VM; return its ``GroupHint``."""
         status = self._consensus.status()
         self._log.say(
             "asked to join",
@@ -58,18 +70,21 @@
         )
         newcomer = _growth.Newcomer(request.name, request.host, request.port)
         self._links.know(request.name, request.host, request.port)
-        self._newcomer_by_name[request.name] = (newcomer, now)
+        address = (request.host, request.port)
+        self._newcomer_by_address[address] = (newcomer, now)
+        self._joining.heard_of((address,))
+        return GroupHint(self.addresses)
 
     async def grow(self, status, now):
         """Carry out the membership change that is due, if any."""
-        self._newcomer_by_name = {
-            name: (newcomer, asked_s)
-            for name, (newcomer, asked_s) in self._newcomer_by_name.items()
+        self._newcomer_by_address = {
+            address: (newcomer, asked_s)
+            for address, (newcomer, asked_s) in self._newcomer_by_address.items()
             if now - asked_s < ASKED_LIFE_S
         }
         due = _growth.next_step(
             status.membership,
-            [newcomer for newcomer, _ in self._newcomer_by_name.values()],
+            [newcomer for newcomer, _ in self._newcomer_by_address.values()],
             self._silent_s_by_name(status, now),
             self._wanted,
         )
@@ -100,25 +115,21 @@
             return
         self._log.say("membership changed", **about)
 
-    # A member that doesn't.
+    # One without a group.
+
+    def heard_of(self, addresses):
+        """Note where other control VMs take links."""
+        self._joining.heard_of(addresses)
 
     def ask_to_join(self, status, now):
         """Ask all known control VMs to be let in, if this one is out of the group."""
-        if status.leader:
-            self._lonely_since_s = now
-        is_member = status.name in status.membership.by_name
-        if is_member and now - self._lonely_since_s < LONELY_S:
-            return
-        if now - self._asked_s < JOIN_PAUSE_S:
+        addresses = self._joining.to_ask(status, self._seeds(), now)
+        if not addresses:
             return
-        self._asked_s = now
-        port = split(self._settings.links)[1]
-        addresses = {(split(seed)[0], port) for seed in self._settings.seeds}
-        addresses |= {(each.host, each.port) for each in status.membership.members}
         self._log.say(
             "asks to join",
             addresses=sorted(f"{host}:{port}" for host, port in addresses),
-            is_member=is_member,
-            without_leader_s=round(now - self._lonely_since_s, 3),
+            is_member=status.name in status.membership.by_name,
+            without_leader_s=round(self._joining.lonely_s(now), 3),
         )
         self._links.ask_to_join(addresses)
--- a/tamarackhaven/fleet/_group_links.py
+++ b/tamarackhaven/fleet/_group_links.py
@@ -8,6 +8,7 @@
 from tamarackhaven.fleet._messages import (
     CONTROL_CODEC,
     ConsensusBatch,
+    GroupHint,
     JoinGroup,
 )
 from tamarackhaven.net import dial
@@ -28,10 +29,13 @@
     ----------
     hello : MemberHello
         Who this VM is.
+    on_hint : callable
+        ``on_hint(hint)`` for each ``GroupHint`` that comes back.
     """
 
-    def __init__(self, hello):
+    def __init__(self, hello, on_hint):
         self._hello = hello
+        self._on_hint = on_hint
         self._address_by_name = {}
         self._outgoing_by_address = {}
         self.heard_s_by_name = {}
@@ -55,8 +59,7 @@
         """Ask the control VMs at ``addresses`` to be added as a member."""
         request = JoinGroup(self._hello.name, self._hello.host, self._hello.port)
         for address in addresses:
-            if address != (self._hello.host, self._hello.port):
-                self._outgoing(address).send(request)
+            self._outgoing(address).send(request)
 
     def heard(self, messages):
         """Note who was heard, and return the messages."""
@@ -71,7 +74,7 @@
     def _outgoing(self, address):
         outgoing = self._outgoing_by_address.get(address)
         if outgoing is None:
-            outgoing = _Outgoing(address, self._hello)
+            outgoing = _Outgoing(address, self._hello, self._on_hint)
             self._outgoing_by_address[address] = outgoing
         return outgoing
 
@@ -84,9 +87,10 @@
 class _Outgoing:
     """A link that is dialled again when it is needed."""
 
-    def __init__(self, address, hello):
+    def __init__(self, address, hello, on_hint):
         self._address = address
         self._hello = hello
+        self._on_hint = on_hint
         self._waiting = []
         self._link = None
         self._task = None
@@ -110,7 +114,7 @@
                     link = await dial(
                         self._address,
                         CONTROL_CODEC,
-                        lambda _link, _message: None,
+                        self._on_message,
                         self._closed,
                     )
                 except OSError:
@@ -126,6 +130,10 @@
         finally:
             self._task = None
 
+    def _on_message(self, _link, message):
+        if isinstance(message, GroupHint):
+            self._on_hint(message)
+
     def _closed(self, link):
         if self._link is link:
             self._link = None
--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -40,6 +40,19 @@
     port: int
 
 
+@attrs.frozen
+class GroupHint:
+    """Answers ``JoinGroup``: whom else to ask.
+
+    Parameters
+    ----------
+    control : tuple
+        Addresses where other control VMs take links, as far as the sender knows.
+    """
+
+    control: tuple[tuple[str, int], ...]
+
+
 @attrs.frozen
 class Known:
     """The parts of the replicated state that a daemon has.
@@ -233,6 +246,7 @@
         MemberHello,
         ConsensusBatch,
         JoinGroup,
+        GroupHint,
         DaemonHello,
         LeaderHint,
         Report,
--- a/tamarackhaven/fleet/process.py
+++ b/tamarackhaven/fleet/process.py
@@ -6,8 +6,10 @@
 from tamarackhaven._metrics import Metrics
 from tamarackhaven._process import (
     keep_flushing,
+    keep_rereading,
     on_signals,
     open_log,
+    reload_settings,
     run_process,
     serve_metrics,
 )
@@ -45,19 +47,23 @@
         loop.call_soon_threadsafe(stopped.set)
 
     control = FleetControl(settings, log, metrics, on_fatal)
-    on_signals(stopped.set, lambda: log.say("nothing to reload"))
+    on_signals(stopped.set, lambda: reload_settings(path, control, log))
     await control.start()
     api = make_api(control, split(settings.operators)[1], log.part("orders"))
     server = HttpServer(api.handle, lambda request, error: _note(log, error))
     await listen(server, "operators", *split(settings.operators))
     if settings.metrics:
         await serve_metrics(metrics, *split(settings.metrics))
-    flushing = asyncio.create_task(keep_flushing(lines))
+    background = [
+        asyncio.create_task(keep_flushing(lines)),
+        asyncio.create_task(keep_rereading(path, control, log)),
+    ]
     await stopped.wait()
     server.close()
     with contextlib.suppress(TamarackhavenError):
         await control.stop()
-    flushing.cancel()
+    for task in background:
+        task.cancel()
     lines.flush()
     if fatal:
         log.say("stopped by a fault", error=str(fatal[0]))
--- a/tamarackhaven/sidecar/process.py
+++ b/tamarackhaven/sidecar/process.py
@@ -5,19 +5,17 @@
 from tamarackhaven._metrics import Metrics
 from tamarackhaven._process import (
     keep_flushing,
+    keep_rereading,
     on_signals,
     open_log,
+    reload_settings,
     run_process,
     serve_metrics,
 )
 from tamarackhaven._settings_file import load_settings
-from tamarackhaven.errors import TamarackhavenError
 from tamarackhaven.fleet import DaemonSettings, split
 from tamarackhaven.sidecar._daemon import Daemon
 
-# The file may also change without a signal.
-REREAD_S = 2.0
-
 
 def run_daemon(path, dialect, registry):
     """Run a daemon until SIGTERM; return the exit code.
@@ -40,13 +38,13 @@
     metrics = Metrics()
     daemon = Daemon(settings, dialect, registry, log, metrics)
     stopped = asyncio.Event()
-    on_signals(stopped.set, lambda: _reload(path, daemon, log))
+    on_signals(stopped.set, lambda: reload_settings(path, daemon, log))
     await daemon.start()
     if settings.metrics:
         await serve_metrics(metrics, *split(settings.metrics))
     background = [
         asyncio.create_task(keep_flushing(lines)),
-        asyncio.create_task(_reread(path, daemon, log)),
+        asyncio.create_task(keep_rereading(path, daemon, log)),
     ]
     await stopped.wait()
     await daemon.stop()
@@ -54,20 +52,3 @@
         task.cancel()
     lines.flush()
     return 0
-
-
-def _reload(path, daemon, log):
-    """Take the file's settings, or go on with the old ones if they are wrong."""
-    try:
-        settings = load_settings(path, DaemonSettings)
-    except TamarackhavenError as error:
-        log.say("settings not reloaded", error=str(error))
-        return
-    if settings != daemon.settings:
-        daemon.reload(settings)
-
-
-async def _reread(path, daemon, log):
-    while True:
-        await asyncio.sleep(REREAD_S)
-        _reload(path, daemon, log)
--- a/tests/fleet/test_group_keeper.py
+++ b/tests/fleet/test_group_keeper.py
@@ -1,5 +1,8 @@
 """What a control VM does to come into its group, and what it says of it."""
 
+import asyncio
+import concurrent.futures
+
 import attrs
 
 from tamarackhaven._consensus import Status
@@ -19,9 +22,17 @@
     def __init__(self, name, membership, leader, role):
         self._status = Status(name, role, leader, 1, 0, 0, membership)
 
+        self.steps = []
+
     def status(self):
         return self._status
 
+    def change_membership(self, step):
+        self.steps.append(step)
+        done = concurrent.futures.Future()
+        done.set_result(None)
+        return done
+
 
 class FakeLinks:
     def __init__(self):
@@ -43,15 +54,18 @@
         self.lines.append((sentence, fields))
 
 
-def keeper_of(consensus, links=None, log=None):
-    settings = FleetControlSettings(
+def settings():
+    return FleetControlSettings(
         name="c",
         operators=f"{OWN}:8620",
         links=f"{OWN}:7",
         data_folder="d",
         seeds=SEEDS,
     )
-    return GroupKeeper(settings, 3, consensus, links or FakeLinks(), log or Says())
+
+
+def keeper_of(consensus, links=None, log=None):
+    return GroupKeeper(settings(), 3, consensus, links or FakeLinks(), log or Says())
 
 
 def a_newcomer():
@@ -68,7 +82,7 @@
     keeper_of(newcomer, log=log).ask_to_join(newcomer.status(), 1e9)
     ((sentence, fields),) = log.lines
     assert sentence == "asks to join"
-    assert fields["addresses"] == ["10.0.0.2:7", "10.0.0.3:7", f"{OWN}:7"]
+    assert fields["addresses"] == ["10.0.0.2:7", "10.0.0.3:7"]
 
 
 def test_the_log_tells_who_asked_a_member_that_does_not_lead():
@@ -78,3 +92,41 @@
     assert sentence == "asked to join"
     assert not fields["leads"]
     assert fields["leader"] == "10.0.0.1:7"
+
+
+def test_whoever_is_asked_names_all_control_vms_that_it_knows():
+    # Guards against: a follower is asked by a newcomer and keeps it to itself.
+    hint = keeper_of(a_follower()).asked(NEWCOMER, 1e9)
+    assert ("10.0.0.1", 7) in hint.control
+    assert set(hint.control) >= {(each.host, 7) for each in GROUP.members}
+
+
+def test_a_newcomer_asks_whom_it_hears_of_without_a_pause():
+    newcomer = a_newcomer()
+    links = FakeLinks()
+    keeper = keeper_of(newcomer, links)
+    keeper.ask_to_join(newcomer.status(), 1e9)
+    keeper.heard_of([("10.0.0.1", 7)])
+    keeper.ask_to_join(newcomer.status(), 1e9 + 0.01)
+    assert links.asked[1] == {("10.0.0.1", 7)}
+
+
+def test_new_seeds_in_the_settings_are_asked():
+    # Guards against: a newcomer whose first seeds are all gone waits for ever.
+    newcomer = a_newcomer()
+    links = FakeLinks()
+    keeper = keeper_of(newcomer, links)
+    keeper.ask_to_join(newcomer.status(), 1e9)
+    keeper.reload(attrs.evolve(settings(), seeds=["10.0.0.7:8620"]))
+    keeper.ask_to_join(newcomer.status(), 1e9 + 0.01)
+    assert links.asked[1] == {("10.0.0.7", 7)}
+
+
+def test_a_vm_that_came_back_twice_is_known_by_its_newest_name_only():
+    # Guards against: the name of a life before the last is added and removed in turn.
+    leader = FakeConsensus("10.0.0.1:7", GROUP, "10.0.0.1:7", Role.LEADER)
+    keeper = keeper_of(leader)
+    keeper.asked(JoinGroup(f"{OWN}:7/older", OWN, 7), 1e9)
+    keeper.asked(NEWCOMER, 1e9 + 0.1)
+    asyncio.run(keeper.grow(leader.status(), 1e9 + 0.2))
+    assert [step.member.name for step in leader.steps] == [NEWCOMER.name]
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -19,6 +19,7 @@
         for name in (
             "_feed",
             "_growth",
+            "_joining",
             "_leadership",
             "_leases",
             "_model",
