Forget addresses of control VMs that are long gone

**Cause:** a daemon remembered each control VM it ever heard of and dialled all of them at each search; the new answers name more of them. **Change:** `HeardAddresses` keeps the newest 64, for daemons and control VMs.

--- a/tamarackhaven/fleet/_joining.py
+++ b/tamarackhaven/fleet/_joining.py
@@ -1,13 +1,10 @@
 """Which control VMs one without a group asks to be let in, and when. Pure."""
 
-import collections
+from tamarackhaven.fleet._addresses import HeardAddresses
 
 # Without a leader for so long, a member asks the others to be let in again.
 LONELY_S = 1.0
 JOIN_PAUSE_S = 0.5
-# Load: addresses of control VMs that are long gone. Harm: each is dialled at every
-# turn. Limit: some generations of the largest group.
-MOST_HEARD_OF = 64
 
 
 class Joining:
@@ -28,18 +25,14 @@
 
     def __init__(self, own, now):
         self._own = own
-        self._heard_of = collections.OrderedDict()
+        self._heard_of = HeardAddresses()
         self._lonely_since_s = now
         self._asked_s = float("-inf")
         self._asked = frozenset()
 
     def heard_of(self, addresses):
         """Note where other control VMs take links."""
-        for address in addresses:
-            self._heard_of[address] = None
-            self._heard_of.move_to_end(address)
-        while len(self._heard_of) > MOST_HEARD_OF:
-            self._heard_of.popitem(last=False)
+        self._heard_of.add(addresses)
 
     def addresses(self, membership, seeds):
         """Return all known addresses of other control VMs.
--- a/tamarackhaven/sidecar/_control_link.py
+++ b/tamarackhaven/sidecar/_control_link.py
@@ -5,6 +5,7 @@
 import contextlib
 
 from tamarackhaven._clock import boot_s
+from tamarackhaven.fleet._addresses import HeardAddresses
 from tamarackhaven.fleet._messages import (
     CONTROL_CODEC,
     LeaderHint,
@@ -54,7 +55,7 @@
         self._take_grant = take_grant
         self._seeds = seeds
         self._log = log
-        self._known = collections.OrderedDict()
+        self._known = HeardAddresses()
         self._number = 0
         self._asked_s_by_number = collections.OrderedDict()
         self._answered = 0
@@ -129,8 +130,7 @@
             raise
         if hint is None:
             return None
-        for known in hint.control:
-            self._known[tuple(known)] = True
+        self._known.add(hint.control)
         if hint.is_leader:
             session.is_current = True
             return link
--- /dev/null
+++ b/tests/fleet/real_fleet.py
@@ -0,0 +1,19 @@
+"""Runs a test with a fleet of real processes, and ends them whatever happens."""
+
+import asyncio
+
+from standin.fleet import Fleet
+
+
+def run(test, fleet_settings):
+    """Start the fleet ``Fleet(*fleet_settings)`` and await ``test(fleet)``."""
+
+    async def main():
+        fleet = Fleet(*fleet_settings)
+        try:
+            await fleet.start()
+            await test(fleet)
+        finally:
+            await fleet.stop()
+
+    asyncio.run(main())
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -17,6 +17,7 @@
     *(
         f"fleet/{name}"
         for name in (
+            "_addresses",
             "_feed",
             "_growth",
             "_joining",
