Let nothing block the loop that carries a soak's links, and replace control VMs

One fault more a run: a control VM is gone for good, and an empty one is told one living follower at most.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,12 +12,13 @@
 import attrs
 import defopt
 
-from soak._faults import bring, draw
+from soak._faults import bring, draw, draw_replacement
 from soak._fleet import SoakFleet
 from soak._load import Caller, Operator, describe
 
 REGRESSIONS = Path(__file__).with_name("regressions.toml")
 CALLERS = 24
+STALL_STEP_S = 0.05
 # Loopback networks of runs; tests use lower ones. Soaks side by side, one by hand and
 # one in tests, take theirs by their process's id, so that they rarely meet.
 FIRST_NET = 100
@@ -35,14 +36,23 @@
     summary: str
 
 
+def _faults(seed, seconds):
+    """Return the faults of a run; those of regressions are as they were."""
+    if seed in regression_seeds():
+        return draw(seed, seconds)
+    faults = [*draw(seed, seconds), draw_replacement(seed, seconds)]
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
 async def _play(seed, seconds, folder, net):
     fleet = SoakFleet(folder, net)
+    watching = asyncio.create_task(_note_stalls(fleet.records))
     callers = [Caller(fleet, number, seed) for number in range(CALLERS)]
     operator = Operator(fleet, seed)
     try:
         await fleet.start()
         tasks = [asyncio.create_task(each.run()) for each in (*callers, operator)]
-        await _bring_all(fleet, draw(seed, seconds))
+        await _bring_all(fleet, _faults(seed, seconds))
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -51,10 +61,25 @@
         await fleet.settle()
         fleet.records.check_end()
     finally:
+        watching.cancel()
         await fleet.stop()
     return Outcome(seed, tuple(fleet.records.broken), describe(fleet.records))
 
 
+async def _note_stalls(records):
+    """Measure how long this run's own event loop stands still.
+
+    All proxies, targets and callers of a run share the loop: while it stands, every
+    link of the fleet is silent and every answer is seen late.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        due_s = loop.time() + STALL_STEP_S
+        await asyncio.sleep(STALL_STEP_S)
+        stall_s = loop.time() - due_s
+        records.longest_stall_s = max(records.longest_stall_s, stall_s)
+
+
 async def _bring_all(fleet, faults):
     """Bring all faults about at their times, side by side."""
     loop = asyncio.get_running_loop()
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -45,6 +45,10 @@
     """A control VM loses its disk and comes back."""
 
 
+class Replace(Fault):
+    """A control VM is gone for good; an empty one starts at another address."""
+
+
 class Torn(Fault):
     """A control VM is killed within a write: half a record stands behind its log."""
 
@@ -115,6 +119,16 @@
         faults.append(kind(round(at_s, 3), source.randrange(1 << 30), round(for_s, 3)))
 
 
+def draw_replacement(seed, seconds):
+    """Return the one ``Replace`` of a run.
+
+    It is drawn apart, so that seeds that once failed keep their other faults.
+    """
+    source = random.Random(f"replacement {seed}")
+    at_s = round(source.uniform(0.0, seconds), 3)
+    return Replace(at_s, source.randrange(1 << 30), 0.0)
+
+
 def _process(fleet, fault):
     processes = [*fleet.controls, *fleet.daemons]
     return processes[fault.where % len(processes)]
@@ -124,18 +138,32 @@
     return fleet.proxies[fault.where % len(fleet.proxies)]
 
 
+def _tear(control, folder):
+    """Kill a control VM and leave half a record behind its log."""
+    control.kill()
+    logs = sorted(folder.glob("log-*"))
+    if logs:
+        with logs[-1].open("ab") as log:
+            log.write(b"\x00\x00\x01\x00half a record")
+    control.start()
+
+
 @functools.singledispatch
 async def bring(fault, fleet):
-    """Bring a fault about and undo it; ``fleet`` is a ``SoakFleet``."""
+    """Bring a fault about and undo it; ``fleet`` is a ``SoakFleet``.
+
+    What waits for a process or a disk runs on a thread: a killed process ends only
+    when its sync does, and this loop carries every link of the fleet.
+    """
     raise TypeError(f"no fault: {fault!r}")
 
 
 @bring.register
 async def _(fault: Kill, fleet):
     async with fleet.taken(_process(fleet, fault)) as process:
-        process.kill()
+        await asyncio.to_thread(process.kill)
         await asyncio.sleep(fault.for_s)
-        process.start()
+        await asyncio.to_thread(process.start)
 
 
 @bring.register
@@ -156,7 +184,7 @@
         # One that has not started yet has taken nothing; the signal just ends it.
         if code != 0 and was_up:
             fleet.records.breaks("planned stop", f"{daemon.name} ended with {code}")
-        daemon.start()
+        await asyncio.to_thread(daemon.start)
 
 
 @bring.register
@@ -174,28 +202,30 @@
         return
     control = fleet.controls[fault.where % len(fleet.controls)]
     async with fleet.taken(control):
-        fleet.wipe_control(control)
+        await asyncio.to_thread(fleet.wipe_control, control)
+
+
+@bring.register
+async def _(fault: Replace, fleet):
+    if not fleet.may_wipe():
+        return
+    control = fleet.controls[fault.where % len(fleet.controls)]
+    async with fleet.taken(control):
+        await fleet.replaced(control, fault.where // len(fleet.controls))
 
 
 @bring.register
 async def _(fault: Torn, fleet):
     control = fleet.controls[fault.where % len(fleet.controls)]
     async with fleet.taken(control):
-        control.kill()
-        logs = sorted((fleet.folder / control.name / "group").glob("log-*"))
-        if logs:
-            with logs[-1].open("ab") as log:
-                log.write(b"\x00\x00\x01\x00half a record")
-        control.start()
+        await asyncio.to_thread(_tear, control, fleet.folder / control.name / "group")
 
 
 @bring.register
 async def _(fault: KillAllControl, fleet):
     free = [each for each in fleet.controls if not fleet.is_taken(each)]
-    for control in free:
-        control.kill()
-    for control in free:
-        control.start()
+    await asyncio.gather(*(asyncio.to_thread(each.kill) for each in free))
+    await asyncio.gather(*(asyncio.to_thread(each.start) for each in free))
 
 
 @bring.register
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -130,6 +130,24 @@
         self._wiped_s = now
         return True
 
+    async def replaced(self, control, told):
+        """Let an empty control VM stand in for ``control`` at another address.
+
+        Parameters
+        ----------
+        control : Process
+            Ends for good.
+        told : int
+            Picks the one living control VM that the new one is told.
+        """
+        number = self.controls.index(control)
+        others = [host for host in self.control_hosts if host != control.name]
+        proxies = len(self.proxies)
+        seeds = [control.name, others[told % len(others)]]
+        await asyncio.to_thread(self.replace_control, number, seeds)
+        for proxy in self.proxies[proxies:]:
+            await proxy.start()
+
     def place(self, number):
         """Return the place of a target."""
         return self.places[number % len(self.places)]
--- a/soak/_load.py
+++ b/soak/_load.py
@@ -175,6 +175,8 @@
 
 
 def describe(records):
-    """Return the counts of a run as a line of JSON."""
+    """Return the counts of a run, and its longest stall, as a line of JSON."""
     counts = {str(status): count for status, count in sorted(records.counts.items())}
-    return json.dumps({"asked": len(records.asked), "answers": counts})
+    stall_s = round(records.longest_stall_s, 2)
+    asked = len(records.asked)
+    return json.dumps({"asked": asked, "answers": counts, "stall_s": stall_s})
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -41,13 +41,20 @@
 
 @attrs.define
 class Records:
-    """All observations of a run; each check appends to ``broken``."""
+    """All observations of a run; each check appends to ``broken``.
+
+    Parameters
+    ----------
+    longest_stall_s : float
+        For how long the run's own event loop once stood still.
+    """
 
     broken: list = attrs.field(factory=list)
     asked: list = attrs.field(factory=list)
     counts: collections.Counter = attrs.field(factory=collections.Counter)
     begun_by_attempt: dict = attrs.field(factory=lambda: collections.defaultdict(list))
     newest_accepted: int = 0
+    longest_stall_s: float = 0.0
     drain_s: float = 2.0
     zone_out_s: float = 5.0
     targets: list = attrs.field(factory=list)
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -250,10 +250,13 @@
         self._log = folder / f"{name}.log"
         self._process = None
         self._started_s = 0.0
+        self._is_retired = False
         self.starts = 0
 
     def start(self):
-        """Start it."""
+        """Start it, unless its VM is gone for good."""
+        if self._is_retired:
+            return
         self._started_s = time.monotonic()
         self.starts += 1
         environment = {**os.environ, "TAMARACKHAVEN_BOOT": str(self._path)}
@@ -300,6 +303,11 @@
         if self._process is not None:
             self._process.wait()
 
+    def retire(self):
+        """End it at once and for good."""
+        self._is_retired = True
+        self.kill()
+
     def terminate(self, timeout_s=10.0):
         """Stop it in order; return its exit code."""
         self.send(signal.SIGTERM)
@@ -340,6 +348,7 @@
         self.controls = [self._control(host, seeds) for host in self.control_hosts]
         self.daemons = [self._daemon(target, seeds) for target in self.targets]
         self._attempts = itertools.count()
+        self._new_control_numbers = itertools.count(controls + 1)
 
     def _control(self, host, seeds, is_first=True):
         text = f"""
@@ -355,20 +364,22 @@
 """
         return Process("control", host, text, self.folder)
 
-    def add_control(self, host, seed_hosts):
-        """Start a control VM with an empty disk that is told some control VMs.
+    def replace_control(self, number, seed_hosts):
+        """End a control VM for good; start an empty one at another address.
 
-        Returns
-        -------
-        Process
-            Also the last of ``controls``.
+        Parameters
+        ----------
+        number : int
+            Of the one that ends; the new one takes its number.
+        seed_hosts : sequence of str
+            Control VMs that the new one is told, besides itself.
         """
-        seeds = [f"{each}:{PORTS['operators']}" for each in seed_hosts]
-        control = self._control(host, seeds, is_first=False)
-        self.control_hosts.append(host)
-        self.controls.append(control)
-        control.start()
-        return control
+        self.controls[number].retire()
+        host = f"127.{self.net}.1.{next(self._new_control_numbers)}"
+        seeds = [f"{each}:{PORTS['operators']}" for each in (*seed_hosts, host)]
+        self.control_hosts[number] = host
+        self.controls[number] = self._control(host, seeds, is_first=False)
+        self.controls[number].start()
 
     def wipe_control(self, control):
         """Kill a control VM and let it come back with an empty disk."""
--- a/tests/fleet/test_group_repair.py
+++ b/tests/fleet/test_group_repair.py
@@ -22,10 +22,8 @@
     async def test(fleet):
         leader = await fleet.leader()
         gone, follower = [n for n in range(3) if n != leader]
-        fleet.controls[gone].kill()
-        new_host = f"127.{fleet.net}.1.9"
-        told = [fleet.control_hosts[gone], fleet.control_hosts[follower], new_host]
-        fleet.add_control(new_host, told)
+        told = [fleet.control_hosts[gone], fleet.control_hosts[follower]]
+        fleet.replace_control(gone, told)
         await asyncio.sleep(CATCH_UP_S)
         fleet.wipe_control(fleet.controls[leader])
         answer = await fleet.order("/api/config/read")
