Lose a second disk in the soak only once the first one's VM votes again

So two of three disks were lost where one is to be borne. **Change:** the next disk is lost only once the last newcomer votes, by its log; one that was never let in at the end of a run breaks it, which nothing checked before; a process that ended is told with its code.

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -17,7 +17,7 @@
 LISTEN_OFFSET = 10
 ZONES = ("z0", "z1")
 SERVICES = ("owned", "owned", "owned", "shared", "shared")
-# A control VM that came back with an empty disk has been taken in after this time.
+# Between two lost disks, beside the wait until the first one's VM votes again.
 WIPE_PAUSE_S = 8.0
 # After the last fault, the whole fleet serves within this time.
 RECOVERY_S = 15.0
@@ -62,6 +62,7 @@
         self._taken = set()
         self._disturbances = collections.Counter()
         self._wiped_s = float("-inf")
+        self._newcomer = None
 
     def _zone(self, host):
         return ZONES[self.target_hosts.index(host) % len(ZONES)]
@@ -127,9 +128,28 @@
         now = time.monotonic()
         if now - self._wiped_s < WIPE_PAUSE_S or self._taken & set(self.controls):
             return False
+        if not self._is_newcomer_in():
+            return False
         self._wiped_s = now
         return True
 
+    def wipe_control(self, control):
+        """Kill a control VM and let it come back with an empty disk."""
+        self._newcomer = control
+        super().wipe_control(control)
+
+    def _is_newcomer_in(self):
+        """Whether the control VM that last began with an empty disk votes."""
+        if self._newcomer is None:
+            return True
+        is_in = False
+        for line in self._newcomer.lines:
+            if line.get("sentence") == "control: started":
+                is_in = False
+            elif line.get("sentence") == "control: role changed":
+                is_in = line["role"] != "learner"
+        return is_in
+
     async def replaced(self, control, told):
         """Let an empty control VM stand in for ``control`` at another address.
 
@@ -145,6 +165,7 @@
         proxies = len(self.proxies)
         seeds = [control.name, others[told % len(others)]]
         await asyncio.to_thread(self.replace_control, number, seeds)
+        self._newcomer = self.controls[number]
         for proxy in self.proxies[proxies:]:
             await proxy.start()
 
@@ -213,9 +234,12 @@
             await self.until(self._serves, RECOVERY_S)
         except AssertionError:
             self.records.breaks("recovery", f"not whole after {RECOVERY_S} s")
+        if not self._is_newcomer_in():
+            self.records.breaks("recovery", f"{self._newcomer.name} was not let in")
         for process in (*self.controls, *self.daemons):
             if process.has_ended:
-                self.records.breaks("runs on", f"{process.name} ended by itself")
+                code = process.wait(0.0)
+                self.records.breaks("runs on", f"{process.name} ended with {code}")
             for line in process.lines:
                 if line.get("sentence", "").endswith(("internal error", "duty failed")):
                     self.records.breaks("no faults", f"{process.name}: {line}")
