Count from its end how long a former leader has been without a leader

**Seen:** in a soak, a control VM that had just stepped down asked to be let in at once, and its line said `without_leader_s` 11.7. **Cause:** only members that don't lead noted that there is a leader. Besides, one that doesn't lead kept who had asked it for ever. **Change:** a leader notes itself; all forget those that ask no more. **Measured:** tests/fleet/test_group_keeper.py, the new test fails without the change (1 failed, 6 passed) and passes with it; the other tests of the group's repair pass.

--- a/tamarackhaven/fleet/_group_keeper.py
+++ b/tamarackhaven/fleet/_group_keeper.py
@@ -72,17 +72,23 @@
         newcomer = _growth.Newcomer(request.name, request.host, request.port)
         self._links.know(request.name, request.host, request.port)
         address = (request.host, request.port)
+        self._forget_newcomers(now)
         self._newcomer_by_address[address] = (newcomer, now)
         self._joining.heard_of((address,))
         return GroupHint(self.addresses)
 
-    async def grow(self, status, now):
-        """Carry out the membership change that is due, if any."""
+    def _forget_newcomers(self, now):
+        """Forget those that ask no more; they may be gone."""
         self._newcomer_by_address = {
             address: (newcomer, asked_s)
             for address, (newcomer, asked_s) in self._newcomer_by_address.items()
             if now - asked_s < ASKED_LIFE_S
         }
+
+    async def grow(self, status, now):
+        """Carry out the membership change that is due, if any."""
+        self._joining.note_leader(now)
+        self._forget_newcomers(now)
         due = _growth.next_step(
             status.membership,
             [newcomer for newcomer, _ in self._newcomer_by_address.values()],
--- a/tamarackhaven/fleet/_joining.py
+++ b/tamarackhaven/fleet/_joining.py
@@ -60,7 +60,7 @@
             As for the constructor.
         """
         if status.leader:
-            self._lonely_since_s = now
+            self.note_leader(now)
         is_member = status.name in status.membership.by_name
         if is_member and self.lonely_s(now) < LONELY_S:
             return frozenset()
@@ -73,6 +73,10 @@
         self._asked |= new
         return new
 
+    def note_leader(self, now):
+        """Note that this VM has a leader, or leads."""
+        self._lonely_since_s = now
+
     def lonely_s(self, now):
         """Return for how many seconds this VM has had no leader."""
         return now - self._lonely_since_s
--- a/tests/fleet/test_group_keeper.py
+++ b/tests/fleet/test_group_keeper.py
@@ -9,6 +9,7 @@
 from tamarackhaven._members import Member, Membership
 from tamarackhaven._raft import Role
 from tamarackhaven.fleet._group_keeper import GroupKeeper
+from tamarackhaven.fleet._joining import LONELY_S
 from tamarackhaven.fleet._messages import JoinGroup
 from tamarackhaven.fleet._settings import FleetControlSettings
 
@@ -132,3 +133,17 @@
     keeper.asked(NEWCOMER, 1e9 + 0.1)
     asyncio.run(keeper.grow(leader.status(), 1e9 + 0.2))
     assert [step.member.name for step in leader.steps] == [NEWCOMER.name]
+
+
+def test_a_leader_that_steps_down_has_been_without_one_since_then():
+    # Guards against: it asks to be let in at once, and its log says for how long it was
+    # alone, counted from its start.
+    leader = FakeConsensus("10.0.0.1:7", GROUP, "10.0.0.1:7", Role.LEADER)
+    links = FakeLinks()
+    keeper = keeper_of(leader, links)
+    asyncio.run(keeper.grow(leader.status(), 100.0))
+    deposed = attrs.evolve(leader.status(), role=Role.FOLLOWER, leader="")
+    keeper.ask_to_join(deposed, 100.0 + LONELY_S / 2)
+    assert not links.asked
+    keeper.ask_to_join(deposed, 100.0 + LONELY_S)
+    assert len(links.asked) == 1
