Tell a soak's daemon to reload only once its program takes the signal

On a busy machine the interpreter had not come to the program's first line, which ignores the signal.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -12,8 +12,6 @@
 # A run of faults, and the time between two of them: they overlap on purpose.
 MOST_PAUSE_S = 1.2
 LONGEST_S = 3.0
-# The interpreter's own start, before the first line of a program can take a signal.
-YOUNGEST_S = 0.15
 
 
 @attrs.frozen
@@ -190,7 +188,8 @@
 @bring.register
 async def _(fault: Reload, fleet):
     daemon = fleet.daemons[fault.where % len(fleet.daemons)]
-    if not fleet.is_taken(daemon) and daemon.age_s > YOUNGEST_S:
+    # Before its program's first line, the interpreter ends at this signal.
+    if not fleet.is_taken(daemon) and daemon.takes(signal.SIGHUP):
         daemon.send(signal.SIGHUP)
 
 
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -249,7 +249,6 @@
         self._path.write_text(text)
         self._log = folder / f"{name}.log"
         self._process = None
-        self._started_s = 0.0
         self._is_retired = False
         self.starts = 0
 
@@ -257,7 +256,6 @@
         """Start it, unless its VM is gone for good."""
         if self._is_retired:
             return
-        self._started_s = time.monotonic()
         self.starts += 1
         environment = {**os.environ, "TAMARACKHAVEN_BOOT": str(self._path)}
         with self._log.open("ab") as log:
@@ -269,10 +267,12 @@
                 stderr=log,
             )
 
-    @property
-    def age_s(self):
-        """For how many seconds it has run."""
-        return time.monotonic() - self._started_s
+    def takes(self, number):
+        """Whether it ignores or handles a signal by now, so that it doesn't end it."""
+        path = Path(f"/proc/{self._process.pid}/status")
+        fields = dict(line.split(":", 1) for line in path.read_text().splitlines())
+        taken = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
+        return bool(taken >> (number - 1) & 1)
 
     def wait(self, timeout_s):
         """Return its exit code once it has ended."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,10 @@
 """The soak itself: its checks see what they should, and some runs pass."""
 
 import asyncio
+import os
+import signal
 import time
+import types
 
 import pytest
 
@@ -9,6 +12,7 @@
 from soak._faults import draw
 from soak._proxy import Proxy, Way
 from soak._records import Asked, Records
+from standin.fleet import Process
 
 
 class Holder:
@@ -115,6 +119,23 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ("action", "taken"),
+    [(signal.SIG_DFL, False), (signal.SIG_IGN, True), (lambda *_: None, True)],
+)
+def test_a_program_that_has_not_begun_is_not_said_to_take_a_signal(
+    tmp_path, action, taken
+):
+    # Guards against: a daemon that is still starting is ended by the soak's own signal.
+    process = Process("daemon", "d", "", tmp_path)
+    process._process = types.SimpleNamespace(pid=os.getpid())
+    before = signal.signal(signal.SIGHUP, action)
+    try:
+        assert process.takes(signal.SIGHUP) is taken
+    finally:
+        signal.signal(signal.SIGHUP, before)
+
+
 def test_runs_that_once_failed_and_a_short_one_pass():
     # The full soak is run by hand, with many fresh seeds.
     assert main(seeds=1, first=11, seconds=12.0, jobs=4, regressions=True) == 0
