Take only seeds when a control VM rereads its settings, and listen last

**Cause:** found by reading the diff. A control VM that reread its file took all of it: a new leader would have granted leases of another length than daemons count by.

--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -73,6 +73,8 @@
     """
 
     def __init__(self, settings, log, metrics, on_fatal):
+        # The file's newest; what this process was built with stays in ``_settings``.
+        self.settings = settings
         self._settings = settings
         self._log = log
         self._metrics = metrics
@@ -124,8 +126,6 @@
             random.Random(os.urandom(16)),
             self._on_fatal,
         )
-        place = split(self._settings.links_listen or self._settings.links)
-        await listen(self._server, "links", *place)
         self._keeper = GroupKeeper(
             self._settings,
             self._wanted,
@@ -134,6 +134,8 @@
             self._log,
             boot_s(),
         )
+        place = split(self._settings.links_listen or self._settings.links)
+        await listen(self._server, "links", *place)
         self.consensus.start()
         self._tasks.append(self._loop.create_task(self._tick_forever()))
         self._log.say(
@@ -155,14 +157,9 @@
         # gets a name that never voted.
         return f"{self._host}:{self._port}/{os.urandom(6).hex()}", Membership(())
 
-    @property
-    def settings(self):
-        """The settings in force."""
-        return self._settings
-
     def reload(self, settings):
-        """Take the settings that may change while the process runs."""
-        self._settings = settings
+        """Take the seeds, the only setting that may change while the process runs."""
+        self.settings = settings
         self._keeper.reload(settings)
         self._log.say("settings reloaded", seeds=settings.seeds)
 
--- a/tests/fleet/test_group_keeper.py
+++ b/tests/fleet/test_group_keeper.py
@@ -8,10 +8,11 @@
 from tamarackhaven._consensus import Status
 from tamarackhaven._members import Member, Membership
 from tamarackhaven._raft import Role
+from tamarackhaven.fleet._control import FleetControl
 from tamarackhaven.fleet._group_keeper import GroupKeeper
 from tamarackhaven.fleet._joining import LONELY_S
 from tamarackhaven.fleet._messages import JoinGroup
-from tamarackhaven.fleet._settings import FleetControlSettings
+from tamarackhaven.fleet._settings import FleetControlSettings, FleetLeaseSettings
 
 OWN = "10.0.0.9"
 SEEDS = ["10.0.0.2:8620", "10.0.0.3:8620", f"{OWN}:8620"]
@@ -147,3 +148,16 @@
     assert not links.asked
     keeper.ask_to_join(deposed, 100.0 + LONELY_S)
     assert len(links.asked) == 1
+
+
+def test_a_reload_changes_the_seeds_of_a_control_vm_and_not_its_leases():
+    # Guards against: a leader grants leases of another length than daemons count by.
+    control = FleetControl(settings(), Says(), None, None)
+    newcomer = a_newcomer()
+    links = FakeLinks()
+    control._keeper = keeper_of(newcomer, links)
+    lease = FleetLeaseSettings(heartbeat_s=0.2)
+    control.reload(attrs.evolve(settings(), seeds=["10.0.0.7:8620"], lease=lease))
+    control._keeper.ask_to_join(newcomer.status(), 1e9)
+    assert links.asked == [{("10.0.0.7", 7)}]
+    assert control._settings.lease == settings().lease
