--- a/tests/sidecar/test_runs.py
+++ b/tests/sidecar/test_runs.py
@@ -5,6 +5,7 @@
 import attrs
 
 from tamarackhaven.sidecar import _runs
+from tamarackhaven.sidecar._messages import Lost
 from tamarackhaven.sidecar._runs import Runs
 from tests.sidecar.test_peers import FORWARD, Target
 
@@ -46,3 +47,19 @@
         assert len(runs._task_by_key) == 1
 
     run(test, monkeypatch)
+
+
+def test_a_copy_of_a_booking_that_was_held_up_on_its_link_does_not_run(monkeypatch):
+    # Guards against: a booking is answered, and a copy of its forward comes out of a
+    # small link seconds later, when the booking is forgotten: it runs a second time.
+    async def test(runs, target, clock):
+        booking = attrs.evolve(FORWARD, is_safe=False, left_ms=1500.0)
+        await runs.start(("one", 1), booking)
+        for number in range(2, 20):
+            clock[0] += 0.5
+            await runs.start(("one", number), attrs.evolve(FORWARD, number=number))
+        copy = await runs.start(("one", 1), booking)
+        assert target.ran.count(1) == 1
+        assert copy == Lost(1, "FORWARD_LOST")
+
+    run(test, monkeypatch)
