Remember for a minute that an unsafe request ran, and run no copy of it

But a copy that was sent in time may stand in the buffers of a small link for longer: in the trace the second one came 5.78 s after the caller had its answer. Which of the sender's links brought it was not traced. **Change:** the name of an unsafe request is kept for 60 s more, without its answer, 20,000 names at most; a copy ends as lost, which nobody waits for any more.

--- a/tamarackhaven/sidecar/_runs.py
+++ b/tamarackhaven/sidecar/_runs.py
@@ -3,11 +3,18 @@
 import asyncio
 
 from tamarackhaven._clock import boot_s
+from tamarackhaven.errors import ErrorKind
+from tamarackhaven.sidecar._messages import Lost
 
 # A daemon that lost its link asks again on a new one, until the request's time is over;
 # this long after that nobody does.
 KEPT_S = 2.0
 SAFE_KEPT_S = 4.0
+# A copy of a forward may stand in the buffers of a small link for so long after that.
+SPENT_S = 60.0
+# Load: many bookings a second. Harm: their names fill the memory. Limit: megabytes;
+# the oldest give way.
+MOST_SPENT = 20_000
 # How often what has ended is looked through.
 LOOK_S = 0.5
 # A link that breaks is dialled again within this time, if its daemon still runs.
@@ -29,6 +36,7 @@
         self._next_look_s = 0.0
         self._forward_by_key = {}
         self._kept_until_s_by_key = {}
+        self._spent_until_s_by_key = {}
 
     def expected_wait_s(self, query):
         """Return how long a request would wait here, None if none is taken."""
@@ -37,6 +45,8 @@
     def start(self, key, forward):
         """Return the task of a request; the same one for the same key."""
         task = self._task_by_key.get(key)
+        if task is None and key in self._spent_until_s_by_key:
+            return _lost(forward)
         if task is None:
             task = asyncio.get_running_loop().create_task(self._inbound.run(forward))
             # Failure: what ended is forgotten while its sender may still ask for it.
@@ -62,7 +72,18 @@
             if until_s < now and self._task_by_key[key].done():
                 del self._kept_until_s_by_key[key]
                 del self._task_by_key[key]
-                del self._forward_by_key[key]
+                if not self._forward_by_key.pop(key).is_safe:
+                    self._spent_until_s_by_key[key] = now + SPENT_S
+        self._forget_spent(now)
+
+    def _forget_spent(self, now):
+        """Forget unsafe requests of which no copy can be on its way any more."""
+        spent = self._spent_until_s_by_key
+        while spent:
+            oldest = next(iter(spent))
+            if spent[oldest] >= now and len(spent) <= MOST_SPENT:
+                return
+            del spent[oldest]
 
     def cancel(self, key):
         """Stop a request that nobody waits for any more.
@@ -85,3 +106,10 @@
         except asyncio.CancelledError:
             self.cancel(key)
             raise
+
+
+def _lost(forward):
+    """Return the end of an unsafe request that ran once and is forgotten."""
+    ended = asyncio.get_running_loop().create_future()
+    ended.set_result(Lost(forward.number, ErrorKind.FORWARD_LOST.name))
+    return ended
--- a/tests/sidecar/test_runs.py
+++ b/tests/sidecar/test_runs.py
@@ -63,3 +63,18 @@
         assert copy == Lost(1, "FORWARD_LOST")
 
     run(test, monkeypatch)
+
+
+def test_names_of_bookings_are_forgotten_once_no_copy_can_come(monkeypatch):
+    # Guards against: the names of all bookings of a daemon's life fill its memory.
+    async def test(runs, target, clock):
+        booking = attrs.evolve(FORWARD, is_safe=False, left_ms=100.0)
+        await runs.start(("one", 1), booking)
+        clock[0] += 10.0
+        await runs.start(("one", 2), FORWARD)
+        assert list(runs._spent_until_s_by_key) == [("one", 1)]
+        clock[0] += _runs.SPENT_S + 1.0
+        await runs.start(("one", 3), FORWARD)
+        assert not runs._spent_until_s_by_key
+
+    run(test, monkeypatch)
