Let only the session in use count, so that a daemon's reports pause

**Cause:** callers saw nothing answered in time where a daemon, or the leader, had no processor left. A daemon that looks for the leader asks all control VMs at once. When two say that they lead (one is deposed and doesn't know it), both links became the current session; the spare one is aborted, and its end arrived only after the session in use had cleared its event: from then on every wait returned at once and a report went out at each turn of the event loop. What the spare control VM had sent early was taken into the view, too: a difference to the configuration or the owners made for another base than the one that it was applied on. **Change:** a session begins when its link is kept, one at a time; what a spare link brought, and its end, count for nothing. Ruled out elsewhere by reading: links between daemons and between control VMs compare the link that ended with the one in use; the older runtime's clients hold one call at a time and pause between rounds.

--- a/tamarackhaven/sidecar/_control_link.py
+++ b/tamarackhaven/sidecar/_control_link.py
@@ -72,12 +72,12 @@
         """Keep a session until cancelled."""
         try:
             while True:
-                link = await self._find_leader()
-                if link is None:
+                session = await self._find_leader()
+                if session is None:
                     await asyncio.sleep(SEARCH_PAUSE_S)
                     continue
                 self._log.say("leader found")
-                await self._keep(link)
+                await self._keep(session)
                 self._log.say(
                     "leader lost", silent_s=round(boot_s() - self.confirmed_s, 3)
                 )
@@ -88,7 +88,7 @@
     # Search.
 
     async def _find_leader(self):
-        """Ask all control VMs at once; return a link to the leader, or None."""
+        """Ask all control VMs at once; return a session with the leader, or None."""
         addresses = dict.fromkeys([*self._known, *self._seeds()])
         if not addresses:
             return None
@@ -96,9 +96,9 @@
         found = None
         try:
             for finished in asyncio.as_completed(tasks):
-                link = await finished
-                if link is not None:
-                    found = link
+                session = await finished
+                if session is not None:
+                    found = session
                     break
         finally:
             for task in tasks:
@@ -106,15 +106,15 @@
             for result in await asyncio.gather(*tasks, return_exceptions=True):
                 is_spare = result is not None and result is not found
                 if is_spare and not isinstance(result, BaseException):
-                    result.abort()
+                    result.link.abort()
         return found
 
     async def _ask(self, address):
-        """Return a link to ``address`` if the leader is there, else None."""
+        """Return a session with ``address`` if the leader is there, else None."""
         hints = asyncio.Queue()
         session = _Session(self, hints)
         try:
-            link = await dial(
+            link = session.link = await dial(
                 address, CONTROL_CODEC, session.on_message, session.on_closed
             )
         except OSError:
@@ -132,18 +132,19 @@
             return None
         self._known.add(hint.control)
         if hint.is_leader:
-            session.is_current = True
-            return link
+            return session
         link.abort()
         return None
 
     # Session.
 
-    async def _keep(self, link):
+    async def _keep(self, session):
+        link = session.link
         self._link = link
         self._closed.clear()
         self._asked_s_by_number.clear()
         self._answered = self._number
+        session.begin()
         started_s = boot_s()
         while link.is_open:
             now = boot_s()
@@ -200,36 +201,38 @@
 
 
 class _Session:
-    """Routes one link's messages: first the hint, then to the session."""
+    """Routes one link's messages: first the hint, then to the session.
+
+    Failure: two control VMs say that they lead, and one link is spare. Symptom: its end
+    counts as that of the link in use, and a report follows the other without a pause.
+    Enough: nothing of a link counts before its session begins, and one begins at a
+    time.
+    """
 
     def __init__(self, owner, hints):
         self._owner = owner
         self._hints = hints
         self._early = []
-        self._is_current = False
-
-    @property
-    def is_current(self):
-        """Whether the link is the one in use."""
-        return self._is_current
+        self._has_begun = False
+        self.link = None
 
-    @is_current.setter
-    def is_current(self, value):
-        self._is_current = value
+    def begin(self):
+        """Pass on what came early, and from now on all that comes."""
+        self._has_begun = True
         for message in self._early:
             self._owner.on_session_message(message)
         self._early = []
 
     def on_message(self, _link, message):
-        if isinstance(message, LeaderHint) and not self._is_current:
-            self._hints.put_nowait(message)
-        elif self._is_current:
+        if self._has_begun:
             self._owner.on_session_message(message)
+        elif isinstance(message, LeaderHint):
+            self._hints.put_nowait(message)
         else:
             self._early.append(message)
 
     def on_closed(self, _link):
         with contextlib.suppress(asyncio.QueueFull):
             self._hints.put_nowait(None)
-        if self._is_current:
+        if self._has_begun:
             self._owner.on_session_closed()
--- /dev/null
+++ b/tests/sidecar/test_control_link_search.py
@@ -0,0 +1,123 @@
+"""How a daemon looks for the leader, over real links on loopback."""
+
+import asyncio
+
+import pytest
+
+from tamarackhaven.fleet._messages import (
+    CONTROL_CODEC,
+    DaemonHello,
+    LeaderHint,
+    LeaseGrant,
+    Report,
+    ZonesView,
+)
+from tamarackhaven.fleet._model import GrantId
+from tamarackhaven.net import LinkServer
+from tamarackhaven.sidecar._control_link import REPORT_S, ControlLink
+
+HOSTS = ("127.77.0.1", "127.77.0.2")
+LOOKS_ON_S = 1.2
+
+
+class Silent:
+    def say(self, sentence, **fields):
+        pass
+
+
+class ControlVm:
+    """A control VM that says it leads, and answers each report."""
+
+    def __init__(self, host):
+        self.host = host
+        self.reports = []
+        self.links = []
+        self._server = LinkServer(CONTROL_CODEC, self._on_message, lambda _link: None)
+
+    async def start(self, port):
+        await self._server.start(self.host, port)
+        return self._server._server.sockets[0].getsockname()[1]
+
+    def _on_message(self, link, message):
+        if isinstance(message, DaemonHello):
+            self.links.append(link)
+            link.send(LeaderHint(True, 1, None, ()))
+            link.send(ZonesView(1, (self.host,)))
+        elif isinstance(message, Report):
+            self.reports.append(message.number)
+            link.send(LeaseGrant(message.number, GrantId(1, message.number), 4.0))
+
+    def close(self):
+        self._server.close()
+
+
+class Fleet:
+    """Two control VMs that both say they lead, and one daemon's link."""
+
+    async def __aenter__(self):
+        self.vms = [ControlVm(host) for host in HOSTS]
+        port = 0
+        for vm in self.vms:
+            port = await vm.start(port)
+        self.taken = []
+        self.control = ControlLink(
+            lambda: DaemonHello("d", "boot"),
+            Report,
+            self.taken.append,
+            lambda grant, asked_s: None,
+            lambda: [(host, port) for host in HOSTS],
+            Silent(),
+        )
+        self._task = asyncio.create_task(self.control.run())
+        return self
+
+    async def __aexit__(self, *_error):
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        for vm in self.vms:
+            vm.close()
+
+    @property
+    def reports(self):
+        return sum(len(vm.reports) for vm in self.vms)
+
+
+def run(test):
+    async def main():
+        async with Fleet() as fleet:
+            await test(fleet)
+
+    asyncio.run(main())
+
+
+def test_a_spare_link_to_a_second_leader_does_not_make_reports_follow_without_a_pause():
+    # Guards against: a daemon that fills its own processor and drowns the leader.
+    async def test(fleet):
+        await asyncio.sleep(LOOKS_ON_S)
+        assert len([vm for vm in fleet.vms if vm.links]) == 2
+        assert 1 <= fleet.reports <= 2 + LOOKS_ON_S / REPORT_S
+
+    run(test)
+
+
+def test_news_of_a_second_leader_are_not_taken_as_the_leaders():
+    # Guards against: what a deposed leader sent at once counts as the present one's.
+    async def test(fleet):
+        await asyncio.sleep(LOOKS_ON_S)
+        (in_use,) = [vm for vm in fleet.vms if vm.reports]
+        assert fleet.taken == [ZonesView(1, (in_use.host,))]
+
+    run(test)
+
+
+@pytest.mark.parametrize("kicks", [1, 50])
+def test_urgent_reports_are_sent_at_once_and_together(kicks):
+    async def test(fleet):
+        await asyncio.sleep(REPORT_S / 2)
+        before = fleet.reports
+        for _ in range(kicks):
+            fleet.control.kick()
+        await asyncio.sleep(REPORT_S / 4)
+        assert fleet.reports == before + 1
+
+    run(test)
