Let a leader grant and move keys in its own term only

**Cause:** what callers could see is one key at two targets. A control VM looks every tenth of a second whether it still leads, but for up to a second while it waits for a membership change, and later on a busy machine. When it lost the lead and won it again between two looks, it went on with the leases, moves and open changes of its former term: quorum reads and proposals succeed in the new one. Leases that another leader granted in between are not in that book, so an owner counts as gone whose lease is fresh, and its keys go to a second target.

--- a/tamarackhaven/_consensus.py
+++ b/tamarackhaven/_consensus.py
@@ -59,6 +59,7 @@
 @attrs.frozen
 class _Propose:
     command: bytes
+    term: int | None
     future: concurrent.futures.Future
 
 
@@ -190,19 +191,26 @@
         """Take in messages of other members."""
         self._queue.put(_Deliver(tuple(messages)))
 
-    def propose(self, command):
+    def propose(self, command, term=None):
         """Add a change to the log.
 
+        Parameters
+        ----------
+        command : bytes
+            For ``machine.apply``.
+        term : int or None
+            Only while this member leads in this term; in any if it is None.
+
         Returns
         -------
         concurrent.futures.Future
             What ``machine.apply`` returned for this entry. Fails with NO_QUORUM if
-            this member doesn't lead, with CONTROL_BUSY if too many changes wait
+            this member doesn't lead in that term, with CONTROL_BUSY if too many changes wait
             already, with CHANGE_UNCONFIRMED if the entry is in the
             log and may yet commit or not, or with the fatal error if it never came
             into the log. Callbacks run on the member's thread and must not block.
         """
-        return self._ask(_Propose, command)
+        return self._ask(_Propose, command, term)
 
     def change_membership(self, step):
         """Add one membership change to the log; as ``propose``."""
@@ -328,6 +336,16 @@
                 )
             )
             return []
+        if item.term not in (None, self._raft.term):
+            # Failure: a change waits here while this member loses the lead and wins it
+            # again. Symptom: what was decided before another leader's grants still
+            # takes effect after them. Enough: a decision counts in its own term only.
+            item.future.set_exception(
+                TamarackhavenError(
+                    ErrorKind.NO_QUORUM, f"term {item.term} is over", 0.1
+                )
+            )
+            return []
         return self._append(self._raft.propose, item.command, item.future)
 
     @_handle.register
--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -202,8 +202,16 @@
 
     @property
     def leads(self):
-        """Whether this member leads and has confirmed it once in this term."""
-        return self._leadership is not None
+        """Whether this member leads and has confirmed it once in this term.
+
+        Failure: it loses the lead and wins it again before it has looked. Symptom: it
+        grants and moves keys by the leases of its former term, although another leader
+        has granted since. Enough: what was decided for a term counts in that term.
+        """
+        if self._leadership is None:
+            return False
+        status = self.consensus.status()
+        return status.role is Role.LEADER and status.term == self._leadership.term
 
     # Messages.
 
@@ -269,7 +277,7 @@
                 except TamarackhavenError:
                     # Not the leader any more; the daemons look for the next one.
                     continue
-                if leadership is None or leadership is not self._leadership:
+                if leadership is not self._leadership or not self.leads:
                     continue
                 self._grant(leadership, reports)
         finally:
@@ -337,7 +345,7 @@
         if status.role is not Role.LEADER:
             self._keeper.ask_to_join(status, now)
             return
-        if self._leadership is None or self._leadership.term != status.term:
+        if self._leadership is None:
             self._take_lead(status.term)
             return
         self._decide()
@@ -353,7 +361,7 @@
                 leader=status.leader,
                 term=status.term,
             )
-        if status.role is not Role.LEADER and self._leadership is not None:
+        if self._leadership is not None and not self.leads:
             self._leadership = None
             for link in list(self._session_by_link):
                 link.abort()
@@ -377,14 +385,14 @@
         self._log.say("leads", term=term)
 
     def _decide(self):
-        if self._leadership is None:
+        if not self.leads:
             return
         leadership = self._leadership
         with self.machine.lock:
             commands = leadership.tick(self.machine.state, boot_s())
         for command in commands:
             # Nobody waits for the outcome: the next tick decides from the state then.
-            future = self.consensus.propose(encode(command))
+            future = self.consensus.propose(encode(command), leadership.term)
             future.add_done_callback(
                 functools.partial(self._proposed, leadership, command)
             )
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -165,6 +165,16 @@
     wait_for(lambda: trio.machines[name].commands == [b"kept", b"new"])
 
 
+def test_a_change_decided_in_a_former_term_never_comes_into_the_log(trio):
+    # Guards against: what was decided before another leader's grants takes effect.
+    leader = committed(trio, b"first")
+    term = leader.status().term
+    error = leader.propose(b"late", term - 1).exception(WAIT_S)
+    assert error.kind is ErrorKind.NO_QUORUM
+    leader.propose(b"now", term).result(WAIT_S)
+    assert trio.machines[leader.status().name].commands == [b"first", b"now"]
+
+
 @pytest.mark.parametrize("failure", ["sync", "full"], ids=["failed sync", "full disk"])
 def test_failed_disk_stops_the_member_and_the_others_go_on(trio, failure):
     """A caller's change waits at a leader whose disk fails under it.
