--- a/tamarackhaven/_consensus.py
+++ b/tamarackhaven/_consensus.py
@@ -205,10 +205,10 @@
         -------
         concurrent.futures.Future
             What ``machine.apply`` returned for this entry. Fails with NO_QUORUM if
-            this member doesn't lead in that term, with CONTROL_BUSY if too many changes wait
-            already, with CHANGE_UNCONFIRMED if the entry is in the
-            log and may yet commit or not, or with the fatal error if it never came
-            into the log. Callbacks run on the member's thread and must not block.
+            this member doesn't lead in that term, with CONTROL_BUSY if too many
+            changes wait already, with CHANGE_UNCONFIRMED if the entry is in the log
+            and may yet commit or not, or with the fatal error if it never came into
+            the log. Callbacks run on the member's thread and must not block.
         """
         return self._ask(_Propose, command, term)
 
