Propose a change of owners once, and bound what a leader does for reports

**Cause:** callers got no answers while the leader had no processor left. It proposed the same change again at each look until the log took it, with a look for each report that named releases; a disk that stalled for four seconds left thousands of undecided changes, and each further look built sets of all ranges for each of them. **Change:** one change of a service is on its way at a time (OpenChanges); whether the log has decided on it is found by the place of its ranges. Reports of one daemon that wait together are answered once (ReportAnswers). Looks that releases ask for are 20 ms apart; one follows each change that the log has decided on. A change that was void is not waited for.

--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -28,6 +28,7 @@
     MemberHello,
     Report,
 )
+from tamarackhaven.fleet._report_answers import ReportAnswers
 from tamarackhaven.fleet._sessions import Session
 from tamarackhaven.fleet._settings import split
 from tamarackhaven.fleet._state import encode
@@ -37,13 +38,14 @@
 RAFT = RaftSettings(heartbeat_ms=100, election_ms=500, first_election_ms=200)
 # The leader looks at targets, keys and members so often.
 TICK_S = 0.1
-# Reports that come within this time share one round of heartbeats; it delays a lease
-# by a small part of its length.
-CONFIRM_PAUSE_S = 0.08
 # An order waits so long for the voters that the tolerated losses need. After that the
 # group accepts with those that there are: a control VM may be missing for good.
 FOUNDING_PATIENCE_S = 20.0
 READ_TIMEOUT_S = 1.0
+# Load: releases that come one by one, from many daemons at once. Harm: a look at all
+# targets and keys for each fills the leader's processor. Limit: a small part of the
+# time in which keys move.
+DECIDE_PAUSE_S = 0.02
 
 
 class NotLeading(Exception):
@@ -83,8 +85,8 @@
         self._wanted = _growth.voters_wanted(settings.tolerated_losses)
         self._session_by_link = {}
         self._feed = Feed()
-        self._reports = []
-        self._confirming = None
+        self._decided_s = float("-inf")
+        self._deciding = None
         self._leadership = None
         self._preparing_term = None
         self._last_role = (None, "")
@@ -94,6 +96,9 @@
         self._loop = None
         self.consensus = None
         self.machine = FleetMachine(self._applied)
+        self._answers = ReportAnswers(
+            self._read, self._leadership_in_force, self.machine, metrics
+        )
         self._links = None
         self._keeper = None
         self._server = LinkServer(CONTROL_CODEC, self._on_message, self._on_closed)
@@ -213,6 +218,9 @@
         status = self.consensus.status()
         return status.role is Role.LEADER and status.term == self._leadership.term
 
+    def _leadership_in_force(self):
+        return self._leadership if self.leads else None
+
     # Messages.
 
     def _on_message(self, link, message):
@@ -258,36 +266,10 @@
             link.abort()
             return
         self._leadership.report(report, boot_s())
-        self._reports.append((link, report))
+        self._answers.take(link, report)
         self._send_news()
-        if self._confirming is None:
-            self._confirming = self._loop.create_task(self._confirm())
         if report.releases or report.ended_lives:
-            self._decide()
-
-    async def _confirm(self):
-        """Grant what was asked for, once a quorum has heard this leader after it."""
-        try:
-            while self._reports:
-                await asyncio.sleep(CONFIRM_PAUSE_S)
-                reports, self._reports = self._reports, []
-                leadership = self._leadership
-                try:
-                    await self._read()
-                except TamarackhavenError:
-                    # Not the leader any more; the daemons look for the next one.
-                    continue
-                if leadership is not self._leadership or not self.leads:
-                    continue
-                self._grant(leadership, reports)
-        finally:
-            self._confirming = None
-
-    def _grant(self, leadership, reports):
-        with self.machine.lock:
-            state = self.machine.state
-            for link, report in reports:
-                link.send(leadership.grant(report, state, boot_s()))
+            self._decide_soon()
 
     async def _read(self):
         future = asyncio.wrap_future(self.consensus.read())
@@ -384,28 +366,48 @@
         self._metrics.count("tamarackhaven_fleet_leaderships_total")
         self._log.say("leads", term=term)
 
+    def _decide_soon(self):
+        """Decide now, or once the shortest pause since the last time is over."""
+        if self._deciding is None:
+            wait_s = max(self._decided_s + DECIDE_PAUSE_S - boot_s(), 0.0)
+            self._deciding = self._loop.call_later(wait_s, self._decide)
+
     def _decide(self):
+        if self._deciding is not None:
+            self._deciding.cancel()
+            self._deciding = None
         if not self.leads:
             return
         leadership = self._leadership
+        self._decided_s = boot_s()
         with self.machine.lock:
             commands = leadership.tick(self.machine.state, boot_s())
         for command in commands:
-            # Nobody waits for the outcome: the next tick decides from the state then.
             future = self.consensus.propose(encode(command), leadership.term)
             future.add_done_callback(
                 functools.partial(self._proposed, leadership, command)
             )
+        self._metrics.gauge(
+            "tamarackhaven_fleet_changes_undecided", leadership.undecided_count
+        )
 
     def _proposed(self, leadership, command, future):
-        """Note a change that never came into the log; on the member's thread."""
+        """Note what became of a change; on the member's thread."""
         error = future.exception()
         if error is None:
-            return
-        kind = getattr(error, "kind", ErrorKind.INTERNAL)
-        # One that may still commit stays undecided for the rest of the term.
-        if kind is not ErrorKind.CHANGE_UNCONFIRMED:
-            self._loop.call_soon_threadsafe(leadership.not_taken, command)
+            is_void = future.result().kind is not None
+        else:
+            # One that may still commit stays undecided for the rest of the term.
+            kind = getattr(error, "kind", ErrorKind.INTERNAL)
+            is_void = kind is not ErrorKind.CHANGE_UNCONFIRMED
+        self._loop.call_soon_threadsafe(
+            self._after_proposal, leadership, command, is_void
+        )
+
+    def _after_proposal(self, leadership, command, is_void):
+        if is_void:
+            leadership.not_taken(command)
+        self._decide_soon()
 
     # Orders of operators.
 
--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -18,6 +18,7 @@
     TargetPhase,
     place_and_start,
 )
+from tamarackhaven.fleet._open_changes import OpenChanges, minus
 from tamarackhaven.fleet._ranges import overlaps
 from tamarackhaven.fleet._state import AssignKeys
 
@@ -100,7 +101,7 @@
         self._life_by_host = {}
         self._start_ms_by_place = {}
         self._moving = []
-        self._undecided = []
+        self._open = OpenChanges()
         self._gathering_by_service = {}
         self._changed = {}
         self._gone = []
@@ -159,7 +160,7 @@
         ranges = state.ranges_by_service.get(target.service, ())
         owned = tuple(each for each in ranges if each.owner == target.life)
         owned = self._without_moving(owned, target.life)
-        owned = self._without_undecided(owned, ranges)
+        owned = self._open.without(owned, target.service, ranges)
         self.leases.granted(target.life, now)
         return LeaseGrant(
             report.number,
@@ -177,31 +178,18 @@
         for each in owned:
             rest = [each]
             for piece in pieces:
-                rest = [part for whole in rest for part in _minus(whole, piece)]
+                rest = [part for whole in rest for part in minus(whole, piece)]
             result.extend(rest)
         return tuple(result)
 
-    def _without_undecided(self, owned, ranges):
-        """Leave out the keys that a change on its way gives to somebody else.
-
-        Failure: an owner's lease is over, its keys are proposed for another one, and
-        its daemon comes back before that is committed. Symptom: it is granted the keys
-        once more, and then so is the new owner. Enough: what was proposed is not
-        granted until the log has decided on it.
-        """
-        undecided = [
-            piece
-            for command in self._undecided
-            if set(command.expected) <= set(ranges)
-            for piece in command.ranges
-        ]
-        for piece in undecided:
-            owned = tuple(part for whole in owned for part in _minus(whole, piece))
-        return owned
-
     def not_taken(self, command):
-        """Note that a change from ``tick`` never came into the log."""
-        self._undecided = [each for each in self._undecided if each is not command]
+        """Note that a change from ``tick`` never came into the log, or was void."""
+        self._open.not_taken(command)
+
+    @property
+    def undecided_count(self):
+        """How many changes the log has not decided on yet."""
+        return len(self._open)
 
     # Decisions.
 
@@ -210,20 +198,24 @@
 
         Their keys are granted to nobody until ``state`` shows what became of them, or
         ``not_taken`` is called.
+
+        Load: a disk that stalls while releases come in. Harm: the same changes are
+        proposed at each look, and each costs a record and a sync on every control VM.
+        Limit: one change of a service is on its way at a time; what is due meanwhile
+        goes into the next one.
         """
-        self._undecided = [
-            each
-            for each in self._undecided
-            if set(each.expected) <= set(state.ranges_by_service[each.service])
-        ]
         if not self._has_heard_all(state, now):
             return []
         self._forget_silent(now)
         commands = []
         for service, ranges in state.ranges_by_service.items():
-            if service in state.configuration.service_by_name:
-                commands += self._place(service, ranges, state, now)
-        self._undecided += commands
+            if service not in state.configuration.service_by_name:
+                continue
+            if self._open.has(service, ranges):
+                continue
+            commands += self._place(service, ranges, state, now)
+        for command in commands:
+            self._open.add(command)
         return commands
 
     def _has_heard_all(self, state, now):
@@ -470,18 +462,6 @@
     return power
 
 
-def _minus(whole, piece):
-    """Return what is left of ``whole`` without ``piece``."""
-    if not overlaps(whole, piece):
-        return [whole]
-    left = []
-    if whole.first < piece.first:
-        left.append(attrs.evolve(whole, last=piece.first - 1))
-    if piece.last < whole.last:
-        left.append(attrs.evolve(whole, first=piece.last + 1))
-    return left
-
-
 def _touched(ranges, new):
     return tuple(each for each in ranges if any(overlaps(each, other) for other in new))
 
--- a/tests/fleet/test_control_terms.py
+++ b/tests/fleet/test_control_leader.py
@@ -1,4 +1,4 @@
-"""What a control VM still does by a term that is over."""
+"""What a control VM does for reports while it leads, and once its term is over."""
 
 import asyncio
 import concurrent.futures
@@ -9,10 +9,11 @@
 from tamarackhaven._members import Membership
 from tamarackhaven._metrics import Metrics
 from tamarackhaven._raft import Role
-from tamarackhaven.fleet._control import CONFIRM_PAUSE_S, FleetControl
+from tamarackhaven.fleet._control import DECIDE_PAUSE_S, FleetControl
 from tamarackhaven.fleet._leadership import Leadership
 from tamarackhaven.fleet._messages import LeaseGrant, Report
-from tamarackhaven.fleet._model import Target, TargetPhase, life_of
+from tamarackhaven.fleet._model import Release, Target, TargetPhase, life_of
+from tamarackhaven.fleet._report_answers import CONFIRM_PAUSE_S
 from tamarackhaven.fleet._sessions import Session
 from tamarackhaven.fleet._settings import FleetControlSettings
 
@@ -30,11 +31,16 @@
 
     def __init__(self, term):
         self.term = term
+        self.reads = 0
 
     def status(self):
         return Status("m", Role.LEADER, "m", self.term, 1, 1, Membership(()))
 
+    def propose(self, command, term):
+        raise AssertionError("nothing is due")
+
     def read(self):
+        self.reads += 1
         future = concurrent.futures.Future()
         future.set_result(1)
         return future
@@ -104,3 +110,43 @@
     control._session_by_link[link] = Session("d", link)
     control._take_report(link, Report(1, TARGET))
     assert link.is_aborted
+
+
+def test_reports_of_one_daemon_that_wait_together_are_answered_once(control):
+    # Guards against: a daemon that reports without a pause, and a leader that has time
+    # for nothing else.
+    link = Link()
+
+    async def main():
+        control._loop = asyncio.get_running_loop()
+        control._session_by_link[link] = Session("d", link)
+        for number in range(1, 501):
+            control._take_report(link, Report(number, TARGET))
+        await asyncio.sleep(3 * CONFIRM_PAUSE_S)
+
+    asyncio.run(main())
+    grants = [each for each in link.sent if isinstance(each, LeaseGrant)]
+    assert [grant.number for grant in grants] == [500]
+    assert control.consensus.reads == 1
+
+
+def test_releases_do_not_make_the_leader_look_at_all_keys_without_a_pause(control):
+    # Guards against: a leader's processor that is full while many daemons release keys.
+    looks = []
+    control._leadership.tick = lambda state, now: looks.append(now) or []
+    link = Link()
+
+    async def main():
+        control._loop = asyncio.get_running_loop()
+        control._session_by_link[link] = Session("d", link)
+        ends_s = control._loop.time() + 10 * DECIDE_PAUSE_S
+        number = 0
+        while control._loop.time() < ends_s:
+            number += 1
+            release = Release(0, number, "token")
+            control._take_report(link, Report(number, TARGET, releases=(release,)))
+            await asyncio.sleep(0)
+        return number
+
+    assert asyncio.run(main()) > 20
+    assert 1 <= len(looks) <= 11
--- a/tests/fleet/test_leadership.py
+++ b/tests/fleet/test_leadership.py
@@ -264,6 +264,36 @@
     assert sum(r.last - r.first + 1 for r in group.report(a).ranges) == 65536
 
 
+def test_a_change_on_its_way_is_not_proposed_again(group):
+    # Guards against: a disk that stalls for four seconds and a log full of repeats.
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    group.now += LEASE_S + 1.0
+    group.report(a)
+    (command,) = group.leader.tick(group.state, group.now)
+    for _ in range(40):
+        group.now += 0.1
+        group.report(a, releases=(Release(0, 99, "token"),))
+        assert group.leader.tick(group.state, group.now) == []
+    assert group.leader.undecided_count == 1
+    assert group.state.apply(99, command).kind is None
+    group.tick()
+    assert group.owners() == {a.life}
+    assert group.leader.undecided_count == 0
+
+
+def test_a_change_that_was_void_holds_up_nothing(group):
+    # Guards against: keys that wait for the outcome of a change that has none.
+    a, b = target("a"), target("b")
+    group.run(4 * SETTLE_S, a, b)
+    group.now += LEASE_S + 1.0
+    group.report(a)
+    (command,) = group.leader.tick(group.state, group.now)
+    group.leader.not_taken(command)
+    assert group.tick()
+    assert group.owners() == {a.life}
+
+
 def test_an_owner_keeps_what_never_came_into_the_log(group):
     a, b = target("a"), target("b")
     group.run(4 * SETTLE_S, a, b)
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -24,6 +24,7 @@
             "_leadership",
             "_leases",
             "_model",
+            "_open_changes",
             "_placement",
             "_ranges",
             "_state",
