--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,8 @@
 import attrs
 import defopt
 
-from soak._faults import bring, draw, draw_replacement
+from soak._busy import LOOK_S, BusyWatch
+from soak._faults import bring, draw, draw_for_control
 from soak._fleet import SoakFleet
 from soak._load import Caller, Operator, describe
 
@@ -40,13 +41,16 @@
     """Return the faults of a run; those of regressions are as they were."""
     if seed in regression_seeds():
         return draw(seed, seconds)
-    faults = [*draw(seed, seconds), draw_replacement(seed, seconds)]
+    faults = [*draw(seed, seconds), *draw_for_control(seed, seconds)]
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
 async def _play(seed, seconds, folder, net):
     fleet = SoakFleet(folder, net)
-    watching = asyncio.create_task(_note_stalls(fleet.records))
+    watching = [
+        asyncio.create_task(_note_stalls(fleet.records)),
+        asyncio.create_task(_note_busy(fleet)),
+    ]
     callers = [Caller(fleet, number, seed) for number in range(CALLERS)]
     operator = Operator(fleet, seed)
     try:
@@ -61,7 +65,8 @@
         await fleet.settle()
         fleet.records.check_end()
     finally:
-        watching.cancel()
+        for task in watching:
+            task.cancel()
         await fleet.stop()
     return Outcome(seed, tuple(fleet.records.broken), describe(fleet.records))
 
@@ -80,6 +85,14 @@
         records.longest_stall_s = max(records.longest_stall_s, stall_s)
 
 
+async def _note_busy(fleet):
+    """Look out for processes that use a whole core."""
+    watch = BusyWatch(lambda: [*fleet.controls, *fleet.daemons], fleet.records)
+    while True:
+        watch.look()
+        await asyncio.sleep(LOOK_S)
+
+
 async def _bring_all(fleet, faults):
     """Bring all faults about at their times, side by side."""
     loop = asyncio.get_running_loop()
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -1,6 +1,7 @@
 """The faults of one run, drawn from its seed, and how each is brought about."""
 
 import asyncio
+import contextlib
 import functools
 import random
 import signal
@@ -51,6 +52,14 @@
     """A control VM is killed within a write: half a record stands behind its log."""
 
 
+class Stall(Fault):
+    """A control VM's disk answers nothing."""
+
+
+class Depose(Fault):
+    """The leading control VM stands still until another one leads."""
+
+
 class KillAllControl(Fault):
     """All control VMs are killed at once and start again."""
 
@@ -117,14 +126,19 @@
         faults.append(kind(round(at_s, 3), source.randrange(1 << 30), round(for_s, 3)))
 
 
-def draw_replacement(seed, seconds):
-    """Return the one ``Replace`` of a run.
+def draw_for_control(seed, seconds):
+    """Return the faults of a run that meet control VMs only.
 
-    It is drawn apart, so that seeds that once failed keep their other faults.
+    They are drawn apart, so that seeds that once failed keep their other faults.
     """
     source = random.Random(f"replacement {seed}")
     at_s = round(source.uniform(0.0, seconds), 3)
-    return Replace(at_s, source.randrange(1 << 30), 0.0)
+    faults = [Replace(at_s, source.randrange(1 << 30), 0.0)]
+    for kind in (Stall, Stall, Depose, Depose):
+        at_s = round(source.uniform(0.0, seconds), 3)
+        for_s = round(source.uniform(0.5, LONGEST_S), 3)
+        faults.append(kind(at_s, source.randrange(1 << 30), for_s))
+    return faults
 
 
 def _process(fleet, fault):
@@ -220,11 +234,33 @@
         await asyncio.to_thread(_tear, control, fleet.folder / control.name / "group")
 
 
+@bring.register
+async def _(fault: Stall, fleet):
+    control = fleet.controls[fault.where % len(fleet.controls)]
+    control.stall()
+    await asyncio.sleep(fault.for_s)
+    control.unstall()
+
+
+@bring.register
+async def _(fault: Depose, fleet):
+    control = fleet.leading()
+    if control is None:
+        return
+    async with fleet.taken(control):
+        control.send(signal.SIGSTOP)
+        await asyncio.sleep(fault.for_s)
+        control.send(signal.SIGCONT)
+
+
 @bring.register
 async def _(fault: KillAllControl, fleet):
-    free = [each for each in fleet.controls if not fleet.is_taken(each)]
-    await asyncio.gather(*(asyncio.to_thread(each.kill) for each in free))
-    await asyncio.gather(*(asyncio.to_thread(each.start) for each in free))
+    async with contextlib.AsyncExitStack() as stack:
+        free = [each for each in fleet.controls if not fleet.is_taken(each)]
+        for each in free:
+            await stack.enter_async_context(fleet.taken(each))
+        await asyncio.gather(*(asyncio.to_thread(each.kill) for each in free))
+        await asyncio.gather(*(asyncio.to_thread(each.start) for each in free))
 
 
 @bring.register
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -76,6 +76,7 @@
         process = super()._control(host, seeds, is_first)
         listen = self._behind_proxy(host, PORTS["links"])
         process.write(self._with_links_listen(process, listen))
+        process.may_stall()
         return process
 
     def _daemon(self, target, seeds):
@@ -206,6 +207,16 @@
         del self.records.zone_out_since_s[zone]
         await self.order(f"/api/evacuation/{zone}/finish", timeout_s=40.0)
 
+    def leading(self):
+        """Return the control VM that said last that it leads, None if none did."""
+        terms = {
+            line["term"]: control
+            for control in self.controls
+            for line in control.lines
+            if line.get("sentence") == "control: leads"
+        }
+        return terms[max(terms)] if terms else None
+
     def is_up(self, process):
         """Whether the process has said that it started, since it was started last."""
         lines = process.lines
--- a/soak/_load.py
+++ b/soak/_load.py
@@ -175,8 +175,15 @@
 
 
 def describe(records):
-    """Return the counts of a run, and its longest stall, as a line of JSON."""
+    """Return the counts of a run as a line of JSON.
+
+    With its longest stall, and the most that one process had of a core.
+    """
     counts = {str(status): count for status, count in sorted(records.counts.items())}
-    stall_s = round(records.longest_stall_s, 2)
-    asked = len(records.asked)
-    return json.dumps({"asked": asked, "answers": counts, "stall_s": stall_s})
+    described = {
+        "asked": len(records.asked),
+        "answers": counts,
+        "stall_s": round(records.longest_stall_s, 2),
+        "busy": round(records.most_busy, 2),
+    }
+    return json.dumps(described)
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -47,6 +47,8 @@
     ----------
     longest_stall_s : float
         For how long the run's own event loop once stood still.
+    most_busy : float
+        Part of a core that one process used within a second.
     """
 
     broken: list = attrs.field(factory=list)
@@ -55,6 +57,7 @@
     begun_by_attempt: dict = attrs.field(factory=lambda: collections.defaultdict(list))
     newest_accepted: int = 0
     longest_stall_s: float = 0.0
+    most_busy: float = 0.0
     drain_s: float = 2.0
     zone_out_s: float = 5.0
     targets: list = attrs.field(factory=list)
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -250,6 +250,7 @@
         self._log = folder / f"{name}.log"
         self._process = None
         self._is_retired = False
+        self._stalls = None
         self.starts = 0
 
     def start(self):
@@ -260,13 +261,33 @@
         environment = {**os.environ, "TAMARACKHAVEN_BOOT": str(self._path)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "platform", self.role],
+                [sys.executable, *self._launcher(), "platform", self.role],
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
                 stderr=log,
             )
 
+    def _launcher(self):
+        return ("-m", "standin.slow_disk", str(self._stalls)) if self._stalls else ()
+
+    def may_stall(self):
+        """Give it, from its next start on, a disk that can stall."""
+        self._stalls = self._folder / f"{self.name}.stalls"
+
+    def stall(self):
+        """Let its disk answer nothing."""
+        self._stalls.touch()
+
+    def unstall(self):
+        """Let its disk answer again."""
+        self._stalls.unlink(missing_ok=True)
+
+    @property
+    def pid(self):
+        """Its process id, 0 before the first start."""
+        return self._process.pid if self._process is not None else 0
+
     def takes(self, number):
         """Whether it ignores or handles a signal by now, so that it doesn't end it."""
         path = Path(f"/proc/{self._process.pid}/status")
