--- a/tests/sidecar/held_by_calls.py
+++ b/tests/sidecar/held_by_calls.py
@@ -270,11 +270,15 @@
                 self._draw()
             for machine in self.machines:
                 machine.step()
-            for command in self.leader.tick(self.state, self.now):
-                self.index += 1
-                self.state.apply(self.index, command)
+            self.decide()
             self.check()
 
+    def decide(self):
+        """Play a look of the leader; what it decides is committed at once."""
+        for command in self.leader.tick(self.state, self.now):
+            self.index += 1
+            self.state.apply(self.index, command)
+
     def _draw(self):
         machine = self.random.choice(self.machines)
         drawn = self.random.random()
