--- a/soak/_busy.py
+++ b/soak/_busy.py
@@ -1,16 +1,11 @@
 """Finds processes of a fleet that use a whole core, by the operating system's count."""
 
-import os
 import time
-from pathlib import Path
 
 LOOK_S = 1.0
 # Part of a core, and for how long: no process of a fleet this small has so much to do.
 WHOLE_CORE = 0.9
 TOO_LONG_S = 4.0
-_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-# Fields of /proc/PID/stat behind the name in brackets: user and system time.
-_USER, _SYSTEM = 11, 12
 
 
 class BusyWatch:
@@ -37,7 +32,7 @@
         passed_s, self._looked_s = now - self._looked_s, now
         used_s_by_pid = {}
         for process in self._processes():
-            used_s = _used_s(process.pid)
+            used_s = process.processor_s
             if used_s is None:
                 continue
             used_s_by_pid[process.pid] = used_s
@@ -53,12 +48,3 @@
         busy_s = now - self._busy_since_s_by_pid.setdefault(process.pid, now)
         if busy_s >= TOO_LONG_S:
             self._records.breaks("a whole core", f"{process.name} for {busy_s:.0f} s")
-
-
-def _used_s(pid):
-    """Return the processor time of a process in seconds, None if it is gone."""
-    try:
-        fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    except OSError:
-        return None
-    return (int(fields[_USER]) + int(fields[_SYSTEM])) / _TICKS_PER_S
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -21,6 +21,9 @@
 HEARTBEAT_S = 0.3
 PORTS = {"operators": 18620, "links": 17600, "callers": 18629, "readiness": 18625}
 TARGET_PORT = 18628
+# Fields of /proc/PID/stat behind the name in brackets: user and system time.
+_USER, _SYSTEM = 11, 12
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 SERVICE_BY_ROUTE = {"/owned/": "owned", "/shared/": "shared"}
 CONFIGURATION = {
     "version": "r1",
@@ -288,6 +291,30 @@
         """Its process id, 0 before the first start."""
         return self._process.pid if self._process is not None else 0
 
+    @property
+    def processor_s(self):
+        """Processor time that it has used, in seconds; None if it is gone."""
+        fields = self._stat()
+        if fields is None:
+            return None
+        return (int(fields[_USER]) + int(fields[_SYSTEM])) / _TICKS_PER_S
+
+    def _stat(self):
+        """Return the fields of its /proc/PID/stat behind the name in brackets."""
+        try:
+            return Path(f"/proc/{self.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        except OSError:
+            return None
+
+    def describe(self):
+        """Return what it does at this moment, as text."""
+        fields = self._stat()
+        state = fields[0] if fields else "gone"
+        return (
+            f"{self.name}: {len(self.lines)} lines, state {state},"
+            f" {self.processor_s} s of processor time"
+        )
+
     def takes(self, number):
         """Whether it ignores or handles a signal by now, so that it doesn't end it."""
         path = Path(f"/proc/{self._process.pid}/status")
@@ -436,8 +463,15 @@
             process.start()
         for target in self.targets:
             await target.start()
-        await self.order("/api/config/replace", CONFIGURATION, "r0")
-        await self.until(self._serves, 20.0)
+        try:
+            await self.order("/api/config/replace", CONFIGURATION, "r0")
+            await self.until(self._serves, 20.0)
+        except AssertionError as error:
+            about = "\n".join(
+                each.describe() for each in (*self.controls, *self.daemons)
+            )
+            load = Path("/proc/loadavg").read_text().strip()
+            raise AssertionError(f"{error}; load {load}\n{about}") from error
 
     async def stop(self):
         """Kill all processes that this fleet started."""
