--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -32,7 +32,7 @@
 from tamarackhaven.fleet._sessions import Session
 from tamarackhaven.fleet._settings import split
 from tamarackhaven.fleet._state import encode
-from tamarackhaven.net import LinkServer, Packed, listen
+from tamarackhaven.net import LinkServer, listen
 
 # Heartbeats cross zones in a millisecond; a leader is missed after five of them.
 RAFT = RaftSettings(heartbeat_ms=100, election_ms=500, first_election_ms=200)
@@ -303,7 +303,7 @@
             )
         for life in view.gone:
             self._log.say("target gone", life=life)
-        packed = Packed(CONTROL_CODEC.pack(view))
+        packed = CONTROL_CODEC.packed(view)
         for session in self._session_by_link.values():
             session.link.send(packed)
 
--- a/tamarackhaven/fleet/_feed.py
+++ b/tamarackhaven/fleet/_feed.py
@@ -16,7 +16,6 @@
     KeysView,
     ZonesView,
 )
-from tamarackhaven.net import Packed
 from tamarackhaven.routing import bare, difference
 
 # Daemons are at one of the last few states; others get the whole.
@@ -80,7 +79,7 @@
     def _packed(self, step, make):
         packed = self._packed_by_step.get(step)
         if packed is None:
-            packed = Packed(CONTROL_CODEC.pack(make()))
+            packed = CONTROL_CODEC.packed(make())
             self._packed_by_step[step] = packed
             if len(self._packed_by_step) > MOST_KEPT:
                 self._packed_by_step.popitem(last=False)
--- a/tamarackhaven/fleet/process.py
+++ b/tamarackhaven/fleet/process.py
@@ -16,6 +16,7 @@
 from tamarackhaven._settings_file import load_settings
 from tamarackhaven.errors import TamarackhavenError
 from tamarackhaven.fleet._control import FleetControl
+from tamarackhaven.fleet._messages import CONTROL_CODEC
 from tamarackhaven.fleet._settings import FleetControlSettings, split
 from tamarackhaven.net import HttpServer, listen
 
@@ -38,6 +39,7 @@
     settings = load_settings(path, FleetControlSettings)
     log, lines = open_log("control", settings.name)
     metrics = Metrics()
+    metrics.add_source(lambda: CONTROL_CODEC.tell(metrics))
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     fatal = []
--- a/tamarackhaven/net/_link.py
+++ b/tamarackhaven/net/_link.py
@@ -97,6 +97,7 @@
         if self._transport.get_write_buffer_size() + len(data) > MAX_UNSENT_BYTES:
             self.abort()
             return False
+        self._codec.note_sent(message, _HEAD.size + len(data))
         if len(data) > LARGE_FRAME_BYTES:
             self._transport.write(_HEAD.pack(len(data)))
             self._transport.write(data)
--- a/tamarackhaven/net/_wire.py
+++ b/tamarackhaven/net/_wire.py
@@ -5,6 +5,7 @@
 fleet run the same release; a new field goes to the end and has a default.
 """
 
+import collections
 import zlib
 
 import attrs
@@ -22,9 +23,18 @@
 
 @attrs.frozen
 class Packed:
-    """The bytes of a message that goes to many receivers and is packed once."""
+    """The bytes of a message that goes to many receivers and is packed once.
+
+    Parameters
+    ----------
+    data : bytes
+        As ``Codec.pack`` gave it.
+    kind : str
+        Name of the message's class.
+    """
 
     data: bytes
+    kind: str = ""
 
 
 class Codec:
@@ -44,6 +54,22 @@
         )
         self._kind_by_name = {kind.__name__: kind for kind in kinds}
         self._compressed = frozenset(compressed)
+        self._sent_bytes_by_kind = collections.Counter()
+
+    def note_sent(self, message, size):
+        """Count the bytes of a message that a link of this process sends."""
+        is_packed = isinstance(message, Packed)
+        kind = message.kind if is_packed else type(message).__name__
+        self._sent_bytes_by_kind[kind] += size
+
+    def tell(self, metrics):
+        """Set the gauges of bytes sent, by kind of message."""
+        for kind, sent_bytes in self._sent_bytes_by_kind.items():
+            metrics.gauge("tamarackhaven_link_sent_bytes", sent_bytes, kind=kind)
+
+    def packed(self, message):
+        """Return a message as ``Packed``, for many receivers."""
+        return Packed(self.pack(message), type(message).__name__)
 
     def pack(self, message):
         """Return the bytes of a message, or of a ``Packed`` one."""
--- a/tamarackhaven/sidecar/process.py
+++ b/tamarackhaven/sidecar/process.py
@@ -1,6 +1,7 @@
 """Runs a daemon as a process."""
 
 import asyncio
+import functools
 
 from tamarackhaven._metrics import Metrics
 from tamarackhaven._process import (
@@ -14,7 +15,9 @@
 )
 from tamarackhaven._settings_file import load_settings
 from tamarackhaven.fleet import DaemonSettings, split
+from tamarackhaven.fleet._messages import CONTROL_CODEC
 from tamarackhaven.sidecar._daemon import Daemon
+from tamarackhaven.sidecar._messages import PEER_CODEC
 
 
 def run_daemon(path, dialect, registry):
@@ -36,6 +39,8 @@
     settings = load_settings(path, DaemonSettings)
     log, lines = open_log("daemon", settings.name)
     metrics = Metrics()
+    for codec in (CONTROL_CODEC, PEER_CODEC):
+        metrics.add_source(functools.partial(codec.tell, metrics))
     daemon = Daemon(settings, dialect, registry, log, metrics)
     stopped = asyncio.Event()
     on_signals(stopped.set, lambda: reload_settings(path, daemon, log))
--- a/tests/net/test_wire.py
+++ b/tests/net/test_wire.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from tamarackhaven._metrics import Metrics
 from tamarackhaven.errors import TamarackhavenError
 from tamarackhaven.fleet._messages import (
     CONTROL_CODEC,
@@ -14,6 +15,7 @@
     KeysView,
     LeaderHint,
     LeaseGrant,
+    MemberHello,
     Report,
     TargetsView,
 )
@@ -25,7 +27,7 @@
     Target,
     TargetPhase,
 )
-from tamarackhaven.net import Packed
+from tamarackhaven.net import Codec, Packed
 from tamarackhaven.routing import (
     Configuration,
     RequestKind,
@@ -117,3 +119,14 @@
     packed = zlib.compress(msgpack.packb([3, [1] * 4000]))[:-cut]
     with pytest.raises(TamarackhavenError):
         CONTROL_CODEC.unpack(msgpack.packb(["ConfigurationView", packed]))
+
+
+def test_bytes_are_counted_by_the_kind_of_message():
+    # Guards against: a link that is full, and nobody can say of what.
+    codec = Codec((MemberHello,))
+    metrics = Metrics()
+    hello = MemberHello("a", "h", 1)
+    codec.note_sent(hello, 10)
+    codec.note_sent(codec.packed(hello), 5)
+    codec.tell(metrics)
+    assert 'tamarackhaven_link_sent_bytes{kind="MemberHello"} 15' in metrics.page()
