--- a/tamarackhaven/net/_link.py
+++ b/tamarackhaven/net/_link.py
@@ -158,7 +158,7 @@
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-async def dial(address, codec, on_message, on_closed):
+async def dial(address, codec, on_message, on_closed, timeout_s=DIAL_TIMEOUT_S):
     """Return a new ``Link`` to ``address``, a pair of host and port.
 
     Raises
@@ -169,7 +169,7 @@
     loop = asyncio.get_running_loop()
     _, link = await asyncio.wait_for(
         loop.create_connection(lambda: Link(codec, on_message, on_closed), *address),
-        DIAL_TIMEOUT_S,
+        timeout_s,
     )
     return link
 
--- a/tamarackhaven/sidecar/_control_link.py
+++ b/tamarackhaven/sidecar/_control_link.py
@@ -24,8 +24,11 @@
 # given up, the session starts afresh with the same news. Limit: a link that still
 # brings something is kept for this long, less than a lease.
 UNANSWERED_BUSY_S = 2.5
-HINT_TIMEOUT_S = 0.7
+# All control VMs are asked again after a round, sooner if all have answered.
+ROUND_S = 0.7
 SEARCH_PAUSE_S = 0.1
+# A full link holds a question and its answer up for seconds.
+ASK_TIMEOUT_S = 4.0
 REPORTS_REMEMBERED = 16
 
 
@@ -61,7 +64,8 @@
         self._answered = 0
         self._urgent = asyncio.Event()
         self._closed = asyncio.Event()
-        self._link = None
+        self._revived = asyncio.Event()
+        self._session = None
         self.confirmed_s = float("-inf")
 
     def kick(self):
@@ -73,55 +77,85 @@
         try:
             while True:
                 session = await self._find_leader()
-                if session is None:
-                    await asyncio.sleep(SEARCH_PAUSE_S)
-                    continue
-                self._log.say("leader found")
+                is_former = session is self._session
+                self._log.say("leader answers again" if is_former else "leader found")
                 await self._keep(session)
                 self._log.say(
                     "leader lost", silent_s=round(boot_s() - self.confirmed_s, 3)
                 )
         finally:
-            if self._link is not None:
-                self._link.abort()
+            if self._session is not None:
+                self._session.link.abort()
 
     # Search.
 
     async def _find_leader(self):
-        """Ask all control VMs at once; return a session with the leader, or None."""
-        addresses = dict.fromkeys([*self._known, *self._seeds()])
-        if not addresses:
-            return None
-        tasks = [asyncio.create_task(self._ask(address)) for address in addresses]
+        """Return a session with the leader, once one is found.
+
+        All control VMs are asked again and again, and a session that has fallen silent
+        goes on if it is the first to answer.
+
+        Load: a link so full that an answer takes seconds. Harm: each question is given
+        up before its answer comes, and the daemon goes by an old configuration for as
+        long as the link is full. Limit: questions overlap, and each has the time that
+        the fullest links need; a dead leader is still looked for several times a
+        second.
+        """
+        asking = set()
         found = None
         try:
-            for finished in asyncio.as_completed(tasks):
-                session = await finished
-                if session is not None:
-                    found = session
-                    break
+            while found is None:
+                addresses = dict.fromkeys([*self._known, *self._seeds()])
+                newest = {asyncio.create_task(self._ask(each)) for each in addresses}
+                asking |= newest
+                found = await self._first_answer(asking, newest)
         finally:
-            for task in tasks:
-                task.cancel()
-            for result in await asyncio.gather(*tasks, return_exceptions=True):
-                is_spare = result is not None and result is not found
-                if is_spare and not isinstance(result, BaseException):
-                    result.link.abort()
+            await _give_up(asking)
         return found
 
+    async def _first_answer(self, asking, newest):
+        """Return the first session with a leader within one round, else None."""
+        revived = asyncio.create_task(self._revived.wait())
+        next_s = boot_s() + SEARCH_PAUSE_S
+        ends_s = boot_s() + ROUND_S
+        try:
+            while (left_s := (ends_s if newest else next_s) - boot_s()) > 0:
+                done, _ = await asyncio.wait(
+                    {*asking, revived},
+                    timeout=left_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if revived in done:
+                    return self._session
+                asking -= done
+                newest -= done
+                found = [task.result() for task in done if task.result() is not None]
+                for spare in found[1:]:
+                    spare.link.abort()
+                if found:
+                    return found[0]
+        finally:
+            revived.cancel()
+        return None
+
     async def _ask(self, address):
         """Return a session with ``address`` if the leader is there, else None."""
         hints = asyncio.Queue()
         session = _Session(self, hints)
+        ends_s = boot_s() + ASK_TIMEOUT_S
         try:
             link = session.link = await dial(
-                address, CONTROL_CODEC, session.on_message, session.on_closed
+                address,
+                CONTROL_CODEC,
+                session.on_message,
+                session.on_closed,
+                ASK_TIMEOUT_S,
             )
         except OSError:
             return None
         try:
             link.send(self._make_hello())
-            hint = await asyncio.wait_for(hints.get(), HINT_TIMEOUT_S)
+            hint = await asyncio.wait_for(hints.get(), max(ends_s - boot_s(), 0.0))
         except TimeoutError:
             link.abort()
             return None
@@ -139,13 +173,11 @@
     # Session.
 
     async def _keep(self, session):
+        """Report until the leader is silent or the link has ended."""
+        self._begin(session)
         link = session.link
-        self._link = link
-        self._closed.clear()
-        self._asked_s_by_number.clear()
-        self._answered = self._number
-        session.begin()
         started_s = boot_s()
+        self._revived.clear()
         while link.is_open:
             now = boot_s()
             if self._is_lost(link, started_s, now):
@@ -161,8 +193,19 @@
             )
             for wait in waits:
                 wait.cancel()
-        link.abort()
-        self._link = None
+        self._revived.clear()
+
+    def _begin(self, session):
+        """Let a session take the place of the former one, if it is another."""
+        if session is self._session:
+            return
+        if self._session is not None:
+            self._session.link.abort()
+        self._session = session
+        self._closed.clear()
+        self._asked_s_by_number.clear()
+        self._answered = self._number
+        session.begin()
 
     def _is_lost(self, link, started_s, now):
         """Whether the leader has not answered for too long."""
@@ -184,20 +227,33 @@
             self._asked_s_by_number.popitem(last=False)
         link.send(self._make_report(self._number))
 
-    def on_session_message(self, message):
+    def on_session_message(self, session, message):
         """Take in a message of the leader."""
+        if session is not self._session:
+            return
         if isinstance(message, LeaseGrant):
             asked_s = self._asked_s_by_number.get(message.number)
             self._answered = max(self._answered, message.number)
             if asked_s is not None:
                 self.confirmed_s = boot_s()
                 self._take_grant(message, asked_s)
+            self._revived.set()
         elif not isinstance(message, LeaderHint | Report):
             self._take(message)
 
-    def on_session_closed(self):
+    def on_session_closed(self, session):
         """End the session."""
-        self._closed.set()
+        if session is self._session:
+            self._closed.set()
+
+
+async def _give_up(asking):
+    """End questions; abort the links of those that found a leader meanwhile."""
+    for task in asking:
+        task.cancel()
+    for result in await asyncio.gather(*asking, return_exceptions=True):
+        if isinstance(result, _Session):
+            result.link.abort()
 
 
 class _Session:
@@ -220,12 +276,12 @@
         """Pass on what came early, and from now on all that comes."""
         self._has_begun = True
         for message in self._early:
-            self._owner.on_session_message(message)
+            self._owner.on_session_message(self, message)
         self._early = []
 
     def on_message(self, _link, message):
         if self._has_begun:
-            self._owner.on_session_message(message)
+            self._owner.on_session_message(self, message)
         elif isinstance(message, LeaderHint):
             self._hints.put_nowait(message)
         else:
@@ -235,4 +291,4 @@
         with contextlib.suppress(asyncio.QueueFull):
             self._hints.put_nowait(None)
         if self._has_begun:
-            self._owner.on_session_closed()
+            self._owner.on_session_closed(self)
--- a/tests/sidecar/test_control_link_search.py
+++ b/tests/sidecar/test_control_link_search.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from soak._proxy import Proxy
 from tamarackhaven.fleet._messages import (
     CONTROL_CODEC,
     DaemonHello,
@@ -59,17 +60,20 @@
         port = 0
         for vm in self.vms:
             port = await vm.start(port)
+        self._start([(host, port) for host in HOSTS])
+        return self
+
+    def _start(self, seeds):
         self.taken = []
         self.control = ControlLink(
             lambda: DaemonHello("d", "boot"),
             Report,
             self.taken.append,
             lambda grant, asked_s: None,
-            lambda: [(host, port) for host in HOSTS],
+            lambda: seeds,
             Silent(),
         )
         self._task = asyncio.create_task(self.control.run())
-        return self
 
     async def __aexit__(self, *_error):
         self._task.cancel()
@@ -121,3 +125,66 @@
         assert fleet.reports == before + 1
 
     run(test)
+
+
+SLOW_HOSTS = ("127.77.1.1",)
+BEHIND = "127.77.1.2"
+DELAY_S = 0.6
+
+
+class SlowFleet(Fleet):
+    """One control VM, and a link to it that takes as long as it is told."""
+
+    async def __aenter__(self):
+        self.vms = [ControlVm(BEHIND)]
+        port = await self.vms[0].start(0)
+        self.proxy = Proxy((SLOW_HOSTS[0], port), (BEHIND, port))
+        await self.proxy.start()
+        self._start([(SLOW_HOSTS[0], port)])
+        return self
+
+    async def __aexit__(self, *error):
+        await super().__aexit__(*error)
+        await self.proxy.stop()
+
+
+def run_slow(test):
+    async def main():
+        async with SlowFleet() as fleet:
+            await test(fleet)
+
+    asyncio.run(main())
+
+
+async def until(condition, limit_s=15.0):
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.05)
+
+
+def test_a_leader_is_found_over_a_link_that_is_full():
+    # Guards against: a daemon that goes by an old configuration for as long as an
+    # answer takes longer than it waits for one.
+    async def test(fleet):
+        fleet.proxy.delay_s = DELAY_S
+        await until(lambda: fleet.taken)
+
+    run_slow(test)
+
+
+def test_a_session_whose_link_fills_up_goes_on_with_what_was_on_its_way():
+    # Guards against: a configuration that is lost with the link that was bringing it,
+    # and a search that can't end while the link is full.
+    async def test(fleet):
+        (vm,) = fleet.vms
+        await until(lambda: vm.reports)
+        (link,) = vm.links
+        fleet.proxy.delay_s = 0.7
+        await asyncio.sleep(0.9)
+        link.send(ZonesView(2, ("later",)))
+        await until(lambda: ZonesView(2, ("later",)) in fleet.taken)
+        before = len(vm.reports)
+        await until(lambda: len(vm.reports) > before + 2)
+        assert link.is_open
+
+    run_slow(test)
