--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -257,5 +257,12 @@
         KeysView,
         TargetsView,
     ),
-    compressed=(ConfigurationView, ConfigurationChange, KeysView, TargetsView),
+    compressed=(
+        Report,
+        LeaseGrant,
+        ConfigurationView,
+        ConfigurationChange,
+        KeysView,
+        TargetsView,
+    ),
 )
--- a/tamarackhaven/net/_wire.py
+++ b/tamarackhaven/net/_wire.py
@@ -16,7 +16,7 @@
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 # Below this, compression saves less than a network packet's headers.
-COMPRESSED_FROM_BYTES = 1024
+COMPRESSED_FROM_BYTES = 256
 # A message that unpacks to more is none of ours; as large as a frame may be.
 MAX_UNPACKED_BYTES = 72 << 20
 
--- a/tests/net/test_wire.py
+++ b/tests/net/test_wire.py
@@ -130,3 +130,15 @@
     codec.note_sent(codec.packed(hello), 5)
     codec.tell(metrics)
     assert 'tamarackhaven_link_sent_bytes{kind="MemberHello"} 15' in metrics.page()
+
+
+def test_an_owners_ranges_are_not_sent_with_its_name_in_full_each_time():
+    # Guards against: grants, several a second to each daemon, that fill small links.
+    life = "i-394c744dc6@1770364434065@10.1.0.29:7400"
+    ranges = tuple(
+        KeyRange(n * 8192, n * 8192 + 8191, 400 + n, life, "5c0e7a21d94b36f8")
+        for n in range(8)
+    )
+    grant = LeaseGrant(50, GrantId(1, 500), 5.0, life, ranges, 321)
+    assert len(CONTROL_CODEC.pack(grant)) < 8 * len(life)
+    assert CONTROL_CODEC.unpack(CONTROL_CODEC.pack(grant)) == grant
