Send a daemon news of owners only as far as it keeps up

**Cause:** while hundreds of owners change, each change goes to each daemon at once, also where the one before is still on its way. A configuration then stands behind them on that daemon's link, and the news are out of date when they come. **Change:** a session notes what its daemon has not reported to have; beyond 4 KiB of it, changes of owners wait for the next report and come as one difference. Configurations and zones are sent at once. **Measured:** tests/fleet/test_sessions.py: 300 changes of owners stood before a configuration, now less than 8 KiB; a daemon that says what it has gets all.

--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -267,6 +267,10 @@
             return
         self._leadership.report(report, boot_s())
         self._answers.take(link, report)
+        session = self._session_by_link[link]
+        session.confirmed(report.state_index)
+        with self.machine.lock:
+            session.send_news(self.machine.state)
         self._send_news()
         if report.releases or report.ended_lives:
             self._decide_soon()
@@ -287,7 +291,7 @@
             return
         with self.machine.lock:
             for session in self._session_by_link.values():
-                session.catch_up(self.machine.state)
+                session.send_news(self.machine.state)
 
     def _send_news(self):
         view = self._leadership.take_news()
--- a/tests/fleet/test_sessions.py
+++ b/tests/fleet/test_sessions.py
@@ -7,7 +7,7 @@
 from tamarackhaven.fleet._feed import Feed
 from tamarackhaven.fleet._messages import CONTROL_CODEC
 from tamarackhaven.fleet._model import KEY_COUNT, KeyRange
-from tamarackhaven.fleet._sessions import Session
+from tamarackhaven.fleet._sessions import MOST_UNCONFIRMED_BYTES, Session
 from tamarackhaven.fleet._state import (
     FORMER_KEPT,
     AssignKeys,
@@ -216,3 +216,63 @@
         assert restarted.zone_out_since_s("z") == float("-inf")
 
     run(test)
+
+
+class HeldUp(Link):
+    """Holds back what it carries until it is let go, in order."""
+
+    def __init__(self, view):
+        super().__init__(view)
+        self.held = []
+
+    def send(self, message):
+        self.held.append(message)
+
+    def let_go(self):
+        while self.held:
+            super().send(self.held.pop(0))
+
+
+def reassign(state, index):
+    """Give each eighth of the keys to another owner."""
+    size = KEY_COUNT // 8
+    new = tuple(
+        KeyRange(n * size, (n + 1) * size - 1, owner=f"i{index}@{index}@h:{n}")
+        for n in range(8)
+    )
+    order = AssignKeys("s", new, state.ranges_by_service["s"])
+    assert state.apply(index, order).kind is None
+
+
+def test_a_configuration_does_not_stand_behind_hundreds_of_changes_of_owners():
+    # Guards against: a daemon on a small link that answers by an older configuration
+    # for seconds after a new one was confirmed.
+    def test(state, view, _link, session):
+        link = session.link = HeldUp(view)
+        for index in range(2, 302):
+            reassign(state, index)
+            session.send_news(state)
+        state.apply(302, EditConfiguration(1, Edit(2, removed_routes=("r8",)), "e"))
+        session.send_news(state)
+        before = sum(len(CONTROL_CODEC.pack(each)) for each in link.held[:-1])
+        assert before < 2 * MOST_UNCONFIRMED_BYTES
+        link.let_go()
+        assert view.table.configuration.version == 2
+
+    run(test)
+
+
+def test_a_daemon_that_keeps_up_has_all_owners_once_it_has_said_so():
+    # Guards against: owners that a daemon never hears of since it was told too many.
+    def test(state, view, _link, session):
+        link = session.link = HeldUp(view)
+        for index in range(2, 102):
+            reassign(state, index)
+            session.send_news(state)
+        link.let_go()
+        session.confirmed(view.state_index)
+        session.send_news(state)
+        link.let_go()
+        assert view._keys_by_service["s"].ranges == state.ranges_by_service["s"]
+
+    run(test)
