Say that a route is unknown only with word from the leader of late

Such a daemon doesn't know that there is no such route; it told callers so for good. **Change:** the view notes when the newest answered report was sent: all that was accepted before came ahead of that answer on the same link.

--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -163,7 +163,7 @@
         table = await self._table(request, caller)
         route = table.find(caller.host, request.path)
         if route is None:
-            raise TamarackhavenError(ErrorKind.UNKNOWN_SERVICE, request.path)
+            raise self._no_route(request.path)
         spec = table.service_by_name[self._splitter.pick(route)]
         if spec.sharded and caller.key is None:
             raise TamarackhavenError(ErrorKind.MISSING_KEY, spec.name)
@@ -174,6 +174,21 @@
         objective_s = request.arrived_s + route.objective_s
         return _Asked(caller, route, spec, request.arrived_s, deadline_s, objective_s)
 
+    def _no_route(self, path):
+        """Return the error for a path without a route.
+
+        Failure: a new route is accepted while this daemon's link to the leader is full.
+        Symptom: a caller hears that there is no such thing, and gives up. Enough: who
+        can't be sure says so, and the caller comes back.
+        """
+        if self._view.is_confirmed(boot_s()):
+            return TamarackhavenError(ErrorKind.UNKNOWN_SERVICE, path)
+        return TamarackhavenError(
+            ErrorKind.STATE_STALE,
+            f"no route to {path}, and no word from the leader of late",
+            UNKNOWN_RETRY_S,
+        )
+
     async def _table(self, request, caller):
         """Return the ``RouteTable``, once there is one.
 
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -238,6 +238,7 @@
         )
 
     def _take_grant(self, grant, asked_s):
+        self.view.confirm(asked_s)
         self.state.take_grant(grant, asked_s)
         self.inbound.keys_told()
         self._key_calls.kick()
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -16,6 +16,10 @@
 from tamarackhaven.routing import Configuration, RouteTable, edited
 from tamarackhaven.sidecar._pulse import Pulse
 
+# A leader answers several times a second; without an answer for so long, what operators
+# have changed since may be unknown here.
+CONFIRMED_FOR_S = 1.5
+
 
 class View:
     """Configuration, zones, owners of keys and targets."""
@@ -31,6 +35,19 @@
         self._keys_by_service = {}
         self._index_by_part = {}
         self._changed = Pulse()
+        self._confirmed_s = float("-inf")
+
+    def confirm(self, asked_s):
+        """Note that the leader answers what it was asked at a time of the boot clock.
+
+        It sends an answer behind all that it had accepted before the question, on the
+        same link.
+        """
+        self._confirmed_s = max(self._confirmed_s, asked_s)
+
+    def is_confirmed(self, now):
+        """Whether all that was accepted until lately is part of this view."""
+        return now - self._confirmed_s <= CONFIRMED_FOR_S
 
     @property
     def state_index(self):
--- a/tests/sidecar/test_callers.py
+++ b/tests/sidecar/test_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+import pytest
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven._metrics import Metrics
@@ -21,7 +22,7 @@
 from tamarackhaven.sidecar import CallerRequest
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._messages import Answered
-from tamarackhaven.sidecar._view import View
+from tamarackhaven.sidecar._view import CONFIRMED_FOR_S, View
 
 ADDRESS = "10.0.0.1:80"
 SETTINGS = DaemonSettings(
@@ -121,3 +122,21 @@
     response, took_s = ask(View(), 400.0)
     assert response.headers == ((b"Kind", ErrorKind.STATE_STALE.name.encode()),)
     assert 0.19 <= took_s < 2.0
+
+
+@pytest.mark.parametrize(
+    ("age_s", "kind"),
+    [
+        (0.1, ErrorKind.UNKNOWN_SERVICE),
+        (CONFIRMED_FOR_S + 0.5, ErrorKind.STATE_STALE),
+    ],
+)
+def test_no_route_is_said_only_by_who_heard_the_leader_of_late(age_s, kind):
+    # Guards against: a caller is told for good that a new route isn't there, by a
+    # daemon whose link to the leader is full.
+    view = View()
+    view.take(ConfigurationView(1, Configuration(1, (ServiceSpec("s"),), ())))
+    view.confirm(boot_s() - age_s)
+    response, took_s = ask(view, 2000.0)
+    assert response.headers == ((b"Kind", kind.name.encode()),)
+    assert took_s < 1.0
