--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,6 +6,7 @@
 import secrets
 import sys
 import tempfile
+import time
 import tomllib
 from pathlib import Path
 
@@ -77,12 +78,10 @@
     All proxies, targets and callers of a run share the loop: while it stands, every
     link of the fleet is silent and every answer is seen late.
     """
-    loop = asyncio.get_running_loop()
     while True:
-        due_s = loop.time() + STALL_STEP_S
+        due_s = records.next_look_s = time.monotonic() + STALL_STEP_S
         await asyncio.sleep(STALL_STEP_S)
-        stall_s = loop.time() - due_s
-        records.longest_stall_s = max(records.longest_stall_s, stall_s)
+        records.stalls.append((due_s, time.monotonic()))
 
 
 async def _note_busy(fleet):
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -10,6 +10,8 @@
 # From an acknowledged leave to the last new request, and the same for a zone; the
 # fleet's settings, and a little for the stand-ins' own event loop.
 SLACK_S = 0.3
+# A shorter stand-still of the run's own loop is part of the slack.
+LEAST_STALL_S = 0.25
 # An answer later than this after the deadline was held back.
 LATE_S = 1.0
 
@@ -45,8 +47,10 @@
 
     Parameters
     ----------
-    longest_stall_s : float
-        For how long the run's own event loop once stood still.
+    stalls : list of (float, float)
+        From when to when the run's own event loop stood still.
+    next_look_s : float
+        When the loop is looked at next; from then on it stands still until it is.
     most_busy : float
         Part of a core that one process used within a second.
     """
@@ -56,7 +60,8 @@
     counts: collections.Counter = attrs.field(factory=collections.Counter)
     begun_by_attempt: dict = attrs.field(factory=lambda: collections.defaultdict(list))
     newest_accepted: int = 0
-    longest_stall_s: float = 0.0
+    stalls: list = attrs.field(factory=list)
+    next_look_s: float = float("inf")
     most_busy: float = 0.0
     drain_s: float = 2.0
     zone_out_s: float = 5.0
@@ -84,10 +89,11 @@
         """Check that ``target`` may begin a request now."""
         now = time.monotonic()
         self.begun_by_attempt[attempt].append((target.name, now))
-        if target.left_s is not None and now > target.left_s + SLACK_S:
+        left_s = target.left_s
+        if left_s is not None and self._passed_s(left_s, now) > SLACK_S:
             self.breaks("drain", f"{attempt} began at {target.name} after its leave")
         out_s = self.zone_out_since_s.get(target.zone)
-        if out_s is not None and now > out_s + self.zone_out_s + SLACK_S:
+        if out_s is not None and self._passed_s(out_s + self.zone_out_s, now) > SLACK_S:
             self.breaks("zone out", f"{attempt} began at {target.name}")
         if key is None:
             return
@@ -101,9 +107,6 @@
         """Take in the end of a caller's request."""
         self.asked.append(asked)
         self.counts[asked.status] += 1
-        late_s = asked.ended_s - asked.deadline_s
-        if asked.status and late_s > LATE_S and not asked.was_disturbed:
-            self.breaks("held", f"{asked.attempt}: {late_s:.2f} s after its deadline")
         if asked.status == 200 and asked.attempt.encode() not in asked.body:
             self.breaks("whole answers", f"{asked.attempt} got {asked.body[:60]!r}")
 
@@ -117,6 +120,27 @@
                 self.breaks("not run", f"{asked.attempt}: {asked.status}, yet it ran")
             if asked.status == 200 and not begun:
                 self.breaks("whole answers", f"{asked.attempt} never ran")
+            late_s = self._passed_s(asked.deadline_s, asked.ended_s)
+            if asked.status and late_s > LATE_S and not asked.was_disturbed:
+                self.breaks("held", f"{asked.attempt}: {late_s:.2f} s late")
+
+    def _passed_s(self, since_s, until_s):
+        """Return the time from one moment to another less what the loop stood still.
+
+        While it stands, what is there is read by nobody, and counts as late afterwards.
+        """
+        passed_s = until_s - since_s
+        for stood_since_s, stood_until_s in (*self.stalls, (self.next_look_s, until_s)):
+            if stood_until_s - stood_since_s < LEAST_STALL_S:
+                continue
+            stood_s = min(stood_until_s, until_s) - max(stood_since_s, since_s)
+            passed_s -= max(stood_s, 0.0)
+        return passed_s
+
+    @property
+    def longest_stall_s(self):
+        """For how long the run's own event loop once stood still."""
+        return max((until_s - since_s for since_s, until_s in self.stalls), default=0.0)
 
     # Operators.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -90,6 +90,21 @@
     assert any("never reverts" in each for each in records.broken)
 
 
+@pytest.mark.parametrize(
+    ("late_s", "stood_s", "is_held"),
+    [(0.9, 0.0, False), (1.1, 0.0, True), (3.5, 3.0, False), (4.1, 3.0, True)],
+)
+def test_an_answer_that_nobody_read_is_not_said_to_be_held(late_s, stood_s, is_held):
+    # Guards against: a soak that stands still itself and blames the fleet for it.
+    records = Records()
+    one = asked(502, is_safe=True)
+    one.ended_s = one.deadline_s + late_s
+    records.ended(one)
+    records.stalls.append((one.deadline_s - 1.0, one.deadline_s + stood_s))
+    records.check_end()
+    assert any("held" in each for each in records.broken) is is_held
+
+
 def test_a_silenced_way_loses_answers_only():
     async def run():
         got = []
