--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -58,18 +58,20 @@
     async def _serve(self, reader, writer):
         try:
             other_reader, other = await asyncio.open_connection(*self._to)
+            await self._join(reader, writer, other_reader, other)
         except OSError:
             writer.transport.abort()
+        except asyncio.CancelledError:
+            # The run has ended; the library reports a cancelled server task as a fault.
             return
+
+    async def _join(self, reader, writer, other_reader, other):
         self._writers |= {writer, other}
         try:
             await asyncio.gather(
                 self._pass(reader, other, Way.THERE),
                 self._pass(other_reader, writer, Way.BACK),
             )
-        except asyncio.CancelledError:
-            # The run has ended; the library reports a cancelled server task as a fault.
-            return
         finally:
             self._writers -= {writer, other}
             for each in (writer, other):
