--- a/tests/sidecar/held_by_calls.py
+++ b/tests/sidecar/held_by_calls.py
@@ -153,11 +153,12 @@
         )
         self.state.take(beat, self.world.now)
 
-    def report(self):
+    def make_report(self):
+        """Return a report with keys that are busy now and then."""
         state, world = self.state, self.world
         busy = world.random.randrange(0, 4096)
         rate = 0.0 if world.is_calm else world.random.choice((0.0, 60.0, 120.0))
-        report = Report(
+        return Report(
             1,
             state.target(world.now, work_s=0.1),
             holds=state.held(world.now),
@@ -167,6 +168,9 @@
             key_load=((busy, rate),),
             refused=state.refused,
         )
+
+    def report(self):
+        world, report = self.world, self.make_report()
         asked_s, boot = world.now, self.boot
         delay_s = world.random.uniform(0.01, 0.3)
         world.later(delay_s, lambda: self.world.answer(self, report, asked_s, boot))
--- a/tests/sidecar/held_by_heartbeats.py
+++ b/tests/sidecar/held_by_heartbeats.py
@@ -7,15 +7,13 @@
 
 import attrs
 
-from tamarackhaven.fleet import DaemonSettings
 from tamarackhaven.fleet._leadership import Leadership
-from tamarackhaven.fleet._messages import Report
 from tamarackhaven.fleet._model import Hold, Release, TargetPhase
 from tamarackhaven.fleet._state import FleetState, ReplaceConfiguration
 from tamarackhaven.routing import Configuration, HoldOrders, ServiceSpec
 from tamarackhaven.sidecar._target_state import Heartbeat, TargetState
+from tests.sidecar import held_by_calls
 from tests.sidecar.held_by_calls import (
-    ADDRESS,
     REPORT_S,
     SERVICE,
     SLOWEST_CLOCK,
@@ -28,19 +26,8 @@
 SOON_S = 0.05
 ANSWER_TIMEOUT_S = 1.0
 MACHINES = 3
-SETTINGS = DaemonSettings(
-    name="vm",
-    zone="a",
-    callers=ADDRESS,
-    readiness=ADDRESS,
-    registry=ADDRESS,
-    links=ADDRESS,
-    target=ADDRESS,
-    service=SERVICE,
-)
-SETTINGS = attrs.evolve(
-    SETTINGS, lease=attrs.evolve(SETTINGS.lease, heartbeat_s=HEARTBEAT_S)
-)
+LEASE = attrs.evolve(held_by_calls.SETTINGS.lease, heartbeat_s=HEARTBEAT_S)
+SETTINGS = attrs.evolve(held_by_calls.SETTINGS, lease=LEASE)
 
 
 @attrs.frozen
@@ -143,18 +130,7 @@
             self.next_beat_s = self.world.now + pause_s
 
     def report(self):
-        state, world = self.state, self.world
-        busy = world.random.randrange(0, 4096)
-        rate = 0.0 if world.is_calm else world.random.choice((0.0, 60.0, 120.0))
-        report = Report(
-            1,
-            state.target(world.now, work_s=0.1),
-            holds=state.held(world.now),
-            releases=state.releases,
-            settled=state.settled,
-            ended_lives=tuple(state.ended_lives),
-            key_load=((busy, rate),),
-        )
+        world, report = self.world, self.make_report()
         asked_s, boot = world.now, self.boot
         if not world.fails():
             delay_s = world.delay_s()
