--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,7 @@
 REGRESSIONS = Path(__file__).with_name("regressions.toml")
 CALLERS = 24
 STALL_STEP_S = 0.05
+CANCEL_AGAIN_S = 1.0
 # Loopback networks of runs; tests use lower ones. Soaks side by side, one by hand and
 # one in tests, take theirs by their process's id, so that they rarely meet.
 FIRST_NET = 100
@@ -58,9 +59,7 @@
         await fleet.start()
         tasks = [asyncio.create_task(each.run()) for each in (*callers, operator)]
         await _bring_all(fleet, _faults(seed, seconds))
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end(tasks)
         await fleet.check_whole()
         await _check_read(fleet, operator)
         await fleet.settle()
@@ -72,6 +71,18 @@
     return Outcome(seed, tuple(fleet.records.broken), describe(fleet.records))
 
 
+async def end(tasks):
+    """Cancel tasks until all have ended.
+
+    The library's ``wait_for`` takes a cancellation for itself if what it waits for is
+    done at that moment; the task goes on as if nothing had happened.
+    """
+    while tasks:
+        for task in tasks:
+            task.cancel()
+        _, tasks = await asyncio.wait(tasks, timeout=CANCEL_AGAIN_S)
+
+
 async def _note_stalls(records):
     """Measure how long this run's own event loop stands still.
 
@@ -111,10 +122,12 @@
 
 def play(seed, seconds, net, folder=None):
     """Play one run in this process; return its ``Outcome``."""
-    if folder is not None:
-        return asyncio.run(_play(seed, seconds, Path(folder), net))
     with tempfile.TemporaryDirectory() as made:
-        return asyncio.run(_play(seed, seconds, Path(made), net))
+        try:
+            return asyncio.run(_play(seed, seconds, Path(folder or made), net))
+        except Exception as error:
+            # The others go on, and all are reported.
+            return Outcome(seed, (f"the run itself: {error!r}",), "")
 
 
 def regression_seeds():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The soak itself: its checks see what they should, and some runs pass."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import time
@@ -8,7 +9,7 @@
 
 import pytest
 
-from soak.__main__ import main
+from soak.__main__ import end, main
 from soak._faults import draw
 from soak._proxy import Proxy, Way
 from soak._records import Asked, Records
@@ -105,6 +106,23 @@
     assert any("held" in each for each in records.broken) is is_held
 
 
+def test_a_task_that_misses_its_cancellation_still_ends():
+    # Guards against: a soak that never ends, as its operator goes on for ever.
+    async def miss_one():
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.sleep(60.0)
+        await asyncio.sleep(60.0)
+
+    async def main():
+        task = asyncio.create_task(miss_one())
+        await asyncio.sleep(0)
+        async with asyncio.timeout(10.0):
+            await end([task])
+        assert task.cancelled()
+
+    asyncio.run(main())
+
+
 def test_a_silenced_way_loses_answers_only():
     async def run():
         got = []
