--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import os
 import secrets
+import socket
 import sys
 import tempfile
 import time
@@ -17,6 +18,7 @@
 from soak._faults import bring, draw, draw_for_control
 from soak._fleet import SoakFleet
 from soak._load import Caller, Operator, describe
+from standin.fleet import PORTS
 
 REGRESSIONS = Path(__file__).with_name("regressions.toml")
 CALLERS = 24
@@ -130,6 +132,36 @@
             return Outcome(seed, (f"the run itself: {error!r}",), "")
 
 
+def _free_nets(block):
+    """Return the first net of a block that nobody listens in, from ``block`` on.
+
+    Failure: a soak is killed, and its processes go on. Symptom: each later run in their
+    nets fails at its start. Enough: a net in use is left alone.
+    """
+    for step in range(NET_BLOCKS):
+        first = FIRST_NET + (block + step) % NET_BLOCKS * NETS
+        if not any(is_in_use(net) for net in range(first, first + NETS)):
+            return first
+    raise SystemExit("all loopback networks of the soak are in use")
+
+
+def is_in_use(net):
+    """Whether a process of a fleet listens in a net."""
+    addresses = [(f"127.{net}.1.{n}", PORTS["operators"]) for n in range(1, 9)]
+    addresses += [(f"127.{net}.2.{n}", PORTS["callers"]) for n in range(1, 9)]
+    return any(_is_taken(address) for address in addresses)
+
+
+def _is_taken(address):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(address)
+        except OSError:
+            return True
+    return False
+
+
 def regression_seeds():
     """Return the seeds that once failed."""
     return [each["seed"] for each in tomllib.loads(REGRESSIONS.read_text())["run"]]
@@ -167,6 +199,7 @@
         *range(first, first + seeds),
     ]
     jobs = min(jobs, MOST_JOBS)
+    first_net = _free_nets(os.getpid() % NET_BLOCKS)
     failed = 0
     # Each run has an event loop of its own; its waits are those of its processes.
     with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
@@ -177,7 +210,7 @@
                 folder = Path(keep) / str(seed)
                 folder.mkdir(parents=True)
             # A net is used again only after the runs before it have ended.
-            net = FIRST_NET + os.getpid() % NET_BLOCKS * NETS + number % NETS
+            net = first_net + number % NETS
             runs.append(pool.submit(play, seed, seconds, net, folder))
         for run in concurrent.futures.as_completed(runs):
             outcome = run.result()
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -35,8 +35,9 @@
         self._server = await asyncio.start_server(self._serve, *self.address)
 
     async def stop(self):
-        """Stop listening and reset all connections."""
-        self._server.close()
+        """Stop listening, if it ever did, and reset all connections."""
+        if self._server is not None:
+            self._server.close()
         self.reset()
 
     def reset(self):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,16 +4,17 @@
 import contextlib
 import os
 import signal
+import socket
 import time
 import types
 
 import pytest
 
-from soak.__main__ import end, main
+from soak.__main__ import end, is_in_use, main
 from soak._faults import draw
 from soak._proxy import Proxy, Way
 from soak._records import Asked, Records
-from standin.fleet import Process
+from standin.fleet import PORTS, Process
 
 
 class Holder:
@@ -106,6 +107,18 @@
     assert any("held" in each for each in records.broken) is is_held
 
 
+def test_a_net_in_which_a_former_soaks_process_listens_is_left_alone():
+    # Guards against: a soak that was killed, whose processes fail every later one.
+    assert not is_in_use(98)
+    with socket.create_server(("127.98.2.3", PORTS["callers"])):
+        assert is_in_use(98)
+
+
+def test_a_proxy_that_never_started_can_be_stopped():
+    # Guards against: a run that reports this in place of why it didn't start.
+    asyncio.run(Proxy(("127.99.0.1", 18002), ("127.99.0.1", 18001)).stop())
+
+
 def test_a_task_that_misses_its_cancellation_still_ends():
     # Guards against: a soak that never ends, as its operator goes on for ever.
     async def miss_one():
