--- a/tamarackhaven/sidecar/__init__.py
+++ b/tamarackhaven/sidecar/__init__.py
@@ -9,6 +9,7 @@
     CallerRequest,
     Dialect,
     TargetCall,
+    TargetNotice,
     Verdict,
 )
 from tamarackhaven.sidecar._key_holds import HeartbeatReply
@@ -24,5 +25,6 @@
     "OrderEnd",
     "ReleaseOrder",
     "TargetCall",
+    "TargetNotice",
     "Verdict",
 ]
--- a/tamarackhaven/sidecar/_dialect.py
+++ b/tamarackhaven/sidecar/_dialect.py
@@ -49,6 +49,32 @@
     INVALID = "invalid"  # it may have run; the reply can't be returned
 
 
+@attrs.frozen
+class TargetNotice:
+    """State that a target reports of itself in the headers of a reply.
+
+    Parameters
+    ----------
+    limit_per_s : float or None
+        Requests per second that it accepts from all daemons together; None if it named
+        no limit.
+    is_leaving : bool
+        Whether it leaves.
+    headers : tuple of (str, str)
+        Names and values of the headers that say so.
+    bad_headers : tuple of (str, str)
+        Those of ``headers`` that can't be interpreted.
+    unknown_headers : tuple of str
+        Names of all headers that this program doesn't know.
+    """
+
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+    headers: tuple = ()
+    bad_headers: tuple = ()
+    unknown_headers: tuple = ()
+
+
 @attrs.frozen
 class TargetCall:
     """A call of the daemon itself to the target."""
@@ -84,6 +110,10 @@
     def classify_reply(self, reply, attempt_id):
         """Return the ``Verdict`` for a ``Reply`` to the attempt."""
 
+    @abc.abstractmethod
+    def read_notice(self, headers):
+        """Return the ``TargetNotice`` in the headers of a target's reply."""
+
     @abc.abstractmethod
     def refusal(self, error):
         """Return the ``HttpResponse`` for a ``TamarackhavenError``."""
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -36,6 +36,8 @@
 # no heartbeat since the first one: nothing listens on its port.
 MIN_REFUSED_CONNECTIONS = 3
 MIN_REFUSING_TIME_S = 0.5
+# A faulty target could send ever new names; no more than this many are logged.
+MAX_LOGGED_HEADERS = 32
 
 
 class Inbound:
@@ -77,6 +79,8 @@
         self._connection_refusals = 0
         self._keys_changed = ChangeSignal()
         self._settle_timer = None
+        self._notice_headers = ()
+        self._logged_headers = set()
         self.on_target_ended = lambda: None
         # Requests for this target's keys keep arriving until the process has to exit,
         # and those that run at that moment would be cut off. So nothing new starts in
@@ -333,6 +337,7 @@
             return self._not_run(forward, ErrorKind.DEADLINE_PAST)
         name = self._state.heartbeat.name if self._state.heartbeat else ""
         headers = self._dialect.target_headers(forward, name, left_s * 1000)
+        self._metrics.count("tamarackhaven_gate_sent_total", service=forward.service)
         started_s = boot_s()
         try:
             sent = await asyncio.wait_for(
@@ -360,6 +365,8 @@
 
     def _result_from_reply(self, forward, reply, started_s):
         verdict = self._dialect.classify_reply(reply, forward.attempt_id)
+        if verdict in (Verdict.ANSWERED, Verdict.REFUSED):
+            self._log_notice(forward, self._dialect.read_notice(reply.headers))
         if verdict is Verdict.ANSWERED:
             self._metrics.observe(
                 boot_s() - started_s, service=forward.service, part="target"
@@ -379,6 +386,23 @@
         detail = f"status {reply.status}"
         return self._lost(forward, ErrorKind.ANSWER_MISMATCH, started_s, detail)
 
+    def _log_notice(self, forward, notice):
+        """Log what the target reports of itself when that changes."""
+        if notice.headers != self._notice_headers:
+            self._notice_headers = notice.headers
+            self._log.say(
+                "target notice",
+                request_id=forward.attempt_id,
+                life=forward.life,
+                headers=notice.headers,
+                bad_headers=notice.bad_headers,
+            )
+        for name in notice.unknown_headers:
+            is_new = name not in self._logged_headers
+            if is_new and len(self._logged_headers) < MAX_LOGGED_HEADERS:
+                self._logged_headers.add(name)
+                self._log.say("unknown header", life=forward.life, name=name)
+
     def _record_connection_refusal(self, sent):
         """Detect that the target has ended, before its lease expires."""
         if not sent.is_refused:
--- a/tests/sidecar/test_narrow_links.py
+++ b/tests/sidecar/test_narrow_links.py
@@ -8,7 +8,7 @@
 from tamarackhaven._clock import boot_s
 from tamarackhaven._metrics import Metrics
 from tamarackhaven.net import LinkServer, Reply
-from tamarackhaven.sidecar._dialect import Verdict
+from tamarackhaven.sidecar._dialect import TargetNotice, Verdict
 from tamarackhaven.sidecar._inbound import Inbound
 from tamarackhaven.sidecar._messages import PEER_CODEC, Answered, NotRun
 from tamarackhaven.sidecar._peers import Peers, PeerServer
@@ -57,6 +57,9 @@
     def classify_reply(self, reply, attempt_id):
         return Verdict.ANSWERED
 
+    def read_notice(self, headers):
+        return TargetNotice()
+
 
 class FakeTarget:
     """Fake target that answers at once and records the sizes of received bodies."""
