--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -107,6 +107,10 @@
         self.born_ms = next(self._next_born_ms)
         self.state = "ready"
         self.work_s = 0.01
+        # Value of the header that names a limit, None for no header.
+        self.limit_text = None
+        self.is_announced = False
+        self.on_start = lambda attempt: None
         self.ran = []
         self.begun = []
         self.held_by_range = {}
@@ -224,6 +228,7 @@
     def _record_start(self, attempt, key):
         """Record that the execution of an attempt starts."""
         self.begun.append(attempt)
+        self.on_start(attempt)
 
     async def _answer(self, line, headers, body):
         attempt = headers.get("tamarackhaven-attempt-id", "")
@@ -240,8 +245,14 @@
         text = f"{self.name} {line.split()[1]} ".encode() + body
         return (
             b"HTTP/1.1 200 OK\r\nTamarackhaven-Attempt-Id: %s\r\n"
-            b"Tamarackhaven-Response-Signature: s\r\nContent-Length: %d\r\n\r\n%s"
-        ) % (attempt.encode(), len(text), text)
+            b"Tamarackhaven-Response-Signature: s\r\n%sContent-Length: %d\r\n\r\n%s"
+        ) % (attempt.encode(), self._notice_headers(), len(text), text)
+
+    def _notice_headers(self):
+        """Return the headers with which it reports its limit and that it leaves."""
+        limit, leaving = self.limit_text, self.is_announced
+        lines = f"Server-Limit: {limit}\r\n" if limit is not None else ""
+        return (lines + ("Server-Leaving: 1\r\n" if leaving else "")).encode()
 
 
 class Fleet:
--- /dev/null
+++ b/tests/fleet/test_target_notices.py
@@ -0,0 +1,91 @@
+"""Real processes: targets that name a limit, and targets that announce that they leave.
+
+Each test starts three control VMs and a daemon beside each stand-in target.
+"""
+
+import asyncio
+import itertools
+import time
+
+from standin.notice_watch import NoticeWatch
+from tests.fleet import real_fleet
+
+NETWORK_NUMBERS = itertools.count(61)
+SERVICES = ("owned", "owned", "shared", "shared")
+LIMIT_PER_S = 2.0
+# Requests per second to each daemon, and for how many seconds.
+RATE_PER_S = 12
+DURATION_S = 7.0
+
+
+class WatchedTarget:
+    """Watches what one target of a fleet gets, and which daemon got it from a caller.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        With the target at index ``number``.
+    """
+
+    def __init__(self, fleet, number):
+        self._fleet = fleet
+        self.target = fleet.targets[number]
+        self.target.on_start = self._on_start
+        self.watch = NoticeWatch()
+        self.broken = []
+        self.answers = []
+        self._sent_by_attempt = {}
+        self._attempts = itertools.count()
+
+    def _on_start(self, attempt):
+        if attempt in self._sent_by_attempt:
+            at, sent_s = self._sent_by_attempt[attempt]
+            self.broken += self.watch.arrived(at, sent_s, time.monotonic())
+
+    def name_limit(self, limit_per_s):
+        self.target.limit_text = str(limit_per_s)
+        self.watch.name_limit(limit_per_s, time.monotonic())
+
+    async def ask(self, prefix, key, at):
+        attempt = f"w{next(self._attempts)}"
+        self._sent_by_attempt[attempt] = at, time.monotonic()
+        answer = await self._fleet.ask(prefix, key, at, attempt)
+        self.answers.append(answer)
+        if answer.body.startswith(self.target.name.encode()):
+            self.watch.returned(
+                at,
+                "server-limit" in answer.headers,
+                "server-leaving" in answer.headers,
+                time.monotonic(),
+            )
+
+    async def load(self, prefix, keys, duration_s=DURATION_S):
+        """Send requests through all daemons at a steady rate."""
+        tasks = []
+        until_s = time.monotonic() + duration_s
+        for number in itertools.count():
+            if time.monotonic() >= until_s:
+                break
+            for at in range(len(self._fleet.daemons)):
+                key = keys[number % len(keys)] if keys else None
+                tasks.append(asyncio.create_task(self.ask(prefix, key, at)))
+            await asyncio.sleep(1 / RATE_PER_S)
+        await asyncio.gather(*tasks)
+
+
+def run(test, tmp_path):
+    real_fleet.run(test, (tmp_path, SERVICES, next(NETWORK_NUMBERS)))
+
+
+def test_all_daemons_together_keep_the_limit_that_a_target_names(tmp_path):
+    # Guards against: a target in need gets many times the requests that it named.
+    async def test(fleet):
+        owner, shared = WatchedTarget(fleet, 0), WatchedTarget(fleet, 2)
+        keys = [k for k in range(0, 65536, 257) if owner.target.holds(k)]
+        for each in (owner, shared):
+            each.name_limit(LIMIT_PER_S)
+        await asyncio.gather(owner.load("/owned/", keys), shared.load("/shared/", ()))
+        for each in (owner, shared):
+            assert not each.broken, each.broken[-1]
+
+    run(test, tmp_path)
