Split sending and retrying off the routing of callers' requests

**Cause:** `_callers.py` had 530 lines and three jobs: to route a request, to send it once and record the result, and to decide on a retry.

--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -1,7 +1,6 @@
 """Routes callers' requests to a service and a target, and retries after a refusal."""
 
 import asyncio
-import itertools
 import random
 
 import attrs
@@ -9,17 +8,12 @@
 from tamarackhaven._clock import boot_s
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.net import HttpResponse
-from tamarackhaven.routing import RequestKind, Splitter
-from tamarackhaven.sidecar._budget import ServiceRetryBudget
-from tamarackhaven.sidecar._choice import Chooser, has_failed
-from tamarackhaven.sidecar._messages import (
-    Answered,
-    Forward,
-    GateLoad,
-    NotRun,
-    WaitQuery,
-)
+from tamarackhaven.routing import Splitter
+from tamarackhaven.sidecar._choice import Chooser
+from tamarackhaven.sidecar._messages import Answered, NotRun, WaitQuery
 from tamarackhaven.sidecar._offers import Ask, Offers
+from tamarackhaven.sidecar._retries import Retries
+from tamarackhaven.sidecar._sender import PendingRequest, RequestSender
 
 # The answer to a caller is sent this long before the caller's deadline.
 ANSWER_MARGIN_S = 0.015
@@ -39,18 +33,11 @@
 # A request that was refused because its key is moving is sent again after this time, or
 # when the view changes.
 OWNER_POLL_INTERVAL_S = 0.1
-# A request is retried only if this fraction of its objective is left until its
-# deadline: less than half of all requests are answered in a shorter time.
-MIN_RETRY_TIME_FRACTION = 0.3
 # A request to a shared service is refused after this many refusals that didn't count
 # against its attempts; busy replies to requests that may not wait don't count.
 MAX_REFUSALS = 3
 # Kinds of refusals after which another target may have capacity for the request.
 _NO_CAPACITY_KINDS = frozenset({ErrorKind.QUEUE_FULL.name, ErrorKind.TARGET_COLD.name})
-# Kinds of refusals that mean that the target or its daemon is unreachable for now.
-_UNREACHABLE_KINDS = frozenset(
-    {ErrorKind.OWNER_UNREACHABLE.name, ErrorKind.TARGET_UNREACHABLE.name}
-)
 # Kinds that callers must not get, each with its replacement: they refer to single
 # targets, and the caller may send the request again.
 _CALLER_KIND_BY_KIND = {
@@ -59,40 +46,6 @@
 }
 
 
-@attrs.define
-class _PendingRequest:
-    """A caller's request that hasn't been answered yet.
-
-    Parameters
-    ----------
-    request : CallerRequest
-        As the caller sent it.
-    route, spec : Route, ServiceSpec
-        Its route, and the service that was picked from it.
-    arrived_s, deadline_s, objective_s : float
-        When it arrived, when it must be answered, and until when its answer is in time,
-        in seconds of the boot clock.
-    sends : int
-        How many times a target has received it.
-    unsent_bytes : int
-        Bytes queued on this daemon's links when it was last sent to a peer.
-    """
-
-    request: object
-    route: object
-    spec: object
-    arrived_s: float
-    deadline_s: float
-    objective_s: float
-    sends: int = 0
-    unsent_bytes: int = 0
-
-    @property
-    def is_safe(self):
-        """Whether it may run more than once."""
-        return self.route.kind is RequestKind.SAFE
-
-
 class Callers:
     """Handles the requests of callers on this daemon's VM.
 
@@ -117,7 +70,6 @@
     """
 
     def __init__(self, settings, view, state, dialect, runs, peers, log, metrics):
-        self._settings = settings
         self._view = view
         self._state = state
         self._dialect = dialect
@@ -129,8 +81,8 @@
         self._chooser = Chooser(
             settings.zone, random.random, lambda life: life == state.life
         )
-        self._budget_by_service = {}
-        self._forward_numbers = itertools.count(1)
+        self._retries = Retries(settings, view, log, metrics)
+        self._sender = RequestSender(settings, state, runs, peers, self._chooser, log)
         self.is_closing = False
 
     async def handle(self, request):
@@ -173,7 +125,7 @@
         return table.configuration.version if table else 0
 
     async def _parse(self, request):
-        """Return the ``_PendingRequest`` for an ``HttpRequest``.
+        """Return the ``PendingRequest`` for an ``HttpRequest``.
 
         Raises
         ------
@@ -195,7 +147,7 @@
             left_s = min(left_s, caller_request.deadline_ms / 1000)
         deadline_s = request.arrived_s + left_s - ANSWER_MARGIN_S
         objective_s = request.arrived_s + route.objective_s
-        return _PendingRequest(
+        return PendingRequest(
             caller_request, route, spec, request.arrived_s, deadline_s, objective_s
         )
 
@@ -249,18 +201,11 @@
         TamarackhavenError
             The kind of the last refusal or loss.
         """
-        self._service_budget(pending.spec.name).count_request(boot_s())
+        self._retries.count_request(pending.spec.name)
         if pending.spec.sharded:
             return await self._serve_sharded(pending)
         return await self._serve_shared(pending)
 
-    def _service_budget(self, service):
-        budget = self._budget_by_service.get(service)
-        if budget is None:
-            budget = ServiceRetryBudget(self._settings.budget)
-            self._budget_by_service[service] = budget
-        return budget
-
     # Sharded services.
 
     async def _serve_sharded(self, pending):
@@ -272,12 +217,12 @@
         while True:
             target = self._view.owner(pending.spec.name, pending.request.key)
             if target is not None:
-                result = await self._forward(pending, target)
+                result = await self._sender.send(pending, target)
                 if isinstance(result, Answered):
                     return result
                 kind = ErrorKind[result.kind]
                 if not isinstance(result, NotRun) or result.was_offered:
-                    if not self._may_retry(pending, result):
+                    if not self._retries.may_retry(pending, result):
                         raise _error_for(result)
                 elif result.kind in _NO_CAPACITY_KINDS:
                     raise _error_for(result)
@@ -304,7 +249,7 @@
             if send is None:
                 return _failed_or_raise(failed, result)
             target = send.target
-            result = await self._forward(pending, target, send.waits)
+            result = await self._sender.send(pending, target, send.waits)
             if (
                 not send.waits
                 and isinstance(result, NotRun)
@@ -318,7 +263,7 @@
                     return result
                 failed = result
             if not isinstance(result, NotRun) or result.was_offered:
-                if not self._may_retry(pending, result):
+                if not self._retries.may_retry(pending, result):
                     return _failed_or_raise(failed, result)
                 continue
             refusals += 1
@@ -378,136 +323,6 @@
             return self._runs.expected_wait_s(attrs.evolve(query, body_bytes=0))
         return await self._peers.query_wait((target.host, target.port), query)
 
-    def _may_retry(self, pending, result):
-        """Whether a request that a target has received may be sent again.
-
-        When many requests fail at once, their retries add to the load that made them
-        fail. Retries are limited by the route's ``max_attempts``, by a budget that is
-        shared out among the daemons, and by the time left for an answer.
-        """
-        if not pending.is_safe and not isinstance(result, NotRun):
-            return False
-        if pending.sends >= pending.route.max_attempts:
-            return False
-        # A retry that can't be answered in time would only add load.
-        min_left_s = MIN_RETRY_TIME_FRACTION * pending.route.objective_s
-        if boot_s() + min_left_s >= pending.deadline_s:
-            return False
-        is_allowed = self._service_budget(pending.spec.name).try_spend(
-            self._view.daemon_count(), boot_s()
-        )
-        reason = getattr(result, "kind", "STATUS")
-        self._metrics.count(
-            "tamarackhaven_retries_total"
-            if is_allowed
-            else "tamarackhaven_retries_refused_total",
-            reason=reason,
-        )
-        self._log.say(
-            "sent again" if is_allowed else "not sent again: budget",
-            request_id=pending.request.attempt_id,
-            reason=reason,
-            sends=pending.sends,
-        )
-        return is_allowed
-
-    # A single attempt.
-
-    async def _forward(self, pending, target, waits=True):
-        """Send the request to ``target``.
-
-        Return its ``Answered``, ``NotRun`` or ``Lost``.
-        """
-        now = boot_s()
-        if now >= pending.deadline_s:
-            return NotRun(0, ErrorKind.QUEUE_TIMEOUT.name, OWNER_RETRY_S)
-        forward = self._build_forward(pending, target, now, waits)
-        self._chooser.record_sent(target.life)
-        result = None
-        try:
-            if target.life == self._state.life:
-                result = await self._runs.run(("", forward.number), forward)
-            else:
-                result = await self._forward_to_peer(pending, target, forward)
-        finally:
-            self._record_result(pending, target, result)
-        return result
-
-    async def _forward_to_peer(self, pending, target, forward):
-        address = target.host, target.port
-        pending.unsent_bytes = self._peers.unsent_bytes()
-        return await self._peers.run(
-            address, forward, pending.deadline_s, pending.objective_s
-        )
-
-    def _build_forward(self, pending, target, now, waits):
-        request = pending.request
-        return Forward(
-            number=next(self._forward_numbers),
-            life=target.life,
-            service=pending.spec.name,
-            route=pending.route.name,
-            key=request.key if pending.spec.sharded else -1,
-            attempt_id=request.attempt_id,
-            method=request.method,
-            target=request.target,
-            headers=request.headers,
-            body=request.body,
-            caller_service=self._settings.service,
-            is_safe=pending.is_safe,
-            priority=pending.route.priority,
-            left_ms=(pending.deadline_s - now) * 1000,
-            objective_ms=(pending.objective_s - now) * 1000,
-            waits=waits,
-        )
-
-    def _record_result(self, pending, target, result):
-        """Record the result of an attempt, None if the caller disconnected."""
-        now = boot_s()
-        if result is None:
-            self._chooser.record_result(
-                target.life, pending.route.name, None, None, now
-            )
-            return
-        is_unreachable = (
-            result.kind in _UNREACHABLE_KINDS if isinstance(result, NotRun) else False
-        )
-        if (
-            isinstance(result, Answered)
-            or not isinstance(result, NotRun)
-            or result.was_offered
-        ):
-            pending.sends += 1
-        # A result that this daemon created itself, for example after a broken link,
-        # doesn't include the target's load.
-        load = result.load if result.load != GateLoad() else None
-        self._chooser.record_result(
-            target.life, pending.route.name, load, has_failed(result), now
-        )
-        if is_unreachable:
-            self._chooser.record_unreachable(target.life, now)
-        after_s = now - pending.arrived_s
-        waited_s = getattr(result, "waited_ms", 0.0) / 1000
-        worked_s = getattr(result, "worked_ms", 0.0) / 1000
-        self._log.say(
-            "ended",
-            request_id=pending.request.attempt_id,
-            route=pending.route.name,
-            life=target.life,
-            end=type(result).__name__,
-            kind=getattr(result, "kind", str(getattr(result, "status", ""))),
-            after_s=round(after_s, 3),
-            objective_s=pending.route.objective_s,
-            waited_s=round(waited_s, 3),
-            worked_s=round(worked_s, 3),
-            brought_s=round(getattr(result, "brought_ms", 0.0) / 1000, 3),
-            between_s=round(after_s - waited_s - worked_s, 3),
-            body_bytes=len(pending.request.body),
-            unsent_bytes=pending.unsent_bytes,
-            arriving_bytes=result.load.arriving_bytes,
-            load=[result.load.running, result.load.waiting, result.load.slots],
-        )
-
 
 def _error_for(result):
     """Return the error for the caller of a request that wasn't answered."""
