Split the exchange with the target and the results off Inbound

What the target says of itself belongs to the exchange with it. **Change:** `_target_exchange.py` and `_results.py`; Inbound gets its TargetClient instead of an address. The code is moved; `tamarackhaven_gate_sent_total` no longer counts requests that found no connection. **Measured:** tests/sidecar, tests/platform_adapter and tests/fleet/test_fleet_processes.py pass as before.

--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -56,18 +56,19 @@
         self._address = host, port
         self.view = View()
         self.state = TargetState(settings, host, port)
+        client = TargetClient(*split(settings.target))
         self.inbound = Inbound(
             settings,
             self.state,
             self.view,
             dialect,
-            *split(settings.target),
+            client,
             log.part("gate"),
             metrics,
         )
         self._key_calls = KeyCalls(
             self.state,
-            self.inbound.client,
+            client,
             TargetClient(*split(settings.target)),
             dialect,
             log.part("keys"),
@@ -109,7 +110,7 @@
         )
         self._tasks = []
         self._is_leaving = False
-        self.inbound.on_target_ended = self._control.report_now
+        self.inbound.exchange.on_ended = self._control.report_now
 
     async def start(self):
         """Listen on all addresses and start to search for the leader.
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -8,17 +8,14 @@
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven.errors import ErrorKind
-from tamarackhaven.sidecar._dialect import Verdict
 from tamarackhaven.sidecar._gate import Gate, Offer, Refuse, Start, cold_starts
 from tamarackhaven.sidecar._intake import BodyReceiver
 from tamarackhaven.sidecar._key_load import KeyLoad
-from tamarackhaven.sidecar._messages import Answered, GateLoad, Lost, NotRun
+from tamarackhaven.sidecar._messages import Answered, GateLoad
 from tamarackhaven.sidecar._pulse import ChangeSignal
-from tamarackhaven.sidecar._target_client import SendEnd, TargetClient
+from tamarackhaven.sidecar._results import Results
+from tamarackhaven.sidecar._target_exchange import TargetExchange
 
-# The target gets a deadline that is earlier by this time: what it answers at its own
-# deadline then still arrives in time, and its connection stays usable.
-TARGET_DEADLINE_MARGIN_S = 0.02
 # An owner in a zone that is out serves its keys for this fraction of the allowed time.
 # The rest covers a daemon that is notified late.
 ZONE_GRACE_FRACTION = 0.4
@@ -32,12 +29,6 @@
 # The gate is checked at this interval even when nothing else happens, so that requests
 # that can no longer start in time are refused.
 SETTLE_INTERVAL_S = 0.05
-# A target has ended if it has refused this many connections over this time and has sent
-# no heartbeat since the first one: nothing listens on its port.
-MIN_REFUSED_CONNECTIONS = 3
-MIN_REFUSING_TIME_S = 0.5
-# A faulty target could send ever new names; no more than this many are logged.
-MAX_LOGGED_HEADERS = 32
 
 
 class Inbound:
@@ -53,35 +44,30 @@
         Configuration, owners of keys and targets, as received from the control group.
     dialect : Dialect
         Writes headers for the target and interprets its replies.
-    host, port : str, int
-        Address of the target.
+    client : TargetClient
+        Connections to the target.
     log : Log
         Log of the part ``gate``.
     metrics : Metrics
         Metrics of the process.
     """
 
-    def __init__(self, settings, state, view, dialect, host, port, log, metrics):
+    def __init__(self, settings, state, view, dialect, client, log, metrics):
         self._settings = settings
         self._state = state
         self._view = view
-        self._dialect = dialect
-        self._log = log
-        self._metrics = metrics
-        self.client = TargetClient(host, port)
         self._gate = Gate(1, random.random)
         self.intake = BodyReceiver(self._gate, metrics)
+        self._results = Results(self.load, self._log_context, log, metrics)
+        self.exchange = TargetExchange(
+            state, dialect, client, self.load, self._results, log, metrics
+        )
         self._future_by_number = {}
         self._offer_numbers = itertools.count()
         self._sending = set()
         self._key_load = KeyLoad()
-        self._refused_since_s = None
-        self._connection_refusals = 0
         self._keys_changed = ChangeSignal()
         self._settle_timer = None
-        self._notice_headers = ()
-        self._logged_headers = set()
-        self.on_target_ended = lambda: None
         # Requests for this target's keys keep arriving until the process has to exit,
         # and those that run at that moment would be cut off. So nothing new starts in
         # the last part of the grace time; callers wait for the next process.
@@ -169,7 +155,7 @@
         objective_s = boot_s() + forward.objective_ms / 1000
         refusal = await self._refusal_kind(forward, deadline_s)
         if refusal is not None:
-            return self._not_run(forward, refusal)
+            return self._results.not_run(forward, refusal)
         number = next(self._offer_numbers)
         offer = Offer(
             number,
@@ -194,11 +180,11 @@
         refusal = self._closed_kind(forward) or self._not_held_kind(forward)
         if refusal is not None:
             self._apply(self._gate.finish(number, False, boot_s()))
-            return self._not_run(forward, refusal)
+            return self._results.not_run(forward, refusal)
         has_answered = False
         self._sending.add(id(forward))
         try:
-            result = await self._send(forward, body, deadline_s)
+            result = await self.exchange.send(forward, body, deadline_s)
             has_answered = isinstance(result, Answered)
             if has_answered:
                 return attrs.evolve(
@@ -329,155 +315,14 @@
                 # Its caller disconnected at the same moment: free the slot again.
                 self._apply(self._gate.finish(decision.number, False, boot_s()))
 
-    # The target.
-
-    async def _send(self, forward, body, deadline_s):
-        left_s = deadline_s - boot_s() - TARGET_DEADLINE_MARGIN_S
-        if left_s <= 0:
-            return self._not_run(forward, ErrorKind.DEADLINE_PAST)
-        name = self._state.heartbeat.name if self._state.heartbeat else ""
-        headers = self._dialect.target_headers(forward, name, left_s * 1000)
-        self._metrics.count("tamarackhaven_gate_sent_total", service=forward.service)
-        started_s = boot_s()
-        try:
-            sent = await asyncio.wait_for(
-                self.client.send(
-                    forward.method,
-                    forward.target,
-                    headers,
-                    body,
-                    lambda reply: self._dialect.is_reply_to(reply, forward.attempt_id),
-                ),
-                left_s + TARGET_DEADLINE_MARGIN_S,
-            )
-        except TimeoutError:
-            return self._lost(forward, ErrorKind.ANSWER_TIMEOUT, started_s)
-        self._record_connection_refusal(sent)
-        if sent.end is SendEnd.NOT_SENT:
-            return self._not_run(
-                forward, ErrorKind.TARGET_UNREACHABLE, detail=sent.detail
-            )
-        if sent.end is SendEnd.UNANSWERED:
-            return self._lost(
-                forward, ErrorKind.TARGET_SENT_NOTHING, started_s, sent.detail
-            )
-        return self._result_from_reply(forward, sent.reply, started_s)
-
-    def _result_from_reply(self, forward, reply, started_s):
-        verdict = self._dialect.classify_reply(reply, forward.attempt_id)
-        if verdict in (Verdict.ANSWERED, Verdict.REFUSED):
-            self._log_notice(forward, self._dialect.read_notice(reply.headers))
-        if verdict is Verdict.ANSWERED:
-            self._metrics.observe(
-                boot_s() - started_s, service=forward.service, part="target"
-            )
-            return Answered(
-                forward.number,
-                reply.status,
-                reply.headers,
-                reply.body,
-                self.load(forward.route),
-                worked_ms=round((boot_s() - started_s) * 1000, 1),
-            )
-        if verdict is Verdict.REFUSED:
-            return self._not_run(forward, ErrorKind.TARGET_REFUSED, offered=True)
-        if verdict is Verdict.NOT_HERE:
-            return self._not_run(forward, ErrorKind.NOT_OWNER, offered=True)
-        detail = f"status {reply.status}"
-        return self._lost(forward, ErrorKind.ANSWER_MISMATCH, started_s, detail)
-
-    def _log_notice(self, forward, notice):
-        """Log what the target reports of itself when that changes."""
-        if notice.headers != self._notice_headers:
-            self._notice_headers = notice.headers
-            self._log.say(
-                "target notice",
-                request_id=forward.attempt_id,
-                life=forward.life,
-                headers=notice.headers,
-                bad_headers=notice.bad_headers,
-            )
-        for name in notice.unknown_headers:
-            is_new = name not in self._logged_headers
-            if is_new and len(self._logged_headers) < MAX_LOGGED_HEADERS:
-                self._logged_headers.add(name)
-                self._log.say("unknown header", life=forward.life, name=name)
-
-    def _record_connection_refusal(self, sent):
-        """Detect that the target has ended, before its lease expires."""
-        if not sent.is_refused:
-            self._refused_since_s = None
-            self._connection_refusals = 0
-            return
-        now = boot_s()
-        if self._refused_since_s is None:
-            self._refused_since_s = now
-        self._connection_refusals += 1
-        is_long_enough = now - self._refused_since_s >= MIN_REFUSING_TIME_S
-        has_no_heartbeat = self._state.heartbeat_received_s < self._refused_since_s
-        if (
-            is_long_enough
-            and has_no_heartbeat
-            and self._connection_refusals >= MIN_REFUSED_CONNECTIONS
-        ):
-            self._log.say("target ended", life=self._state.life)
-            self._state.end()
-            self._refused_since_s = None
-            self.on_target_ended()
-
     # Results.
 
     def _gate_refusal(self, forward, gate_refusal):
         if forward.waits:
-            return self._not_run(forward, gate_refusal.kind, gate_refusal.retry_after_s)
-        return self._busy(forward, gate_refusal)
-
-    def _busy(self, forward, gate_refusal):
-        """Report the expected wait to the caller's daemon, which logs its decision."""
-        self._metrics.count("tamarackhaven_gate_busy_total", service=forward.service)
-        return NotRun(
-            forward.number,
-            gate_refusal.kind.name,
-            gate_refusal.retry_after_s,
-            load=self.load(forward.route),
-        )
-
-    def _not_run(self, forward, kind, retry_after_s=0.0, offered=False, detail=""):
-        self._metrics.count(
-            "tamarackhaven_gate_refusals_total",
-            kind=kind.name,
-            service=forward.service,
-        )
-        self._log.say(
-            "not run",
-            request_id=forward.attempt_id,
-            kind=kind.name,
-            route=forward.route,
-            retry_after_s=round(retry_after_s, 3),
-            key=forward.key,
-            left_ms=round(forward.left_ms),
-            offered=offered,
-            detail=detail,
-            **self._log_context(),
-        )
-        return NotRun(
-            forward.number, kind.name, retry_after_s, offered, self.load(forward.route)
-        )
-
-    def _lost(self, forward, kind, started_s, detail=""):
-        self._metrics.count(
-            "tamarackhaven_gate_lost_total", kind=kind.name, service=forward.service
-        )
-        self._log.say(
-            "may have run",
-            request_id=forward.attempt_id,
-            kind=kind.name,
-            route=forward.route,
-            after_s=round(boot_s() - started_s, 3),
-            detail=detail,
-            **self._log_context(),
-        )
-        return Lost(forward.number, kind.name, self.load(forward.route))
+            return self._results.not_run(
+                forward, gate_refusal.kind, gate_refusal.retry_after_s
+            )
+        return self._results.busy(forward, gate_refusal)
 
     def _log_context(self):
         """Return the state that decides about a request, as fields for its log line."""
@@ -497,4 +342,4 @@
 
     def close(self):
         """Close the connections to the target."""
-        self.client.close()
+        self.exchange.client.close()
--- /dev/null
+++ b/tamarackhaven/sidecar/_target_exchange.py
@@ -0,0 +1,171 @@
+"""Sends requests that the gate has started to the target, and reads its replies."""
+
+import asyncio
+
+from tamarackhaven._clock import boot_s
+from tamarackhaven.errors import ErrorKind
+from tamarackhaven.sidecar._dialect import Verdict
+from tamarackhaven.sidecar._messages import Answered
+from tamarackhaven.sidecar._target_client import SendEnd
+
+# The target gets a deadline that is earlier by this time: what it answers at its own
+# deadline then still arrives in time, and its connection stays usable.
+TARGET_DEADLINE_MARGIN_S = 0.02
+# A target has ended if it has refused this many connections over this time and has sent
+# no heartbeat since the first one: nothing listens on its port.
+MIN_REFUSED_CONNECTIONS = 3
+MIN_REFUSING_TIME_S = 0.5
+# A faulty target could send ever new names; no more than this many are logged.
+MAX_LOGGED_HEADERS = 32
+
+
+class TargetExchange:
+    """Sends requests to the target and learns from its replies.
+
+    Parameters
+    ----------
+    state : TargetState
+        State of the target.
+    dialect : Dialect
+        Writes headers for the target and interprets its replies.
+    client : TargetClient
+        Connections to the target.
+    load : callable
+        ``load(route)`` returns the ``GateLoad`` for requests of a route.
+    results : Results
+        Builds the results of requests that got no answer.
+    log : Log
+        Log of the part ``gate``.
+    metrics : Metrics
+        Metrics of the process.
+
+    Attributes
+    ----------
+    on_ended : callable
+        Called when the target has ended.
+    """
+
+    def __init__(self, state, dialect, client, load, results, log, metrics):
+        self._state = state
+        self._dialect = dialect
+        self.client = client
+        self._load = load
+        self._results = results
+        self._log = log
+        self._metrics = metrics
+        self._refused_since_s = None
+        self._connection_refusals = 0
+        self._notice_headers = ()
+        self._logged_headers = set()
+        self.on_ended = lambda: None
+
+    async def send(self, forward, body, deadline_s):
+        """Send a request; return its ``Answered``, ``NotRun`` or ``Lost``.
+
+        Parameters
+        ----------
+        forward : Forward
+            The request.
+        body : bytes
+            Its whole body.
+        deadline_s : float
+            When it must be answered, in seconds of the boot clock.
+        """
+        left_s = deadline_s - boot_s() - TARGET_DEADLINE_MARGIN_S
+        if left_s <= 0:
+            return self._results.not_run(forward, ErrorKind.DEADLINE_PAST)
+        name = self._state.heartbeat.name if self._state.heartbeat else ""
+        headers = self._dialect.target_headers(forward, name, left_s * 1000)
+        started_s = boot_s()
+        try:
+            sent = await asyncio.wait_for(
+                self.client.send(
+                    forward.method,
+                    forward.target,
+                    headers,
+                    body,
+                    lambda reply: self._dialect.is_reply_to(reply, forward.attempt_id),
+                ),
+                left_s + TARGET_DEADLINE_MARGIN_S,
+            )
+        except TimeoutError:
+            self._count_sent(forward)
+            return self._results.lost(forward, ErrorKind.ANSWER_TIMEOUT, started_s)
+        self._record_connection_refusal(sent)
+        if sent.end is SendEnd.NOT_SENT:
+            return self._results.not_run(
+                forward, ErrorKind.TARGET_UNREACHABLE, detail=sent.detail
+            )
+        self._count_sent(forward)
+        if sent.end is SendEnd.UNANSWERED:
+            return self._results.lost(
+                forward, ErrorKind.TARGET_SENT_NOTHING, started_s, sent.detail
+            )
+        return self._result_from_reply(forward, sent.reply, started_s)
+
+    def _count_sent(self, forward):
+        self._metrics.count("tamarackhaven_gate_sent_total", service=forward.service)
+
+    def _result_from_reply(self, forward, reply, started_s):
+        verdict = self._dialect.classify_reply(reply, forward.attempt_id)
+        if verdict in (Verdict.ANSWERED, Verdict.REFUSED):
+            self._log_notice(forward, self._dialect.read_notice(reply.headers))
+        if verdict is Verdict.ANSWERED:
+            self._metrics.observe(
+                boot_s() - started_s, service=forward.service, part="target"
+            )
+            return Answered(
+                forward.number,
+                reply.status,
+                reply.headers,
+                reply.body,
+                self._load(forward.route),
+                worked_ms=round((boot_s() - started_s) * 1000, 1),
+            )
+        if verdict is Verdict.REFUSED:
+            return self._results.not_run(
+                forward, ErrorKind.TARGET_REFUSED, offered=True
+            )
+        if verdict is Verdict.NOT_HERE:
+            return self._results.not_run(forward, ErrorKind.NOT_OWNER, offered=True)
+        detail = f"status {reply.status}"
+        return self._results.lost(forward, ErrorKind.ANSWER_MISMATCH, started_s, detail)
+
+    def _log_notice(self, forward, notice):
+        """Log what the target reports of itself when that changes."""
+        if notice.headers != self._notice_headers:
+            self._notice_headers = notice.headers
+            self._log.say(
+                "target notice",
+                request_id=forward.attempt_id,
+                life=forward.life,
+                headers=notice.headers,
+                bad_headers=notice.bad_headers,
+            )
+        for name in notice.unknown_headers:
+            is_new = name not in self._logged_headers
+            if is_new and len(self._logged_headers) < MAX_LOGGED_HEADERS:
+                self._logged_headers.add(name)
+                self._log.say("unknown header", life=forward.life, name=name)
+
+    def _record_connection_refusal(self, sent):
+        """Detect that the target has ended, before its lease expires."""
+        if not sent.is_refused:
+            self._refused_since_s = None
+            self._connection_refusals = 0
+            return
+        now = boot_s()
+        if self._refused_since_s is None:
+            self._refused_since_s = now
+        self._connection_refusals += 1
+        is_long_enough = now - self._refused_since_s >= MIN_REFUSING_TIME_S
+        has_no_heartbeat = self._state.heartbeat_received_s < self._refused_since_s
+        if (
+            is_long_enough
+            and has_no_heartbeat
+            and self._connection_refusals >= MIN_REFUSED_CONNECTIONS
+        ):
+            self._log.say("target ended", life=self._state.life)
+            self._state.end()
+            self._refused_since_s = None
+            self.on_ended()
--- a/tests/sidecar/test_narrow_links.py
+++ b/tests/sidecar/test_narrow_links.py
@@ -80,10 +80,10 @@
 
     async def start(self):
         self.link = NarrowLink(LINK_BYTES_PER_S)
+        self.target = FakeTarget()
         inbound = Inbound(
-            SETTINGS, State(), View(), Dialect(), "127.0.0.1", 1, Log(), Metrics()
+            SETTINGS, State(), View(), Dialect(), self.target, Log(), Metrics()
         )
-        inbound.client = self.target = FakeTarget()
         inbound._gate.slots = 6
         server = PeerServer("one", Runs(inbound), inbound.intake)
         self._links = LinkServer(PEER_CODEC, server.on_message, server.on_closed)
