Keep the limit that a target names, at its one gate

Callers saw nothing; the target in need got no relief. **Cause:** the limit was a header like any other, passed on and read by nobody. **Evidence:** no place in the sources named it; starts at the target were as many after it was named as before. **Change:** the target's daemon reads the limit in each answer. All requests to a target pass its one gate, so a token bucket there holds for all VMs together. It is empty at first: the burst before isn't known. Lower limits hold at once; a limit is raised or ended only by the answer to a request sent after it was last named, as answers overtake each other. Bad values change nothing, are logged and counted. What doesn't fit is refused at once as TARGET_LIMITED with a time from the rate; waiting requests for which a new limit leaves no time are refused, too; keys with fewer recent starts go first.

--- a/tamarackhaven/errors.py
+++ b/tamarackhaven/errors.py
@@ -59,6 +59,7 @@
     ZONE_OUT = "TH307"
     CONNECTIONS_FULL = "TH308"
     BODIES_FULL = "TH309"
+    TARGET_LIMITED = "TH310"
     # Failures of the target and of its answers.
     TARGET_UNREACHABLE = "TH401"
     TARGET_REFUSED = "TH402"
@@ -194,6 +195,9 @@
     _K.BODIES_FULL: Answer(
         503, 30, _NO, _LATER, "The daemon holds as many bytes of bodies as it may."
     ),
+    _K.TARGET_LIMITED: Answer(
+        503, 30, _NO, _LATER, "The target accepts no more requests per second."
+    ),
     _K.CONNECTIONS_FULL: Answer(
         503, 30, _NO, _LATER, "All connections to the target are in use."
     ),
--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -37,7 +37,13 @@
 # against its attempts; busy replies to requests that may not wait don't count.
 MAX_REFUSALS = 3
 # Kinds of refusals after which another target may have capacity for the request.
-_NO_CAPACITY_KINDS = frozenset({ErrorKind.QUEUE_FULL.name, ErrorKind.TARGET_COLD.name})
+_NO_CAPACITY_KINDS = frozenset(
+    {
+        ErrorKind.QUEUE_FULL.name,
+        ErrorKind.TARGET_COLD.name,
+        ErrorKind.TARGET_LIMITED.name,
+    }
+)
 # Kinds that callers must not get, each with its replacement: they refer to single
 # targets, and the caller may send the request again.
 _CALLER_KIND_BY_KIND = {
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -82,7 +82,7 @@
         self._link_server = LinkServer(
             PEER_CODEC, self._peer_server.on_message, self._peer_server.on_closed
         )
-        metrics.add_source(self._update_link_gauges)
+        metrics.add_source(self._update_gauges)
         self._caller_requests = Callers(
             settings,
             self.view,
@@ -187,11 +187,13 @@
         self._caller_requests.is_closing = True
         self._caller_server.stop_listening()
 
-    def _update_link_gauges(self):
-        """Set the gauges of the link.
-
-        Bytes announced, arriving and unsent, and its throughput.
-        """
+    def _update_gauges(self):
+        """Set the gauges of the link and of the target's limit."""
+        limit_per_s = self.state.limit.per_s
+        self.metrics.gauge(
+            "tamarackhaven_target_limits_in_force", int(limit_per_s is not None)
+        )
+        self.metrics.gauge("tamarackhaven_target_limit_per_second", limit_per_s or 0.0)
         intake = self.inbound.intake
         self.metrics.gauge("tamarackhaven_body_announced_bytes", intake.remaining_bytes)
         self.metrics.gauge(
--- a/tamarackhaven/sidecar/_dialect.py
+++ b/tamarackhaven/sidecar/_dialect.py
@@ -58,6 +58,9 @@
     limit_per_s : float or None
         Requests per second that it accepts from all daemons together; None if it named
         no limit.
+    is_limit_unreadable : bool
+        Whether it named a limit that can't be interpreted, so that the one before
+        remains in force.
     is_leaving : bool
         Whether it leaves.
     headers : tuple of (str, str)
@@ -69,6 +72,7 @@
     """
 
     limit_per_s: float | None = None
+    is_limit_unreadable: bool = False
     is_leaving: bool = False
     headers: tuple = ()
     bad_headers: tuple = ()
--- a/tamarackhaven/sidecar/_gate.py
+++ b/tamarackhaven/sidecar/_gate.py
@@ -11,6 +11,7 @@
 import attrs
 
 from tamarackhaven.errors import ErrorKind
+from tamarackhaven.sidecar._rate_limit import RateLimit, RecentStarts
 
 # Weight of the newest answer in a route's mean processing time; the mean covers about
 # ten answers.
@@ -41,6 +42,9 @@
 # it and wastes what that has used; admitting it takes a slot for a moment only. A
 # request counts as short if its mean is below this fraction of the mean of all routes.
 SHORT_WORK_FRACTION = 0.6
+# Under a limit that a target names, the requests for one hot key could get every start.
+# Those for keys with fewer starts in this time go first.
+FAIRNESS_WINDOW_S = 4.0
 
 
 # A zone that comes back cold meets its former demand. At the bare cold rate most of it
@@ -70,6 +74,8 @@
         Until when an answer is in time, and until when it is of any use.
     waits : bool
         Whether the request may be queued; otherwise it starts at once or is refused.
+    key : int
+        Of the request, -1 without one.
     """
 
     number: int
@@ -78,6 +84,7 @@
     objective_s: float
     deadline_s: float
     waits: bool = True
+    key: int = -1
 
 
 @attrs.frozen
@@ -131,6 +138,9 @@
         self._cold_rate_per_s = None
         self._recent_starts_s = collections.deque()
         self._last_empty_s = float("-inf")
+        self._limit = None
+        self._limited_starts = RecentStarts(FAIRNESS_WINDOW_S)
+        self._has_lower_limit = False
 
     @property
     def running(self):
@@ -166,6 +176,31 @@
         """Start at most ``per_s`` requests in any second; None removes the limit."""
         self._cold_rate_per_s = per_s
 
+    def set_limit(self, per_s, now):
+        """Start at most ``per_s`` requests per second from now on; None for any number.
+
+        ``per_s`` is above 0.
+        """
+        if per_s is None:
+            self._limit = None
+        elif self._limit is None:
+            self._limit = RateLimit(per_s, now)
+            self._limited_starts = RecentStarts(FAIRNESS_WINDOW_S)
+            self._has_lower_limit = True
+        elif per_s != self._limit.per_s:
+            self._has_lower_limit |= per_s < self._limit.per_s
+            self._limit.set_rate(per_s, now)
+
+    def limit_wait_s(self, now):
+        """Return how long the limit delays a new request's start, in seconds."""
+        if self._limit is None:
+            return 0.0
+        return self._limit.wait_s(now, len(self._waiting_by_number))
+
+    def limited_starts(self, now):
+        """Return the number of starts of the last seconds under the limit."""
+        return self._limited_starts.count(now)
+
     def offer(self, offer, now):
         """Return ``Start``, ``Refuse``, or None if the request is queued."""
         if now >= offer.deadline_s:
@@ -240,6 +275,8 @@
     def _has_room(self, now):
         if len(self._running_by_number) >= self.slots:
             return False
+        if self._limit is not None and self._limit.wait_s(now):
+            return False
         return self._cold_rate_per_s is None or self._has_cold_room(now)
 
     def _has_cold_room(self, now):
@@ -250,6 +287,9 @@
     def _start(self, offer, now):
         self._running_by_number[offer.number] = (now, offer)
         self._recent_starts_s.append(now)
+        if self._limit is not None:
+            self._limit.take(now)
+            self._limited_starts.add(offer.key, now)
         if (
             self._cold_rate_per_s is None
             and len(self._recent_starts_s) > self.slots * 64
@@ -259,6 +299,8 @@
 
     @property
     def _refusal_kind(self):
+        if self._limit is not None and self.running < self.slots:
+            return ErrorKind.TARGET_LIMITED
         return ErrorKind.TARGET_COLD if self.is_cold else ErrorKind.QUEUE_FULL
 
     def refuse(self, offer, wait_s):
@@ -278,6 +320,8 @@
         wait_s = self._slot_wait_s(ahead)
         if self._cold_rate_per_s is not None:
             wait_s = max(wait_s, (len(ahead) + 1) / self._cold_rate_per_s)
+        if self._limit is not None:
+            wait_s = max(wait_s, self._limit.wait_s(now, len(ahead)))
         return wait_s
 
     def _slot_wait_s(self, ahead):
@@ -310,7 +354,10 @@
         """
         work_s = self._work_by_route[offer.route].mean_s
         is_late = now + work_s > offer.objective_s and not self._is_short(offer)
-        return is_late, offer.priority, work_s
+        key_starts = 0
+        if self._limit is not None:
+            key_starts = self._limited_starts.count_of(offer.key, now)
+        return is_late, offer.priority, key_starts, work_s
 
     def finish(self, number, worked, now):
         """Record that a request ended and return the decisions that are due.
@@ -338,23 +385,43 @@
 
     def settle(self, now):
         """Return the ``Start`` and ``Refuse`` decisions due for queued requests."""
-        decisions = []
+        decisions = self._refuse_unfit(now) if self._has_lower_limit else []
         for number, (_, offer) in list(self._waiting_by_number.items()):
             if self._should_drop(offer, now):
                 del self._waiting_by_number[number]
                 decisions.append(self.refuse(offer, MIN_RETRY_AFTER_S))
         while self._waiting_by_number and self._has_room(now):
-            number = min(
-                self._waiting_by_number,
-                key=lambda each: (
-                    self._rank(self._waiting_by_number[each][1], now),
-                    self._waiting_by_number[each][0],
-                ),
-            )
+            number = min(self._waiting_by_number, key=self._start_order(now))
             _, offer = self._waiting_by_number.pop(number)
             decisions.append(self._start(offer, now))
         return decisions
 
+    def _start_order(self, now):
+        """Return a function from the number of a queued request to its sort key."""
+
+        def order(number):
+            arrival, offer = self._waiting_by_number[number]
+            return self._rank(offer, now), arrival
+
+        return order
+
+    def _refuse_unfit(self, now):
+        """Refuse queued requests that a lower limit leaves no time for."""
+        self._has_lower_limit = False
+        refusals = []
+        last_first = sorted(
+            self._waiting_by_number, key=self._start_order(now), reverse=True
+        )
+        for number in last_first:
+            entry = self._waiting_by_number.pop(number)
+            _, offer = entry
+            wait_s = self._estimated_wait_s(offer, now)
+            if WAIT_SAFETY_FACTOR * wait_s > self.longest_wait_s(offer, now):
+                refusals.append(self.refuse(offer, wait_s))
+            else:
+                self._waiting_by_number[number] = entry
+        return refusals
+
     def _should_drop(self, offer, now):
         """Whether a queued request should be refused.
 
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -105,26 +105,29 @@
         beat = self._state.heartbeat
         if beat is not None:
             self._gate.slots = max(beat.slots, 1)
-        self._update_cold()
+        self._update_limits()
         self._apply(self._gate.settle(boot_s()))
 
     def wake_key_waiters(self):
         """Wake requests that wait for a key the target may have been told to hold."""
         self._keys_changed.notify_all()
 
-    def _update_cold(self):
+    def _update_limits(self):
+        """Apply the target's cold rate and the limit that it named to the gate."""
+        now = boot_s()
         service = self._view.service(self._state.heartbeat)
-        if service is None or not self._state.is_cold(boot_s()):
+        if service is None or not self._state.is_cold(now):
             self._gate.set_cold(None)
-            return
-        self._gate.set_cold(cold_starts(service.cold_per_s))
+        else:
+            self._gate.set_cold(cold_starts(service.cold_per_s))
+        self._gate.set_limit(self._state.limit.start_rate_per_s, now)
 
     def expected_wait_s(self, query):
         """Estimate the wait of a request in seconds, None if none is accepted."""
         is_open = self._state.accepts_new(False, boot_s()) and not self.is_closing
         if not is_open or self._view.zone_out_since_s(self._settings.zone) is not None:
             return None
-        self._update_cold()
+        self._update_limits()
         now = boot_s()
         objective_s = now + query.objective_ms / 1000
         offer = Offer(0, query.route, query.priority, objective_s, objective_s)
@@ -164,6 +167,7 @@
             objective_s,
             deadline_s,
             forward.waits,
+            forward.key,
         )
         body = forward.body
         transfer_start_s = boot_s()
@@ -195,11 +199,12 @@
             return result
         finally:
             self._sending.discard(id(forward))
+            self._update_limits()
             self._apply(self._gate.finish(number, has_answered, boot_s()))
 
     async def _receive_body(self, incoming, offer):
         """Receive a request's body; return it, or a ``Refuse`` before it is sent."""
-        self._update_cold()
+        self._update_limits()
         transfer_s = self.intake.expected_s(incoming.size, offer)
         has_other_arrivals = self.intake.remaining_bytes > 0
         gate_refusal = self._gate.refuse_early(
@@ -271,7 +276,7 @@
 
     async def _wait_for_start(self, offer):
         """Wait at the gate; return None once the request starts, else a ``Refuse``."""
-        self._update_cold()
+        self._update_limits()
         decision = self._gate.offer(offer, boot_s())
         if isinstance(decision, Refuse):
             return decision
@@ -301,7 +306,7 @@
     def _settle(self):
         """Apply the gate's decisions, and repeat while requests wait there."""
         self._settle_timer = None
-        self._update_cold()
+        self._update_limits()
         self._apply(self._gate.settle(boot_s()))
         if self._future_by_number:
             self._schedule_settle()
@@ -338,6 +343,19 @@
             "is_cold": state.is_cold(now),
             "arriving_bytes": self.intake.remaining_bytes,
             "link_bytes_per_s": round(self.intake.bytes_per_s),
+            **self._limit_context(now),
+        }
+
+    def _limit_context(self, now):
+        """Return the limit in force, as fields for log lines; none without a limit."""
+        limit = self._state.limit
+        if limit.per_s is None:
+            return {}
+        return {
+            "limit_per_s": limit.per_s,
+            "limit_age_s": round(now - limit.named_s, 3),
+            "limit_from": "peer" if limit.is_hint else "target",
+            "limited_starts": self._gate.limited_starts(now),
         }
 
     def close(self):
--- a/tamarackhaven/sidecar/_target_exchange.py
+++ b/tamarackhaven/sidecar/_target_exchange.py
@@ -109,7 +109,7 @@
     def _result_from_reply(self, forward, reply, started_s):
         verdict = self._dialect.classify_reply(reply, forward.attempt_id)
         if verdict in (Verdict.ANSWERED, Verdict.REFUSED):
-            self._log_notice(forward, self._dialect.read_notice(reply.headers))
+            self._apply_notice(forward, reply, started_s)
         if verdict is Verdict.ANSWERED:
             self._metrics.observe(
                 boot_s() - started_s, service=forward.service, part="target"
@@ -131,6 +131,26 @@
         detail = f"status {reply.status}"
         return self._results.lost(forward, ErrorKind.ANSWER_MISMATCH, started_s, detail)
 
+    def _apply_notice(self, forward, reply, sent_s):
+        """Act on what the target reports of itself in a reply."""
+        notice = self._dialect.read_notice(reply.headers)
+        self._log_notice(forward, notice)
+        for name, _ in notice.bad_headers:
+            self._metrics.count("tamarackhaven_bad_notices_total", header=name)
+        # A reply may still come from the target's former life.
+        if forward.life != self._state.life:
+            return
+        limit = self._state.limit
+        before_per_s = limit.per_s
+        if limit.record(notice, sent_s, boot_s()):
+            self._log.say(
+                "limit changed",
+                request_id=forward.attempt_id,
+                life=forward.life,
+                limit_per_s=limit.per_s,
+                before_per_s=before_per_s,
+            )
+
     def _log_notice(self, forward, notice):
         """Log what the target reports of itself when that changes."""
         if notice.headers != self._notice_headers:
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -16,6 +16,7 @@
 from tamarackhaven.routing import HoldOrders
 from tamarackhaven.sidecar._called_holds import CalledHolds
 from tamarackhaven.sidecar._key_holds import HeartbeatHolds, HeartbeatReply
+from tamarackhaven.sidecar._named_limit import NamedLimit
 
 # A draining owner continues to serve its keys while they move, until this long before
 # it has to stop. Requests that are in flight by then arrive within this time.
@@ -80,6 +81,7 @@
         self.heartbeat_received_s = float("-inf")
         self.cold_until_s = float("-inf")
         self.leaving_since_s = None
+        self.limit = NamedLimit()
         self.ended_lives = []
         self._keys = None
         self._hold_orders = HoldOrders.HEARTBEATS
@@ -142,6 +144,7 @@
             del self.ended_lives[:-8]
         self.heartbeat = None
         self.leaving_since_s = None
+        self.limit = NamedLimit()
         self._keys = None
 
     def leave(self, name, now):
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -40,7 +40,9 @@
             "_gate",
             "_key_holds",
             "_key_load",
+            "_named_limit",
             "_offers",
+            "_rate_limit",
             "_target_state",
         )
     ),
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -244,3 +244,67 @@
     in_time, late = simulate_overload()
     assert in_time > 0.56
     assert in_time + late > 0.72
+
+
+def limited_gate(per_s, slots=8, work_s=0.1):
+    """Return a trained gate with a limit, whose first start is due now."""
+    gate = trained_gate(slots, work_s)
+    gate.set_limit(per_s, 100.0 - 1 / per_s)
+    return gate
+
+
+def limited_offer(number, now=100.0, objective_s=1.0, key=-1):
+    return Offer(number, "r", 1, now + objective_s, now + 2 * objective_s, True, key)
+
+
+def test_a_request_above_the_limit_of_the_target_is_refused_at_once():
+    # Guards against: callers wait at a target that may not take them in time.
+    gate = limited_gate(0.5)
+    assert gate.offer(limited_offer(1), 100.0) == Start(1)
+    refused = gate.offer(limited_offer(2), 100.0)
+    assert refused.kind is ErrorKind.TARGET_LIMITED
+    assert refused.retry_after_s == pytest.approx(2.0)
+
+
+def test_a_request_waits_for_the_limit_if_it_can_still_be_in_time():
+    gate = limited_gate(4.0)
+    assert gate.offer(limited_offer(1), 100.0) == Start(1)
+    assert gate.offer(limited_offer(2), 100.0) is None
+    assert gate.settle(100.24) == []
+    assert gate.settle(100.25) == [Start(2)]
+
+
+def test_requests_in_the_queue_are_refused_when_a_limit_leaves_them_no_time():
+    # Guards against: requests that waited when a limit began wait for their deadline.
+    gate = trained_gate(slots=1)
+    gate.offer(limited_offer(1), 100.0)
+    for number in (2, 3, 4):
+        assert gate.offer(limited_offer(number), 100.0) is None
+    gate.set_limit(2.0, 100.0)
+    refused = gate.settle(100.0)
+    assert [each.number for each in refused] == [4, 3]
+    assert gate.waiting == 1
+
+
+def test_the_key_with_the_fewest_starts_is_next_under_a_limit():
+    # Guards against: a hot key gets every start that a limit leaves.
+    gate = limited_gate(4.0)
+    assert gate.offer(limited_offer(1, key=7), 100.0) == Start(1)
+    assert gate.offer(limited_offer(2, key=7), 100.1) is None
+    assert gate.offer(limited_offer(3, key=9), 100.2) is None
+    assert gate.settle(100.25) == [Start(3)]
+
+
+def test_all_slots_are_free_again_once_the_limit_ends():
+    gate = limited_gate(0.5)
+    gate.offer(limited_offer(1), 100.0)
+    gate.set_limit(None, 100.1)
+    for number in range(2, 9):
+        assert gate.offer(limited_offer(number), 100.1) == Start(number)
+
+
+def test_a_restarted_gate_begins_without_unused_starts():
+    # Guards against: each restart of the daemon allows a burst above the limit.
+    gate = trained_gate()
+    gate.set_limit(2.0, 100.0)
+    assert gate.limit_wait_s(100.0) == pytest.approx(0.5)
--- a/tests/sidecar/test_narrow_links.py
+++ b/tests/sidecar/test_narrow_links.py
@@ -11,6 +11,7 @@
 from tamarackhaven.sidecar._dialect import TargetNotice, Verdict
 from tamarackhaven.sidecar._inbound import Inbound
 from tamarackhaven.sidecar._messages import PEER_CODEC, Answered, NotRun
+from tamarackhaven.sidecar._named_limit import NamedLimit
 from tamarackhaven.sidecar._peers import Peers, PeerServer
 from tamarackhaven.sidecar._runs import Runs
 from tamarackhaven.sidecar._target_client import SendEnd, SendResult
@@ -34,6 +35,7 @@
     life: str = FORWARD.life
     heartbeat: object = None
     heartbeat_received_s: float = 0.0
+    limit: NamedLimit = attrs.field(factory=NamedLimit)
 
     def accepts_new(self, is_sharded, now):
         return True
