Keep a named limit over the restart of the daemon that counts

**What callers would see:** nothing; a target in need got a burst above its limit after each restart of the daemon beside it. The restart excuses that VM's own callers only. **Cause:** the daemon that counts knows the limit from answers, and forgets it with its process. The target's daemon adopts the lowest until it has read an answer itself, which is never older: their word can't raise what it lets through.

--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -88,7 +88,9 @@
             settings.zone, random.random, lambda life: life == state.life
         )
         self._retries = Retries(settings, view, log, metrics)
-        self._sender = RequestSender(settings, state, runs, peers, self._chooser, log)
+        self._sender = RequestSender(
+            settings, state, dialect, runs, peers, self._chooser, log
+        )
         self.is_closing = False
 
     async def handle(self, request):
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -15,6 +15,7 @@
 from tamarackhaven.sidecar._pulse import ChangeSignal
 from tamarackhaven.sidecar._results import Results
 from tamarackhaven.sidecar._target_exchange import TargetExchange
+from tamarackhaven.sidecar._target_notices import TargetNotices
 
 # An owner in a zone that is out serves its keys for this fraction of the allowed time.
 # The rest covers a daemon that is notified late.
@@ -59,8 +60,16 @@
         self._gate = Gate(1, random.random)
         self.intake = BodyReceiver(self._gate, metrics)
         self._results = Results(self.load, self._log_context, log, metrics)
+        self._notices = TargetNotices(state, dialect, log, metrics)
         self.exchange = TargetExchange(
-            state, dialect, client, self.load, self._results, log, metrics
+            state,
+            dialect,
+            client,
+            self.load,
+            self._results,
+            self._notices,
+            log,
+            metrics,
         )
         self._future_by_number = {}
         self._offer_numbers = itertools.count()
@@ -154,6 +163,7 @@
         """
         if forward.key >= 0:
             self._key_load.count(forward.key, boot_s())
+        self._notices.apply_hint(forward)
         deadline_s = boot_s() + forward.left_ms / 1000
         objective_s = boot_s() + forward.objective_ms / 1000
         refusal = await self._refusal_kind(forward, deadline_s)
@@ -354,7 +364,7 @@
         return {
             "limit_per_s": limit.per_s,
             "limit_age_s": round(now - limit.named_s, 3),
-            "limit_from": "peer" if limit.is_hint else "target",
+            "limit_from": limit.source,
             "limited_starts": self._gate.limited_starts(now),
         }
 
--- a/tamarackhaven/sidecar/_messages.py
+++ b/tamarackhaven/sidecar/_messages.py
@@ -50,6 +50,9 @@
     body_bytes : int
         Size of an announced body, which isn't in ``body``: the target's daemon requests
         its parts.
+    limit_per_s : float or None
+        Requests per second that the target accepts, as the sender last read it in an
+        answer; None without a limit.
     """
 
     number: int
@@ -69,6 +72,7 @@
     objective_ms: float
     waits: bool = True
     body_bytes: int = 0
+    limit_per_s: float | None = None
 
 
 @attrs.frozen
--- a/tamarackhaven/sidecar/_named_limit.py
+++ b/tamarackhaven/sidecar/_named_limit.py
@@ -29,6 +29,11 @@
         self.is_hint = False
         self._has_answer = False
 
+    @property
+    def source(self):
+        """Who named it, as a word for log lines."""
+        return "peer" if self.is_hint else "target"
+
     @property
     def start_rate_per_s(self):
         """How many requests per second may be started, None for any number."""
--- a/tamarackhaven/sidecar/_sender.py
+++ b/tamarackhaven/sidecar/_sender.py
@@ -9,6 +9,7 @@
 from tamarackhaven.routing import RequestKind
 from tamarackhaven.sidecar._choice import has_failed
 from tamarackhaven.sidecar._messages import Answered, Forward, GateLoad, NotRun
+from tamarackhaven.sidecar._notice_memory import NoticeMemory
 
 # Retry time of a request whose time has run out before it was sent.
 EXPIRED_RETRY_S = 0.5
@@ -61,6 +62,8 @@
         Settings of the daemon.
     state : TargetState
         State of the target beside this daemon.
+    dialect : Dialect
+        Reads the headers of answers.
     runs : Runs
         Runs requests at the target beside this daemon.
     peers : Peers
@@ -71,14 +74,16 @@
         Log of the part ``caller``.
     """
 
-    def __init__(self, settings, state, runs, peers, chooser, log):
+    def __init__(self, settings, state, dialect, runs, peers, chooser, log):
         self._settings = settings
         self._state = state
+        self._dialect = dialect
         self._runs = runs
         self._peers = peers
         self._chooser = chooser
         self._log = log
         self._forward_numbers = itertools.count(1)
+        self._notices = NoticeMemory()
 
     async def send(self, pending, target, waits=True):
         """Send the request to ``target``.
@@ -98,6 +103,9 @@
                 result = await self._send_to_peer(pending, target, forward)
         finally:
             self._record_result(pending, target, result)
+        if isinstance(result, Answered):
+            notice = self._dialect.read_notice(result.headers)
+            self._notices.record(target.life, notice, now, boot_s())
         return result
 
     async def _send_to_peer(self, pending, target, forward):
@@ -109,6 +117,7 @@
 
     def _build_forward(self, pending, target, now, waits):
         request = pending.request
+        hint = self._notices.hint(target.life, now)
         return Forward(
             number=next(self._forward_numbers),
             life=target.life,
@@ -126,6 +135,7 @@
             left_ms=(pending.deadline_s - now) * 1000,
             objective_ms=(pending.objective_s - now) * 1000,
             waits=waits,
+            limit_per_s=hint.limit_per_s,
         )
 
     def _record_result(self, pending, target, result):
--- a/tamarackhaven/sidecar/_target_exchange.py
+++ b/tamarackhaven/sidecar/_target_exchange.py
@@ -15,8 +15,6 @@
 # no heartbeat since the first one: nothing listens on its port.
 MIN_REFUSED_CONNECTIONS = 3
 MIN_REFUSING_TIME_S = 0.5
-# A faulty target could send ever new names; no more than this many are logged.
-MAX_LOGGED_HEADERS = 32
 
 
 class TargetExchange:
@@ -34,6 +32,8 @@
         ``load(route)`` returns the ``GateLoad`` for requests of a route.
     results : Results
         Builds the results of requests that got no answer.
+    notices : TargetNotices
+        Acts on what the target reports of itself.
     log : Log
         Log of the part ``gate``.
     metrics : Metrics
@@ -45,18 +45,17 @@
         Called when the target has ended.
     """
 
-    def __init__(self, state, dialect, client, load, results, log, metrics):
+    def __init__(self, state, dialect, client, load, results, notices, log, metrics):
         self._state = state
         self._dialect = dialect
         self.client = client
         self._load = load
         self._results = results
+        self._notices = notices
         self._log = log
         self._metrics = metrics
         self._refused_since_s = None
         self._connection_refusals = 0
-        self._notice_headers = ()
-        self._logged_headers = set()
         self.on_ended = lambda: None
 
     async def send(self, forward, body, deadline_s):
@@ -109,7 +108,7 @@
     def _result_from_reply(self, forward, reply, started_s):
         verdict = self._dialect.classify_reply(reply, forward.attempt_id)
         if verdict in (Verdict.ANSWERED, Verdict.REFUSED):
-            self._apply_notice(forward, reply, started_s)
+            self._notices.apply_reply(forward, reply, started_s)
         if verdict is Verdict.ANSWERED:
             self._metrics.observe(
                 boot_s() - started_s, service=forward.service, part="target"
@@ -131,43 +130,6 @@
         detail = f"status {reply.status}"
         return self._results.lost(forward, ErrorKind.ANSWER_MISMATCH, started_s, detail)
 
-    def _apply_notice(self, forward, reply, sent_s):
-        """Act on what the target reports of itself in a reply."""
-        notice = self._dialect.read_notice(reply.headers)
-        self._log_notice(forward, notice)
-        for name, _ in notice.bad_headers:
-            self._metrics.count("tamarackhaven_bad_notices_total", header=name)
-        # A reply may still come from the target's former life.
-        if forward.life != self._state.life:
-            return
-        limit = self._state.limit
-        before_per_s = limit.per_s
-        if limit.record(notice, sent_s, boot_s()):
-            self._log.say(
-                "limit changed",
-                request_id=forward.attempt_id,
-                life=forward.life,
-                limit_per_s=limit.per_s,
-                before_per_s=before_per_s,
-            )
-
-    def _log_notice(self, forward, notice):
-        """Log what the target reports of itself when that changes."""
-        if notice.headers != self._notice_headers:
-            self._notice_headers = notice.headers
-            self._log.say(
-                "target notice",
-                request_id=forward.attempt_id,
-                life=forward.life,
-                headers=notice.headers,
-                bad_headers=notice.bad_headers,
-            )
-        for name in notice.unknown_headers:
-            is_new = name not in self._logged_headers
-            if is_new and len(self._logged_headers) < MAX_LOGGED_HEADERS:
-                self._logged_headers.add(name)
-                self._log.say("unknown header", life=forward.life, name=name)
-
     def _record_connection_refusal(self, sent):
         """Detect that the target has ended, before its lease expires."""
         if not sent.is_refused:
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -41,6 +41,7 @@
             "_key_holds",
             "_key_load",
             "_named_limit",
+            "_notice_memory",
             "_offers",
             "_rate_limit",
             "_target_state",
--- a/tests/fleet/test_target_notices.py
+++ b/tests/fleet/test_target_notices.py
@@ -89,3 +89,28 @@
             assert not each.broken, each.broken[-1]
 
     run(test, tmp_path)
+
+
+def test_a_restarted_daemon_learns_a_limit_from_the_others(tmp_path):
+    # Guards against: a daemon that counts from nothing floods its target after each
+    # restart.
+    async def test(fleet):
+        watched = WatchedTarget(fleet, 0)
+        key = next(k for k in range(65536) if watched.target.holds(k))
+        watched.name_limit(LIMIT_PER_S)
+        await watched.ask("/owned/", key, 1)
+        fleet.daemons[0].kill()
+        fleet.daemons[0].start()
+
+        async def has_learned():
+            await watched.ask("/owned/", key, 1)
+            return any(
+                line.get("sentence") == "gate: limit changed"
+                and line["limit_from"] == "peer"
+                and line["limit_per_s"] == LIMIT_PER_S
+                for line in fleet.daemons[0].lines
+            )
+
+        await fleet.until(has_learned)
+
+    run(test, tmp_path)
--- a/tests/sidecar/test_callers.py
+++ b/tests/sidecar/test_callers.py
@@ -19,7 +19,7 @@
     ServiceSpec,
     WeightedService,
 )
-from tamarackhaven.sidecar import CallerRequest
+from tamarackhaven.sidecar import CallerRequest, TargetNotice
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._messages import Answered
 from tamarackhaven.sidecar._view import CONFIRMATION_TTL_S, View
@@ -59,6 +59,9 @@
             "a", self.deadline_ms, None, "h", "GET", request.target, (), b""
         )
 
+    def read_notice(self, headers):
+        return TargetNotice()
+
     def refusal(self, error):
         return HttpResponse(503, ((b"Kind", error.kind.name.encode()),))
 
