--- a/benches/_model_keys.py
+++ b/benches/_model_keys.py
@@ -189,7 +189,7 @@
         )
 
         def on_arrival():
-            world.leader.report(report, world.now)
+            world.leader.directory.record(report, world.now)
             if report.releases:
                 world.decide()
             world.later(CONFIRM_DELAY_S, on_confirmed)
--- a/benches/bench_tick.py
+++ b/benches/bench_tick.py
@@ -61,7 +61,7 @@
     leader = Leadership(1, LEASE_S, now)
     now += 2 * LEASE_S
     for number in range(SILENT_TARGETS, TARGET_COUNT):
-        leader.report(Report(1, target(number)), now)
+        leader.directory.record(Report(1, target(number)), now)
     for _ in range(ticks):
         leader.tick(state, now)
     started_s = time.process_time()
--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -263,7 +263,7 @@
         session = Session(hello.daemon, link, self._update_cache, hello.known)
         self._session_by_link[link] = session
         self._log.say("daemon found", daemon=hello.daemon)
-        link.send(self._leadership.targets_view())
+        link.send(self._leadership.directory.targets_view())
         with self.machine.lock:
             session.catch_up(self.machine.state)
 
@@ -273,7 +273,7 @@
         if not self.leads or link not in self._session_by_link:
             link.abort()
             return
-        self._leadership.report(report, boot_s())
+        self._leadership.directory.record(report, boot_s())
         self._answers.add(link, report)
         session = self._session_by_link[link]
         session.acknowledge(report.state_index)
@@ -302,7 +302,7 @@
                 session.send_updates(self.machine.state)
 
     def _send_targets_update(self):
-        view = self._leadership.take_targets_update()
+        view = self._leadership.directory.take_targets_update()
         if view is None:
             return
         for target in view.targets:
--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -8,15 +8,14 @@
 import attrs
 
 from tamarackhaven.fleet import _placement
+from tamarackhaven.fleet._directory import TargetDirectory
 from tamarackhaven.fleet._leases import LeaseTable
-from tamarackhaven.fleet._messages import LeaseGrant, TargetsView
+from tamarackhaven.fleet._messages import LeaseGrant
 from tamarackhaven.fleet._model import (
     GrantId,
     Hold,
     Release,
-    Target,
     TargetPhase,
-    daemon_and_start,
 )
 from tamarackhaven.fleet._open_changes import OpenChanges, subtract
 from tamarackhaven.fleet._ranges import overlaps
@@ -26,12 +25,6 @@
 # within this time of an election. Until then the leader assigns no keys and treats no
 # target as gone.
 DISCOVERY_TIMEOUT_S = 1.2
-# A target whose daemon has sent no report for longer than this gets no new keys.
-MAX_REPORT_AGE_S = 1.5
-# A silent target stays in the directory for this long: callers detect by themselves
-# that its daemon is gone, and a daemon that is only partitioned from the control VMs
-# keeps serving.
-SILENT_TARGET_TTL_S = 20.0
 # Keys move when a target joins or load shifts, and are unserved for about a heartbeat
 # while they do. So only a few ranges of a service are moved for balance at a time.
 MAX_BALANCING_MOVES = 4
@@ -41,25 +34,6 @@
 MAX_SILENT_FRACTION = 0.2
 
 
-# Until a request has been answered, all targets count as equally fast.
-DEFAULT_WORK_S = 0.1
-
-
-@attrs.define
-class _ReportedTarget:
-    """A target with its daemon's newest report.
-
-    Parameters
-    ----------
-    reported_s : float
-        When the report was received, in seconds of the boot clock.
-    """
-
-    target: Target
-    report: object
-    reported_s: float
-
-
 @attrs.define
 class _PendingMove:
     """A range that its owner was told to release.
@@ -110,63 +84,13 @@
         self._confirmed_s = now
         self._last_grant_number = 0
         self.leases = LeaseTable(lease_s, now)
-        self._reported_by_life = {}
-        self._life_by_address = {}
-        self._start_ms_by_daemon = {}
+        self.directory = TargetDirectory(term, self.leases)
         self._pending_moves = []
         self._open_changes = OpenChanges()
         self._target_count_by_service = {}
-        self._changed_by_life = {}
-        self._gone_lives = []
 
     # Reports and grants.
 
-    def report(self, report, now):
-        """Record a daemon's report.
-
-        Parameters
-        ----------
-        report : Report
-            The daemon's newest.
-        now : float
-            When it was received, in seconds of the boot clock.
-        """
-        for life in report.ended_lives:
-            self._end_life(life)
-        target = report.target
-        if target is None or self.leases.has_ended(target.life):
-            return
-        daemon, start_ms = daemon_and_start(target.life)
-        latest_ms = self._start_ms_by_daemon.get(daemon, 0)
-        self._start_ms_by_daemon[daemon] = max(start_ms, latest_ms)
-        address = target.host, target.port
-        former = self._life_by_address.get(address)
-        if former is not None and former != target.life:
-            # A VM runs one target at a time, so the former one has ended, unless this
-            # is a late report of an older one.
-            if self._reported_by_life[former].target.born_ms > target.born_ms:
-                return
-            self._end_life(former)
-        self._life_by_address[address] = target.life
-        reported = self._reported_by_life.get(target.life)
-        if reported is None or _without_load(reported.target) != _without_load(target):
-            self._changed_by_life[target.life] = target
-        self._reported_by_life[target.life] = _ReportedTarget(target, report, now)
-
-    def _end_life(self, life):
-        self.leases.record_end(life)
-        self._remove(life)
-
-    def _remove(self, life):
-        reported = self._reported_by_life.pop(life, None)
-        if reported is None:
-            return
-        address = reported.target.host, reported.target.port
-        if self._life_by_address.get(address) == life:
-            del self._life_by_address[address]
-        self._changed_by_life.pop(life, None)
-        self._gone_lives.append(life)
-
     def grant(self, report, state, now):
         """Return the ``LeaseGrant`` that answers a report.
 
@@ -227,7 +151,7 @@
         """
         if not self._has_all_reports(state, now):
             return []
-        self._remove_silent(now)
+        self.directory.remove_silent(now)
         commands = []
         for service, ranges in state.ranges_by_service.items():
             if service not in state.configuration.service_by_name:
@@ -251,18 +175,11 @@
             each.owner for ranges in state.ranges_by_service.values() for each in ranges
         }
         return owners != {""} and all(
-            owner and daemon_and_start(owner)[0] in self._start_ms_by_daemon
-            for owner in owners
+            owner and self.directory.has_daemon_of(owner) for owner in owners
         )
 
-    def _remove_silent(self, now):
-        for life, reported in list(self._reported_by_life.items()):
-            silent_s = now - reported.reported_s
-            if silent_s > SILENT_TARGET_TTL_S and self.leases.has_expired(life, now):
-                self._remove(life)
-
     def _plan_service(self, service, ranges, state, now):
-        capacity_by_life = self._capacity_by_life(service, state, now)
+        capacity_by_life = self.directory.capacity_by_life(service, state, now)
         self._drop_stale_moves(service, ranges)
         if not capacity_by_life:
             return []
@@ -288,38 +205,12 @@
         self._start_moves(service, ranges, capacity_by_life, utilization, state)
         return []
 
-    def _capacity_by_life(self, service, state, now):
-        """Return the capacity of the targets that may get keys, by life.
-
-        Capacity is in requests a second; a cold target's is at most its cold rate.
-        """
-        reported = [
-            each
-            for each in self._reported_by_life.values()
-            if each.target.service == service
-            and each.target.phase is TargetPhase.READY
-            and each.target.zone not in state.zones_out
-            and now - each.reported_s < MAX_REPORT_AGE_S
-        ]
-        work_times_s = [
-            each.target.work_s for each in reported if each.target.work_s > 0
-        ]
-        mean_work_s = (
-            sum(work_times_s) / len(work_times_s) if work_times_s else DEFAULT_WORK_S
-        )
-        spec = state.configuration.service_by_name[service]
-        return {
-            each.target.life: _capacity(each.target, mean_work_s, spec)
-            for each in reported
-        }
-
     def _utilization(self, service, ranges, capacity_by_life):
         rate_by_bucket = {}
         other_rate = 0.0
-        for reported in self._reported_by_life.values():
-            if reported.target.service == service:
-                rate_by_bucket.update(reported.report.key_load)
-                other_rate += reported.report.key_rest
+        for reported in self.directory.reported_of(service):
+            rate_by_bucket.update(reported.report.key_load)
+            other_rate += reported.report.key_rest
         capacity = sum(capacity_by_life.values())
         weights = _placement.KeyWeights(rate_by_bucket, other_rate, capacity)
         return _placement.Utilization(ranges, capacity_by_life, weights)
@@ -339,7 +230,11 @@
 
     def _is_assignable(self, key_range, now):
         owner = key_range.owner
-        if not owner or self._is_replaced(owner) or self.leases.has_expired(owner, now):
+        if (
+            not owner
+            or self.directory.is_replaced(owner)
+            or self.leases.has_expired(owner, now)
+        ):
             return True
         return self._is_refused(key_range)
 
@@ -350,7 +245,7 @@
         order under the present one, and the keys stay unserved. They are assigned
         again, perhaps to another target, with a new, higher token.
         """
-        reported = self._reported_by_life.get(key_range.owner)
+        reported = self.directory.reported(key_range.owner)
         if reported is None or reported.report.settled.term != self.term:
             return False
         refused = Hold(key_range.first, key_range.last, key_range.fence)
@@ -358,16 +253,6 @@
             overlaps(hold, key_range) for hold in reported.report.holds
         )
 
-    def _is_replaced(self, life):
-        """Whether the daemon of ``life`` has reported a later life.
-
-        After a power failure of all VMs the new leader knows none of the owners, and
-        their keys would wait for leases that no target holds. A daemon has one target
-        at a time, so one that started later has replaced it.
-        """
-        daemon, start_ms = daemon_and_start(life)
-        return self._start_ms_by_daemon.get(daemon, 0) > start_ms
-
     # Moves.
 
     def _pending_moves_of(self, service):
@@ -428,7 +313,7 @@
         return {
             life
             for life in capacity_by_life
-            if not self._reported_by_life[life].report.knows_holds
+            if not self.directory.reported(life).report.knows_holds
         }
 
     def _has_too_many_silent(self, ranges, capacity_by_life):
@@ -442,7 +327,7 @@
         A silent owner keeps its keys until its lease expires: its daemon may only be
         restarting.
         """
-        reported = self._reported_by_life.get(life)
+        reported = self.directory.reported(life)
         if reported is None:
             return False
         is_draining = reported.target.phase is TargetPhase.DRAINING
@@ -468,49 +353,18 @@
         The token is empty if the old owner left none.
         """
         old = pending.move.old
-        has_expired = self._is_replaced(old.owner) or self.leases.has_expired(
+        has_expired = self.directory.is_replaced(old.owner) or self.leases.has_expired(
             old.owner, now
         )
         if has_expired or now >= pending.expires_s:
             return ""
-        reported = self._reported_by_life.get(old.owner)
+        reported = self.directory.reported(old.owner)
         if reported is None or reported.report.settled < pending.first_grant:
             return None
         if any(overlaps(hold, old) for hold in reported.report.holds):
             return None
         return _handover_token(reported.report.releases, old)
 
-    # Updates for daemons.
-
-    def targets_view(self):
-        """Return all targets, for a daemon that has just connected."""
-        targets = tuple(reported.target for reported in self._reported_by_life.values())
-        return TargetsView(self.term, targets)
-
-    def take_targets_update(self):
-        """Return a ``TargetsView`` of all changes since the last call, or None."""
-        if not self._changed_by_life and not self._gone_lives:
-            return None
-        view = TargetsView(
-            self.term, tuple(self._changed_by_life.values()), tuple(self._gone_lives)
-        )
-        self._changed_by_life = {}
-        self._gone_lives = []
-        return view
-
-
-def _without_load(target):
-    """Return ``target`` without its load, which daemons learn from answers."""
-    return attrs.evolve(target, load=0.0, work_s=0.0)
-
-
-def _capacity(target, mean_work_s, spec):
-    """Return a target's capacity in requests a second."""
-    capacity = max(target.slots, 1) / (target.work_s or mean_work_s)
-    if target.is_cold and spec.cold_per_s:
-        capacity = min(capacity, spec.cold_per_s)
-    return capacity
-
 
 def _overlapping(ranges, new):
     return tuple(each for each in ranges if any(overlaps(each, other) for other in new))
--- a/tests/fleet/test_leadership.py
+++ b/tests/fleet/test_leadership.py
@@ -3,11 +3,8 @@
 import attrs
 import pytest
 
-from tamarackhaven.fleet._leadership import (
-    DISCOVERY_TIMEOUT_S,
-    MAX_REPORT_AGE_S,
-    Leadership,
-)
+from tamarackhaven.fleet._directory import MAX_REPORT_AGE_S
+from tamarackhaven.fleet._leadership import DISCOVERY_TIMEOUT_S, Leadership
 from tamarackhaven.fleet._messages import Report
 from tamarackhaven.fleet._model import (
     GrantId,
@@ -46,7 +43,7 @@
 
     def report(self, who, **fields):
         report = Report(1, who, **fields)
-        self.leader.report(report, self.now)
+        self.leader.directory.record(report, self.now)
         grant = self.leader.grant(report, self.state, self.now)
         self.grant_by_life[who.life] = grant
         return grant
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -18,6 +18,7 @@
         f"fleet/{name}"
         for name in (
             "_addresses",
+            "_directory",
             "_feed",
             "_growth",
             "_joining",
--- a/tests/sidecar/held_by_calls.py
+++ b/tests/sidecar/held_by_calls.py
@@ -253,7 +253,7 @@
     def answer(self, vm, report, requested_s, boot):
         """Simulate the leader's handling of one report."""
         leader = self.leader
-        leader.report(report, self.now)
+        leader.directory.record(report, self.now)
         grant = leader.grant(report, self.state, self.now)
 
         def arrive():
--- a/tests/sidecar/held_by_heartbeats.py
+++ b/tests/sidecar/held_by_heartbeats.py
@@ -184,7 +184,7 @@
         leader = self.leader
         if leader is None:
             return
-        leader.report(report, self.now)
+        leader.directory.record(report, self.now)
 
         def confirmed():
             if leader is not self.leader:
