--- a/tamarackhaven/fleet/_directory.py
+++ b/tamarackhaven/fleet/_directory.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from tamarackhaven.fleet._lasting_limits import LastingLimits
 from tamarackhaven.fleet._messages import TargetsView
 from tamarackhaven.fleet._model import Target, TargetPhase, daemon_and_start
 
@@ -13,6 +14,8 @@
 SILENT_TARGET_TTL_S = 20.0
 # Until a request has been answered, all targets count as equally fast.
 DEFAULT_WORK_S = 0.1
+# Utilization is work divided by capacity, and a target may accept nothing for a while.
+MIN_CAPACITY_PER_S = 0.1
 
 
 @attrs.define
@@ -45,6 +48,7 @@
         self._term = term
         self._leases = leases
         self._reported_by_life = {}
+        self._limits = LastingLimits()
         self._life_by_address = {}
         self._start_ms_by_daemon = {}
         self._changed_by_life = {}
@@ -81,6 +85,7 @@
         if reported is None or _without_load(reported.target) != _without_load(target):
             self._changed_by_life[target.life] = target
         self._reported_by_life[target.life] = ReportedTarget(target, report, now)
+        self._limits.record(target.life, target.limit_per_s, now)
 
     def _end_life(self, life):
         self._leases.record_end(life)
@@ -88,6 +93,7 @@
 
     def _remove(self, life):
         reported = self._reported_by_life.pop(life, None)
+        self._limits.forget(life)
         if reported is None:
             return
         address = reported.target.host, reported.target.port
@@ -131,7 +137,8 @@
     def capacity_by_life(self, service, state, now):
         """Return the capacity of the targets that may get keys, by life.
 
-        Capacity is in requests a second; a cold target's is at most its cold rate.
+        Capacity is in requests a second; a cold target's is at most its cold rate, and
+        that of one with a limit that has lasted at most the limit.
         """
         reported = [
             each
@@ -148,7 +155,12 @@
         )
         spec = state.configuration.service_by_name[service]
         return {
-            each.target.life: _capacity(each.target, mean_work_s, spec)
+            each.target.life: _capacity(
+                each.target,
+                mean_work_s,
+                spec,
+                self._limits.per_s(each.target.life, now),
+            )
             for each in reported
         }
 
@@ -170,13 +182,15 @@
 
 
 def _without_load(target):
-    """Return ``target`` without its load, which daemons learn from answers."""
-    return attrs.evolve(target, load=0.0, work_s=0.0)
+    """Return ``target`` without its load and limit; daemons learn them from answers."""
+    return attrs.evolve(target, load=0.0, work_s=0.0, limit_per_s=None)
 
 
-def _capacity(target, mean_work_s, spec):
+def _capacity(target, mean_work_s, spec, limit_per_s):
     """Return a target's capacity in requests a second."""
     capacity = max(target.slots, 1) / (target.work_s or mean_work_s)
     if target.is_cold and spec.cold_per_s:
         capacity = min(capacity, spec.cold_per_s)
-    return capacity
+    if limit_per_s is not None:
+        capacity = min(capacity, limit_per_s)
+    return max(capacity, MIN_CAPACITY_PER_S)
--- a/tamarackhaven/fleet/_model.py
+++ b/tamarackhaven/fleet/_model.py
@@ -87,6 +87,8 @@
         Mean time to process a request, in seconds; 0 before the first one.
     is_cold : bool
         Whether it can serve only the service's cold rate for now.
+    limit_per_s : float or None
+        Requests per second that it named as its limit; None without one.
     """
 
     life: str
@@ -101,6 +103,7 @@
     load: float = 0.0
     work_s: float = 0.0
     is_cold: bool = False
+    limit_per_s: float | None = None
 
 
 def life_of(name, born_ms, daemon):
--- a/tamarackhaven/fleet/_placement.py
+++ b/tamarackhaven/fleet/_placement.py
@@ -236,6 +236,13 @@
         chosen = _best_piece(
             ranges, donor, MOVED_GAP_FRACTION * even_weight, utilization.weights
         )
+        if chosen is None:
+            # A busy key of a target with far less capacity: it weighs too much to make
+            # both even, and little at the receiver.
+            light_weight = gap / 2 * utilization.capacity(receiver)
+            chosen = _best_piece(
+                ranges, donor, MOVED_GAP_FRACTION * light_weight, utilization.weights
+            )
         if chosen is None:
             exhausted.add(donor)
             continue
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -262,4 +262,5 @@
             load=load,
             work_s=work_s,
             is_cold=self.is_cold(now),
+            limit_per_s=self.limit.per_s,
         )
--- a/tests/fleet/test_leadership.py
+++ b/tests/fleet/test_leadership.py
@@ -69,8 +69,12 @@
         grant = self.grant_by_life.get(who.life)
         if grant is None:
             return self.report(who)
-        holds = tuple(Hold(r.first, r.last, r.fence) for r in grant.ranges)
-        return self.report(who, holds=holds, settled=grant.grant)
+        return self.report(who, holds=self.holds(grant), settled=grant.grant)
+
+    @staticmethod
+    def holds(grant):
+        """Return what a target holds that was granted ``grant``."""
+        return tuple(Hold(r.first, r.last, r.fence) for r in grant.ranges)
 
     def owners(self):
         return {each.owner for each in self.state.ranges_by_service[SERVICE]}
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -127,3 +127,12 @@
     assert after["b"] < 1.5
     assert after["c"] < 1.5
     assert after["a"] > 9
+
+
+def test_a_busy_key_leaves_a_target_with_far_less_capacity():
+    # Guards against: a key too busy for a target in need stays there, as it weighs too
+    # much to make both targets even.
+    capacity = {"a": 2.0, "b": 30.0}
+    ranges, _ = settle(spread("a", "b"), capacity, {7: 12.0})
+    after = utilization_by_life(ranges, capacity, {7: 12.0})
+    assert max(after.values()) < 1.0
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -22,6 +22,7 @@
             "_feed",
             "_growth",
             "_joining",
+            "_lasting_limits",
             "_leadership",
             "_leases",
             "_model",
