--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -190,7 +190,7 @@
             if pending.move.to_life in capacity_by_life:
                 utilization.reassign(pending.move.old, pending.move.to_life)
         assignable = [each for each in ranges if self._is_assignable(each, now)]
-        released = self._finished_moves(service, capacity_by_life, now)
+        released = self._finished_moves(service, utilization, now)
         # A range whose owner is gone by now is already assigned as ``assignable``.
         released = [
             each
@@ -333,8 +333,12 @@
         is_draining = reported.target.phase is TargetPhase.DRAINING
         return is_draining or reported.target.zone in state.zones_out
 
-    def _finished_moves(self, service, capacity_by_life, now):
-        """Return the new ranges of moves whose old owner has released them."""
+    def _finished_moves(self, service, utilization, now):
+        """Return the new ranges of moves whose old owner has released them.
+
+        If the destination may get no keys any more, they go to the least utilized
+        target.
+        """
         new = []
         for pending in self._pending_moves_of(service):
             old = pending.move.old
@@ -342,8 +346,9 @@
             if token is None:
                 continue
             to_life = pending.move.to_life
-            if to_life not in capacity_by_life:
-                to_life = min(capacity_by_life)
+            if to_life not in utilization.weight_by_life:
+                to_life = utilization.least()
+                utilization.reassign(old, to_life)
             new.append(attrs.evolve(old, owner=to_life, handover=token))
         return new
 
--- a/tests/fleet/test_leadership.py
+++ b/tests/fleet/test_leadership.py
@@ -346,3 +346,28 @@
         group.beat(who)
     group.tick()
     assert group.leader._pending_moves
+
+
+def test_released_keys_go_to_the_least_utilized_target_if_their_destination_is_gone(
+    group,
+):
+    # Guards against: released keys go to a target that is full, or in need, as its life
+    # comes first by name.
+    full, leaving, idle, gone = (target(name) for name in "abcd")
+    group.run(4 * DISCOVERY_TIMEOUT_S, full, leaving, idle, gone)
+    load = tuple((r.first // 16, 200.0) for r in group.owned(full))
+    draining = attrs.evolve(leaving, phase=TargetPhase.DRAINING)
+    group.report(full, key_load=load)
+    group.report(draining)
+    group.tick()
+    destinations = {m.move.to_life for m in group.leader._pending_moves}
+    assert gone.life in destinations
+    before = set(group.owned(full))
+    group.now += MAX_REPORT_AGE_S + 0.1
+    for who, fields in ((full, {"key_load": load}), (idle, {})):
+        group.report(who, **fields)
+    for _ in range(2):
+        group.beat(draining)
+    group.tick()
+    assert not group.owned(leaving)
+    assert set(group.owned(full)) == before
