Offer a target no request before its limit allows one

**What callers would see:** an answer later by a hop between daemons. **Cause:** a target with a limit is idle, so the choice by slots and work prefers it: each request of a shared service is offered to it first, and goes elsewhere after a refusal. **Change:** results name how long the limit delays a new request (`GateLoad.limit_wait_s`); the choice leaves the target out for so long.

--- a/tamarackhaven/sidecar/_choice.py
+++ b/tamarackhaven/sidecar/_choice.py
@@ -230,6 +230,10 @@
             stats.sent_since_load = 0
             stats.pause_s = 0.0
             stats.paused_until_s = float("-inf")
+            if load.limit_wait_s:
+                # A target with a limit looks idle, and every request would be offered
+                # to it first.
+                stats.paused_until_s = now + load.limit_wait_s
         if failed is not None:
             stats.failure_fraction += FAILURE_SMOOTHING_FACTOR * (
                 float(failed) - stats.failure_fraction
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -95,14 +95,16 @@
     def load(self, route=""):
         """Return the ``GateLoad`` for callers' daemons, for requests of ``route``."""
         gate = self._gate
+        now = boot_s()
         return GateLoad(
             gate.running,
             gate.waiting,
             gate.slots,
             gate.route_work_s(route) * 1000,
-            self._state.is_cold(boot_s()),
+            self._state.is_cold(now),
             self.intake.remaining_bytes,
             self.intake.bytes_per_s,
+            round(gate.limit_wait_s(now), 3),
         )
 
     def key_load(self, now):
--- a/tamarackhaven/sidecar/_messages.py
+++ b/tamarackhaven/sidecar/_messages.py
@@ -111,6 +111,8 @@
         Bytes of announced bodies that the target's daemon has yet to receive.
     link_bytes_per_s : float
         Recent throughput of its link while bodies arrived, 0 if unknown.
+    limit_wait_s : float
+        How long the limit that the target named delays a new request, 0 without one.
     """
 
     running: int = 0
@@ -120,6 +122,7 @@
     is_cold: bool = False
     arriving_bytes: int = 0
     link_bytes_per_s: float = 0.0
+    limit_wait_s: float = 0.0
 
 
 @attrs.frozen
--- a/tests/sidecar/test_choice.py
+++ b/tests/sidecar/test_choice.py
@@ -129,3 +129,15 @@
 
 def test_targets_that_were_tried_are_not_chosen(chooser):
     assert chooser.pick([A], "r", 0.0, {A.life}) is None
+
+
+def test_a_target_gets_no_request_before_its_limit_allows_one(chooser):
+    # Guards against: a target in need is idle, and every request is offered to it.
+    report_load(chooser, A, limit_wait_s=0.6)
+    report_load(chooser, B, running=9)
+    assert chooser.pick([A, B], "r", 0.5) is B
+    assert chooser.pick([A, B], "r", 0.7) is A
+
+
+def test_a_refusal_by_limit_is_not_a_failure_of_the_target(chooser):
+    assert has_failed(NotRun(1, ErrorKind.TARGET_LIMITED.name, 0.5)) is None
