Send nothing new to a target whose answers say that it leaves

The target's own daemon marks the life as draining, closes its gate, and reports it, so that its keys move; after a restart it goes by the word of the daemons that forward to it. **Measured:** tests/fleet/test_target_notices.py with real processes, failed before with the control group and without it (sent up to 4.97 s after), passes; no request of a shared service failed, and none for keys with a control group. tests/sidecar/test_callers.py sent all 20 requests to the leaving target before, 1 now.

--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -11,6 +11,7 @@
 from tamarackhaven.routing import Splitter
 from tamarackhaven.sidecar._choice import Chooser
 from tamarackhaven.sidecar._messages import Answered, NotRun, WaitQuery
+from tamarackhaven.sidecar._notice_memory import NoticeMemory
 from tamarackhaven.sidecar._offers import Ask, Offers
 from tamarackhaven.sidecar._retries import Retries
 from tamarackhaven.sidecar._sender import PendingRequest, RequestSender
@@ -88,8 +89,9 @@
             settings.zone, random.random, lambda life: life == state.life
         )
         self._retries = Retries(settings, view, log, metrics)
+        self._notices = NoticeMemory(settings.drain_s)
         self._sender = RequestSender(
-            settings, state, dialect, runs, peers, self._chooser, log
+            settings, state, dialect, runs, peers, self._chooser, self._notices, log
         )
         self.is_closing = False
 
@@ -224,7 +226,9 @@
         kind = ErrorKind.NO_OWNER
         while True:
             target = self._view.owner(pending.spec.name, pending.request.key)
-            if target is not None:
+            if target is not None and not self._accepts_new(target, True):
+                kind = ErrorKind.DRAINING
+            elif target is not None:
                 result = await self._sender.send(pending, target)
                 if isinstance(result, Answered):
                     return result
@@ -244,6 +248,10 @@
                 min(OWNER_POLL_INTERVAL_S, wait_until_s - boot_s())
             )
 
+    def _accepts_new(self, target, is_sharded):
+        """Whether a target hasn't told this daemon's callers that it leaves."""
+        return self._notices.accepts_new(target.life, is_sharded, boot_s())
+
     # Shared services.
 
     async def _serve_shared(self, pending):
@@ -293,7 +301,8 @@
             targets = [
                 target
                 for target in self._view.available_targets(pending.spec.name)
-                if not self._peers.is_leaving((target.host, target.port))
+                if self._accepts_new(target, False)
+                and not self._peers.is_leaving((target.host, target.port))
             ]
             step = offers.next(targets, boot_s())
             if isinstance(step, Ask):
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -111,6 +111,7 @@
         self._tasks = []
         self._is_leaving = False
         self.inbound.exchange.on_ended = self._control.report_now
+        self.inbound.notices.on_leaving = self._on_target_leaving
 
     async def start(self):
         """Listen on all addresses and start to search for the leader.
@@ -300,6 +301,9 @@
         """Mark the target as draining, since it announced that it leaves."""
         self.state.leave(name, boot_s())
         self.log.say("target leaves", name=name)
+        self._on_target_leaving()
+
+    def _on_target_leaving(self):
         self.inbound.apply_target_state()
         self._control.report_now()
 
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -60,14 +60,14 @@
         self._gate = Gate(1, random.random)
         self.intake = BodyReceiver(self._gate, metrics)
         self._results = Results(self.load, self._log_context, log, metrics)
-        self._notices = TargetNotices(state, dialect, log, metrics)
+        self.notices = TargetNotices(state, dialect, log, metrics)
         self.exchange = TargetExchange(
             state,
             dialect,
             client,
             self.load,
             self._results,
-            self._notices,
+            self.notices,
             log,
             metrics,
         )
@@ -165,7 +165,7 @@
         """
         if forward.key >= 0:
             self._key_load.count(forward.key, boot_s())
-        self._notices.apply_hint(forward)
+        self.notices.apply_hint(forward)
         deadline_s = boot_s() + forward.left_ms / 1000
         objective_s = boot_s() + forward.objective_ms / 1000
         refusal = await self._refusal_kind(forward, deadline_s)
--- a/tamarackhaven/sidecar/_notice_memory.py
+++ b/tamarackhaven/sidecar/_notice_memory.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from tamarackhaven.sidecar._draining import accepts_new
 from tamarackhaven.sidecar._named_limit import NamedLimit
 
 # A life that leaves is gone within minutes, and a limit lasts as long as the need. Of
@@ -25,22 +26,33 @@
     ----------
     limit_per_s : float or None
         Requests per second that the target accepts; None without a limit.
+    leaving_s : float or None
+        How long ago it announced that it leaves, in seconds; None if it hasn't.
     """
 
     limit_per_s: float | None = None
+    leaving_s: float | None = None
 
 
 NO_HINT = Hint()
 
 
 class NoticeMemory:
-    """Notices in the answers that this daemon has returned, by the life of a target."""
+    """Notices in the answers that this daemon has returned, by the life of a target.
 
-    def __init__(self):
+    Parameters
+    ----------
+    drain_s : float
+        How long after a target's announcement to leave it may get new requests.
+    """
+
+    def __init__(self, drain_s):
+        self._drain_s = drain_s
         self._limit_by_life = collections.OrderedDict()
+        self._leaving_since_s_by_life = collections.OrderedDict()
 
     def record(self, life, notice, sent_s, now):
-        """Record an answer that is returned to a caller.
+        """Record an answer that is returned; return whether its target now leaves.
 
         Parameters
         ----------
@@ -53,6 +65,14 @@
         now : float
             Seconds of the boot clock.
         """
+        self._record_limit(life, notice, sent_s, now)
+        if not notice.is_leaving or life in self._leaving_since_s_by_life:
+            return False
+        self._leaving_since_s_by_life[life] = now
+        _drop_oldest(self._leaving_since_s_by_life)
+        return True
+
+    def _record_limit(self, life, notice, sent_s, now):
         limit = self._limit_by_life.get(life)
         if limit is None and notice.limit_per_s is None:
             return
@@ -63,12 +83,36 @@
             del self._limit_by_life[life]
             return
         self._limit_by_life.move_to_end(life)
-        if len(self._limit_by_life) > MAX_LIVES:
-            self._limit_by_life.popitem(last=False)
+        _drop_oldest(self._limit_by_life)
 
     def hint(self, life, now):
         """Return the ``Hint`` for the daemon beside a target."""
         limit = self._limit_by_life.get(life)
-        if limit is None or now - limit.named_s > HINT_TTL_S:
+        leaving_since_s = self._leaving_since_s_by_life.get(life)
+        if limit is None and leaving_since_s is None:
             return NO_HINT
-        return Hint(limit.per_s)
+        is_fresh = limit is not None and now - limit.named_s <= HINT_TTL_S
+        return Hint(
+            limit.per_s if is_fresh else None,
+            None if leaving_since_s is None else now - leaving_since_s,
+        )
+
+    def accepts_new(self, life, is_sharded, now):
+        """Whether a target may get a new request from this daemon.
+
+        Parameters
+        ----------
+        life : str
+            Of the target.
+        is_sharded : bool
+            Whether the request is for a key, which only its owner serves.
+        now : float
+            Seconds of the boot clock.
+        """
+        leaving_since_s = self._leaving_since_s_by_life.get(life)
+        return accepts_new(is_sharded, leaving_since_s, self._drain_s, now)
+
+
+def _drop_oldest(value_by_life):
+    if len(value_by_life) > MAX_LIVES:
+        value_by_life.popitem(last=False)
--- a/tamarackhaven/sidecar/_sender.py
+++ b/tamarackhaven/sidecar/_sender.py
@@ -9,7 +9,6 @@
 from tamarackhaven.routing import RequestKind
 from tamarackhaven.sidecar._choice import has_failed
 from tamarackhaven.sidecar._messages import Answered, Forward, GateLoad, NotRun
-from tamarackhaven.sidecar._notice_memory import NoticeMemory
 
 # Retry time of a request whose time has run out before it was sent.
 EXPIRED_RETRY_S = 0.5
@@ -70,20 +69,22 @@
         Links to other daemons.
     chooser : Chooser
         Learns from each result.
+    notices : NoticeMemory
+        Remembers what answers said of their targets.
     log : Log
         Log of the part ``caller``.
     """
 
-    def __init__(self, settings, state, dialect, runs, peers, chooser, log):
+    def __init__(self, settings, state, dialect, runs, peers, chooser, notices, log):
         self._settings = settings
         self._state = state
         self._dialect = dialect
         self._runs = runs
         self._peers = peers
         self._chooser = chooser
+        self._notices = notices
         self._log = log
         self._forward_numbers = itertools.count(1)
-        self._notices = NoticeMemory()
 
     async def send(self, pending, target, waits=True):
         """Send the request to ``target``.
@@ -104,10 +105,15 @@
         finally:
             self._record_result(pending, target, result)
         if isinstance(result, Answered):
-            notice = self._dialect.read_notice(result.headers)
-            self._notices.record(target.life, notice, now, boot_s())
+            self._record_notice(pending, target, result, now)
         return result
 
+    def _record_notice(self, pending, target, answered, sent_s):
+        notice = self._dialect.read_notice(answered.headers)
+        if self._notices.record(target.life, notice, sent_s, boot_s()):
+            attempt_id = pending.request.attempt_id
+            self._log.say("target leaves", request_id=attempt_id, life=target.life)
+
     async def _send_to_peer(self, pending, target, forward):
         address = target.host, target.port
         pending.unsent_bytes = self._peers.unsent_bytes()
@@ -136,6 +142,7 @@
             objective_ms=(pending.objective_s - now) * 1000,
             waits=waits,
             limit_per_s=hint.limit_per_s,
+            leaving_s=hint.leaving_s,
         )
 
     def _record_result(self, pending, target, result):
--- a/tamarackhaven/sidecar/_target_notices.py
+++ b/tamarackhaven/sidecar/_target_notices.py
@@ -19,6 +19,11 @@
         Log of the part ``gate``.
     metrics : Metrics
         Metrics of the process.
+
+    Attributes
+    ----------
+    on_leaving : callable
+        Called when the target has announced that it leaves.
     """
 
     def __init__(self, state, dialect, log, metrics):
@@ -26,6 +31,7 @@
         self._dialect = dialect
         self._log = log
         self._metrics = metrics
+        self.on_leaving = lambda: None
         self._headers = ()
         self._logged_names = set()
 
@@ -50,16 +56,31 @@
         before_per_s = limit.per_s
         if limit.record(notice, sent_s, boot_s()):
             self._log_limit(forward, before_per_s)
+        if notice.is_leaving:
+            self._leave(forward, boot_s())
 
     def apply_hint(self, forward):
         """Apply what the daemon that forwards a request knows of the target."""
-        if forward.limit_per_s is None or forward.life != self._state.life:
+        if forward.limit_per_s is None and forward.leaving_s is None:
+            return
+        if forward.life != self._state.life:
+            return
+        if forward.leaving_s is not None:
+            self._leave(forward, boot_s() - forward.leaving_s)
+        if forward.limit_per_s is None:
             return
         limit = self._state.limit
         before_per_s = limit.per_s
         if limit.adopt(forward.limit_per_s, boot_s()):
             self._log_limit(forward, before_per_s)
 
+    def _leave(self, forward, since_s):
+        if self._state.leave_life(forward.life, since_s):
+            self._log.say(
+                "target leaves", request_id=forward.attempt_id, life=forward.life
+            )
+            self.on_leaving()
+
     def _log_limit(self, forward, before_per_s):
         limit = self._state.limit
         self._log.say(
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -15,12 +15,10 @@
 )
 from tamarackhaven.routing import HoldOrders
 from tamarackhaven.sidecar._called_holds import CalledHolds
+from tamarackhaven.sidecar._draining import accepts_new
 from tamarackhaven.sidecar._key_holds import HeartbeatHolds, HeartbeatReply
 from tamarackhaven.sidecar._named_limit import NamedLimit
 
-# A draining owner continues to serve its keys while they move, until this long before
-# it has to stop. Requests that are in flight by then arrive within this time.
-DRAIN_MARGIN_S = 0.5
 # A target without a heartbeat for this many intervals and one second gets no requests
 # that another target can run. A heartbeat may be late by seconds; after a crash there
 # are none at all.
@@ -152,9 +150,20 @@
         if self.heartbeat is not None and self.heartbeat.name == name:
             self._start_draining(now)
 
-    def _start_draining(self, now):
-        if self.leaving_since_s is None:
-            self.leaving_since_s = now
+    def leave_life(self, life, since_s):
+        """Mark a life as draining since ``since_s``; return whether it wasn't before.
+
+        ``since_s`` is in seconds of the boot clock.
+        """
+        was_leaving = self.leaving_since_s is not None
+        if self.heartbeat is None or life != self.life:
+            return False
+        self._start_draining(since_s)
+        return not was_leaving
+
+    def _start_draining(self, since_s):
+        if self.leaving_since_s is None or since_s < self.leaving_since_s:
+            self.leaving_since_s = since_s
 
     # Keys.
 
@@ -224,10 +233,9 @@
         """Whether the target may get new requests; a draining one only for its keys."""
         if self.heartbeat is None:
             return False
-        if self.leaving_since_s is None:
-            return True
-        grace_s = max(self._settings.drain_s - DRAIN_MARGIN_S, 0.0)
-        return is_sharded and now - self.leaving_since_s < grace_s
+        return accepts_new(
+            is_sharded, self.leaving_since_s, self._settings.drain_s, now
+        )
 
     def is_cold(self, now):
         """Whether the target is still slow after its start."""
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -39,6 +39,7 @@
             "_budget",
             "_called_holds",
             "_choice",
+            "_draining",
             "_gate",
             "_key_holds",
             "_key_load",
--- a/tests/fleet/test_target_notices.py
+++ b/tests/fleet/test_target_notices.py
@@ -7,6 +7,8 @@
 import itertools
 import time
 
+import pytest
+
 from standin.notice_watch import NoticeWatch
 from tests.fleet import real_fleet
 
@@ -91,26 +93,60 @@
     run(test, tmp_path)
 
 
-def test_a_restarted_daemon_learns_a_limit_from_the_others(tmp_path):
-    # Guards against: a daemon that counts from nothing floods its target after each
-    # restart.
+@pytest.mark.parametrize(
+    ("sentence", "limit_per_s", "is_announced"),
+    [("gate: limit changed", LIMIT_PER_S, False), ("gate: target leaves", None, True)],
+)
+def test_a_restarted_daemon_learns_what_the_others_know(
+    tmp_path, sentence, limit_per_s, is_announced
+):
+    # Guards against: a daemon that knows nothing floods its target, or sends it new
+    # requests long after it began to leave.
     async def test(fleet):
         watched = WatchedTarget(fleet, 0)
         key = next(k for k in range(65536) if watched.target.holds(k))
-        watched.name_limit(LIMIT_PER_S)
+        watched.target.is_announced = is_announced
+        if limit_per_s is not None:
+            watched.name_limit(limit_per_s)
         await watched.ask("/owned/", key, 1)
+        # From now on only the other daemons know it.
+        watched.target.is_announced = False
+        watched.target.limit_text = "unreadable"
+        lines_before = len(fleet.daemons[0].lines)
         fleet.daemons[0].kill()
         fleet.daemons[0].start()
 
         async def has_learned():
             await watched.ask("/owned/", key, 1)
-            return any(
-                line.get("sentence") == "gate: limit changed"
-                and line["limit_from"] == "peer"
-                and line["limit_per_s"] == LIMIT_PER_S
-                for line in fleet.daemons[0].lines
-            )
+            lines = fleet.daemons[0].lines[lines_before:]
+            return any(line.get("sentence") == sentence for line in lines)
 
         await fleet.until(has_learned)
 
     run(test, tmp_path)
+
+
+@pytest.mark.parametrize("has_control_group", [True, False])
+def test_no_new_request_reaches_a_target_that_announced_that_it_leaves(
+    tmp_path, has_control_group
+):
+    # Guards against: a daemon goes on sending to a leaving target until the control
+    # group tells it, which it may never do.
+    async def test(fleet):
+        owner, shared = WatchedTarget(fleet, 0), WatchedTarget(fleet, 2)
+        keys = [k for k in range(0, 65536, 257) if owner.target.holds(k)]
+        if not has_control_group:
+            for control in fleet.controls:
+                control.kill()
+        for each in (owner, shared):
+            each.target.is_announced = True
+        await asyncio.gather(
+            owner.load("/owned/", keys, 5.0), shared.load("/shared/", (), 5.0)
+        )
+        for each in (owner, shared):
+            assert not each.broken, each.broken[-1]
+        assert {answer.status for answer in shared.answers} == {200}
+        if has_control_group:
+            assert {answer.status for answer in owner.answers} == {200}
+
+    run(test, tmp_path)
--- a/tests/sidecar/test_callers.py
+++ b/tests/sidecar/test_callers.py
@@ -146,3 +146,63 @@
     response, took_s = send_request(view, 2000.0)
     assert response.headers == ((b"Kind", kind.name.encode()),)
     assert took_s < 1.0
+
+
+class RecordingRuns:
+    """Answers each forward, with the life that it is for, and remembers those lives."""
+
+    def __init__(self):
+        self.lives = []
+
+    async def run(self, key, forward):
+        self.lives.append(forward.life)
+        return Answered(forward.number, 200, ((b"from", forward.life.encode()),), b"")
+
+
+class RecordingPeers(Peers):
+    """Runs forwards to other daemons in the same way."""
+
+    def __init__(self, runs):
+        self._runs = runs
+
+    def unsent_bytes(self):
+        return 0
+
+    async def run(self, address, forward, deadline_s, objective_s):
+        return await self._runs.run(None, forward)
+
+
+class LeavingDialect(Dialect):
+    """Fake by which answers of ``LIFE`` say that it leaves."""
+
+    def read_notice(self, headers):
+        return TargetNotice(is_leaving=headers[0][1] == LIFE.encode())
+
+
+def test_older_news_of_the_control_group_does_not_bring_a_leaving_target_back():
+    # Guards against: a leader that doesn't know yet that a target leaves reports it as
+    # ready, and the daemon that has returned the target's word sends to it again.
+    async def main():
+        view, runs = View(), RecordingRuns()
+        apply_view(view)
+        other = Target("j@1@g:1", "j", 1, "s", "b", "g", 1, 4)
+        view.apply_update(TargetsView(1, (other,)))
+        callers = Callers(
+            SETTINGS,
+            view,
+            State(),
+            LeavingDialect(2000.0),
+            runs,
+            RecordingPeers(runs),
+            Log(),
+            Metrics(),
+        )
+        for _ in range(20):
+            apply_view(view)
+            request = HttpRequest("GET", "/x", (), b"", boot_s())
+            assert (await callers.handle(request)).status == 200
+        return runs.lives
+
+    lives = asyncio.run(main())
+    assert lives.count(LIFE) == 1
+    assert len(lives) == 20
--- a/tests/sidecar/test_limit_simulation.py
+++ b/tests/sidecar/test_limit_simulation.py
@@ -37,7 +37,7 @@
         self._boot = 0
         self._is_up = True
         self.watch = NoticeWatch()
-        self.memory_by_vm = {vm: NoticeMemory() for vm in VMS}
+        self.memory_by_vm = {vm: NoticeMemory(drain_s=2.0) for vm in VMS}
         self.broken = []
         self.starts = 0
         self.limited_starts = 0
@@ -136,7 +136,7 @@
     # Faults.
 
     def _kill(self, now, vm):
-        self.memory_by_vm[vm] = NoticeMemory()
+        self.memory_by_vm[vm] = NoticeMemory(drain_s=2.0)
         self.watch.excuse(vm)
         if vm == "gate":
             self._boot += 1
--- a/tests/sidecar/test_target_state.py
+++ b/tests/sidecar/test_target_state.py
@@ -6,6 +6,7 @@
 from tamarackhaven.fleet import DaemonSettings
 from tamarackhaven.fleet._messages import LeaseGrant
 from tamarackhaven.fleet._model import GrantId, Hold, KeyRange, TargetPhase
+from tamarackhaven.sidecar import TargetNotice
 from tamarackhaven.sidecar._target_state import Heartbeat, TargetState
 
 ADDRESS = "10.0.0.1:80"
@@ -117,6 +118,25 @@
     assert not state.accepts_new(False, 11.0)
 
 
+def test_only_the_life_that_gave_the_answer_leaves(state):
+    life = state.life
+    assert not state.leave_life("i@9@elsewhere:1", 11.0)
+    assert state.leave_life(life, 11.0)
+    assert not state.leave_life(life, 10.5), "known already, but earlier than thought"
+    assert state.leaving_since_s == 10.5
+    state.apply_heartbeat(make_heartbeat(sequence=9), 12.0)
+    assert state.leaving_since_s == 10.5
+    state.apply_heartbeat(make_heartbeat(born_ms=2), 13.0)
+    assert state.accepts_new(False, 13.0)
+
+
+def test_a_later_life_has_no_limit(state):
+    state.limit.record(TargetNotice(2.0), 10.0, 10.1)
+    assert state.target(10.2).limit_per_s == 2.0
+    state.apply_heartbeat(make_heartbeat(born_ms=2), 13.0)
+    assert state.target(13.0).limit_per_s is None
+
+
 def test_a_silent_target_is_reported_as_draining(state):
     assert state.target(12.0).phase is TargetPhase.READY
     assert state.target(15.0).phase is TargetPhase.DRAINING
