Don't give a restarted daemon its share of the retry slack anew

**What callers would see:** more retries than the shared budget allows where daemons restart in series; load on targets that fail already (the users' rule BUDGET). **Cause:** found by looking for the class of the incident: a counter that a restart forgets.

--- a/tamarackhaven/sidecar/_budget.py
+++ b/tamarackhaven/sidecar/_budget.py
@@ -14,10 +14,13 @@
     ----------
     settings : BudgetSettings
         Ratio, window and slack over all daemons.
+    started_s : float
+        When this daemon was started, in seconds of the boot clock.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, started_s):
         self._settings = settings
+        self._started_s = started_s
         self._requests = collections.deque()
         self._retries = collections.deque()
 
@@ -40,10 +43,17 @@
             while times and now - times[0] > window_s:
                 times.popleft()
         allowed = DIRECT_RETRY_FRACTION * (
-            self._settings.ratio * len(self._requests)
-            + self._settings.slack / daemon_count
+            self._settings.ratio * len(self._requests) + self._slack(now) / daemon_count
         )
         if len(self._retries) + 1 > allowed:
             return False
         self._retries.append(now)
         return True
+
+    def _slack(self, now):
+        # A daemon that has just started doesn't know what it spent before. If it had
+        # its share of the slack at once, restarts in series would spend many shares
+        # within one window.
+        if now - self._started_s < self._settings.window_s:
+            return 0
+        return self._settings.slack
--- a/tamarackhaven/sidecar/_retries.py
+++ b/tamarackhaven/sidecar/_retries.py
@@ -29,6 +29,7 @@
         self._view = view
         self._log = log
         self._metrics = metrics
+        self._started_s = boot_s()
         self._budget_by_service = {}
 
     def count_request(self, service):
@@ -71,6 +72,6 @@
     def _budget(self, service):
         budget = self._budget_by_service.get(service)
         if budget is None:
-            budget = ServiceRetryBudget(self._settings.budget)
+            budget = ServiceRetryBudget(self._settings.budget, self._started_s)
             self._budget_by_service[service] = budget
         return budget
