Don't give a cold target its rate anew when its daemon restarts

**What callers would see:** a cold target that fails over, where its daemon restarts within a second (the users' rule FAILBACK). **Cause:** of the class of the incident, a counter that a restart forgets: the starts of the last second at a cold target were counted by the process. **Change:** a gate starts nothing at a cold target in the first second of its process. **Measured:** the new test, three gates within 0.8 s: 15 starts where 5 are allowed before, at most 5 now.

--- a/tamarackhaven/sidecar/_gate.py
+++ b/tamarackhaven/sidecar/_gate.py
@@ -125,11 +125,14 @@
         Requests that the target runs at once.
     random : callable
         Returns numbers from 0 to 1, for the jitter of Retry-After.
+    started_s : float
+        When the daemon was started, in seconds of the boot clock.
     """
 
-    def __init__(self, slots, random):
+    def __init__(self, slots, random, started_s=float("-inf")):
         self.slots = slots
         self._random = random
+        self._started_s = started_s
         self._work_by_route = collections.defaultdict(_MeanWork)
         self._overall_work = _MeanWork()
         self._running_by_number = {}
@@ -280,6 +283,9 @@
         return self._cold_rate_per_s is None or self._has_cold_room(now)
 
     def _has_cold_room(self, now):
+        # What a former process of the daemon started in this window isn't known.
+        if now - self._started_s < COLD_WINDOW_S:
+            return False
         while self._recent_starts_s and now - self._recent_starts_s[0] >= COLD_WINDOW_S:
             self._recent_starts_s.popleft()
         return len(self._recent_starts_s) < self._cold_rate_per_s
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -57,7 +57,7 @@
         self._settings = settings
         self._state = state
         self._view = view
-        self._gate = Gate(1, random.random)
+        self._gate = Gate(1, random.random, boot_s())
         self.intake = BodyReceiver(self._gate, metrics)
         self._results = Results(self.load, self._log_context, log, metrics)
         self.notices = TargetNotices(state, dialect, log, metrics)
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -308,3 +308,20 @@
     gate = trained_gate()
     gate.set_limit(2.0, 100.0)
     assert gate.limit_wait_s(100.0) == pytest.approx(0.5)
+
+
+def test_a_restarted_gate_starts_no_cold_requests_in_the_second_of_the_former_one():
+    # Guards against: a cold target gets its rate once more after each restart of the
+    # daemon beside it, within the same second.
+    starts = []
+    for started_s in (100.0, 100.4, 100.8):
+        gate = Gate(100, lambda: MEAN_RANDOM, started_s)
+        gate.set_cold(5)
+        for number in range(40):
+            now = started_s + 0.01 * number
+            if isinstance(gate.offer(offer(number, now + 9, now + 9), now), Start):
+                starts.append(now)
+    assert len(starts) <= 5
+    gate = Gate(100, lambda: MEAN_RANDOM, 100.0)
+    gate.set_cold(5)
+    assert gate.offer(offer(1, 110.0, 110.0), 101.0) == Start(1)
