--- a/soak/_target.py
+++ b/soak/_target.py
@@ -43,7 +43,7 @@
         """Drain, send a leave request and stop."""
         self.state = "draining"
         await asyncio.sleep(DRAIN_DURATION_S + HEARTBEAT_S)
-        await self._post("leave", {}, time.monotonic())
+        await self.send_leave()
         await asyncio.sleep(DRAIN_DURATION_S)
         await self.crash()
 
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -193,6 +193,10 @@
         self._released = []
         return self._apply_grants(json.loads(answer.body), sent_s)
 
+    async def send_leave(self):
+        """Send a leave request; the target goes on serving and sending heartbeats."""
+        await self._post("leave", {}, time.monotonic())
+
     def _apply_grants(self, response, sent_s):
         if "active_holds" not in response:
             return False
--- a/tamarackhaven/fleet/_directory.py
+++ b/tamarackhaven/fleet/_directory.py
@@ -82,6 +82,9 @@
             self._end_life(former)
         self._life_by_address[address] = target.life
         reported = self._reported_by_life.get(target.life)
+        if reported is not None:
+            # A daemon forgets that its target leaves when it restarts.
+            target = target.with_known_leaving(reported.target)
         if reported is None or _without_load(reported.target) != _without_load(target):
             self._changed_by_life[target.life] = target
         self._reported_by_life[target.life] = ReportedTarget(target, report, now)
--- a/tamarackhaven/fleet/_model.py
+++ b/tamarackhaven/fleet/_model.py
@@ -89,6 +89,9 @@
         Whether it can serve only the service's cold rate for now.
     limit_per_s : float or None
         Requests per second that it named as its limit; None without one.
+    is_leaving : bool
+        Whether it announced that it leaves. A life never takes that back; a target that
+        is draining since it is silent may be ready again.
     """
 
     life: str
@@ -104,6 +107,16 @@
     work_s: float = 0.0
     is_cold: bool = False
     limit_per_s: float | None = None
+    is_leaving: bool = False
+
+    def with_known_leaving(self, known):
+        """Return this target, leaving if ``known``, an earlier report of it, was.
+
+        ``known`` may be None.
+        """
+        if known is None or not known.is_leaving or self.is_leaving:
+            return self
+        return attrs.evolve(self, phase=TargetPhase.DRAINING, is_leaving=True)
 
 
 def life_of(name, born_ms, daemon):
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -242,10 +242,22 @@
             self._on_configuration()
         if self._makes_target_owner(message):
             self._control.report_now()
+        self._apply_known_leaving()
         if self.view.zones_out != zones_out_before:
             self.log.say("zones out changed", zones=sorted(self.view.zones_out))
         self.inbound.apply_target_state()
 
+    def _apply_known_leaving(self):
+        """Mark the target as leaving if a former process of this daemon reported it.
+
+        How long ago that was isn't known, so its keys have no time left either.
+        """
+        target = self.view.target_by_life.get(self.state.life)
+        if target is None or not target.is_leaving:
+            return
+        if self.state.leave_life(target.life, float("-inf")):
+            self.log.say("target leaves", name=target.name)
+
     def _makes_target_owner(self, message):
         """Whether a message makes the target beside this daemon the owner of keys.
 
@@ -281,6 +293,7 @@
         """Apply a heartbeat of the target; return its ``HeartbeatReply``."""
         before = self.state.target(boot_s())
         reply = self.state.apply_heartbeat(beat, boot_s())
+        self._apply_known_leaving()
         after = self.state.target(boot_s())
         self._key_calls.open_connections()
         self.inbound.wake_key_waiters()
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -165,7 +165,7 @@
         """
         if forward.key >= 0:
             self._key_load.count(forward.key, boot_s())
-        self.notices.apply_hint(forward)
+        self.notices.apply_peer_limit(forward)
         deadline_s = boot_s() + forward.left_ms / 1000
         objective_s = boot_s() + forward.objective_ms / 1000
         refusal = await self._refusal_kind(forward, deadline_s)
--- a/tamarackhaven/sidecar/_messages.py
+++ b/tamarackhaven/sidecar/_messages.py
@@ -53,9 +53,6 @@
     limit_per_s : float or None
         Requests per second that the target accepts, as the sender last read it in an
         answer; None without a limit.
-    leaving_s : float or None
-        How long ago the sender read in an answer that the target leaves, in seconds;
-        None if it hasn't.
     """
 
     number: int
@@ -76,7 +73,6 @@
     waits: bool = True
     body_bytes: int = 0
     limit_per_s: float | None = None
-    leaving_s: float | None = None
 
 
 @attrs.frozen
--- a/tamarackhaven/sidecar/_named_limit.py
+++ b/tamarackhaven/sidecar/_named_limit.py
@@ -19,20 +19,20 @@
         Requests per second that the target accepts; None without a limit.
     named_s : float
         When it was last named, in seconds of the boot clock.
-    is_hint : bool
+    is_from_peer : bool
         Whether another daemon reported it, and no answer was read here since.
     """
 
     def __init__(self):
         self.per_s = None
         self.named_s = float("-inf")
-        self.is_hint = False
+        self.is_from_peer = False
         self._has_answer = False
 
     @property
     def source(self):
         """Who named it, as a word for log lines."""
-        return "peer" if self.is_hint else "target"
+        return "peer" if self.is_from_peer else "target"
 
     @property
     def start_rate_per_s(self):
@@ -74,10 +74,10 @@
             return False
         return per_s is None or per_s > self.per_s
 
-    def _set(self, per_s, is_hint, now):
+    def _set(self, per_s, is_from_peer, now):
         has_changed = per_s != self.per_s
         self.per_s = per_s
         if per_s is not None:
             self.named_s = now
-            self.is_hint = is_hint
+            self.is_from_peer = is_from_peer
         return has_changed
--- a/tamarackhaven/sidecar/_notice_memory.py
+++ b/tamarackhaven/sidecar/_notice_memory.py
@@ -6,8 +6,6 @@
 
 import collections
 
-import attrs
-
 from tamarackhaven.sidecar._draining import accepts_new
 from tamarackhaven.sidecar._named_limit import NamedLimit
 
@@ -15,26 +13,7 @@
 # more lives than this, the one returned longest ago is forgotten.
 MAX_LIVES = 4096
 # A limit that this daemon hasn't seen named for longer may have ended long ago.
-HINT_TTL_S = 30.0
-
-
-@attrs.frozen
-class Hint:
-    """What a daemon knows of a target, for the daemon beside it.
-
-    Parameters
-    ----------
-    limit_per_s : float or None
-        Requests per second that the target accepts; None without a limit.
-    leaving_s : float or None
-        How long ago it announced that it leaves, in seconds; None if it hasn't.
-    """
-
-    limit_per_s: float | None = None
-    leaving_s: float | None = None
-
-
-NO_HINT = Hint()
+LIMIT_TTL_S = 30.0
 
 
 class NoticeMemory:
@@ -85,17 +64,12 @@
         self._limit_by_life.move_to_end(life)
         _drop_oldest(self._limit_by_life)
 
-    def hint(self, life, now):
-        """Return the ``Hint`` for the daemon beside a target."""
+    def known_limit_per_s(self, life, now):
+        """Return a target's limit for the daemon beside it, None if none is known."""
         limit = self._limit_by_life.get(life)
-        leaving_since_s = self._leaving_since_s_by_life.get(life)
-        if limit is None and leaving_since_s is None:
-            return NO_HINT
-        is_fresh = limit is not None and now - limit.named_s <= HINT_TTL_S
-        return Hint(
-            limit.per_s if is_fresh else None,
-            None if leaving_since_s is None else now - leaving_since_s,
-        )
+        if limit is None or now - limit.named_s > LIMIT_TTL_S:
+            return None
+        return limit.per_s
 
     def accepts_new(self, life, is_sharded, now):
         """Whether a target may get a new request from this daemon.
--- a/tamarackhaven/sidecar/_sender.py
+++ b/tamarackhaven/sidecar/_sender.py
@@ -123,7 +123,6 @@
 
     def _build_forward(self, pending, target, now, waits):
         request = pending.request
-        hint = self._notices.hint(target.life, now)
         return Forward(
             number=next(self._forward_numbers),
             life=target.life,
@@ -141,8 +140,7 @@
             left_ms=(pending.deadline_s - now) * 1000,
             objective_ms=(pending.objective_s - now) * 1000,
             waits=waits,
-            limit_per_s=hint.limit_per_s,
-            leaving_s=hint.leaving_s,
+            limit_per_s=self._notices.known_limit_per_s(target.life, now),
         )
 
     def _record_result(self, pending, target, result):
--- a/tamarackhaven/sidecar/_target_notices.py
+++ b/tamarackhaven/sidecar/_target_notices.py
@@ -57,25 +57,19 @@
         if limit.record(notice, sent_s, boot_s()):
             self._log_limit(forward, before_per_s)
         if notice.is_leaving:
-            self._leave(forward, boot_s())
+            self._leave(forward)
 
-    def apply_hint(self, forward):
-        """Apply what the daemon that forwards a request knows of the target."""
-        if forward.limit_per_s is None and forward.leaving_s is None:
-            return
-        if forward.life != self._state.life:
-            return
-        if forward.leaving_s is not None:
-            self._leave(forward, boot_s() - forward.leaving_s)
-        if forward.limit_per_s is None:
+    def apply_peer_limit(self, forward):
+        """Apply the limit that the daemon that forwards a request knows of."""
+        if forward.limit_per_s is None or forward.life != self._state.life:
             return
         limit = self._state.limit
         before_per_s = limit.per_s
         if limit.adopt(forward.limit_per_s, boot_s()):
             self._log_limit(forward, before_per_s)
 
-    def _leave(self, forward, since_s):
-        if self._state.leave_life(forward.life, since_s):
+    def _leave(self, forward):
+        if self._state.leave_life(forward.life, boot_s()):
             self._log.say(
                 "target leaves", request_id=forward.attempt_id, life=forward.life
             )
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -156,13 +156,13 @@
         ``since_s`` is in seconds of the boot clock.
         """
         was_leaving = self.leaving_since_s is not None
-        if self.heartbeat is None or life != self.life:
+        if was_leaving or self.heartbeat is None or life != self.life:
             return False
         self._start_draining(since_s)
-        return not was_leaving
+        return True
 
     def _start_draining(self, since_s):
-        if self.leaving_since_s is None or since_s < self.leaving_since_s:
+        if self.leaving_since_s is None:
             self.leaving_since_s = since_s
 
     # Keys.
@@ -256,7 +256,8 @@
         beat = self.heartbeat
         if beat is None:
             return None
-        is_leaving = self.leaving_since_s is not None or self.is_silent(now)
+        is_leaving = self.leaving_since_s is not None
+        is_draining = is_leaving or self.is_silent(now)
         return Target(
             life=self.life,
             name=beat.name,
@@ -266,9 +267,10 @@
             host=self._host,
             port=self._port,
             slots=beat.slots,
-            phase=TargetPhase.DRAINING if is_leaving else TargetPhase.READY,
+            phase=TargetPhase.DRAINING if is_draining else TargetPhase.READY,
             load=load,
             work_s=work_s,
             is_cold=self.is_cold(now),
             limit_per_s=self.limit.per_s,
+            is_leaving=is_leaving,
         )
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -129,7 +129,9 @@
         for life in message.gone:
             self.target_by_life.pop(life, None)
         for target in message.targets:
-            self.target_by_life[target.life] = target
+            # A new leader may not know yet that a target leaves.
+            known = self.target_by_life.get(target.life)
+            self.target_by_life[target.life] = target.with_known_leaving(known)
         self._targets_by_service = {}
         for target in self.target_by_life.values():
             self._targets_by_service.setdefault(target.service, []).append(target)
