Soak: targets name limits and leave by their answers, and both rules are checked

NoticeWatch counts by the VM where a request began; a restart or freeze excuses that VM, a cut doesn't. Unit tests of the checks.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,7 @@
     draw_control_faults,
     draw_faults,
     draw_link_faults,
+    draw_notice_faults,
     inject,
     lose_power,
 )
@@ -59,6 +60,7 @@
         *draw_faults(seed, seconds),
         *draw_control_faults(seed, seconds),
         *draw_link_faults(seed, seconds),
+        *draw_notice_faults(seed, seconds),
     ]
     return sorted(faults, key=lambda fault: fault.at_s)
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -16,6 +16,13 @@
 MAX_DURATION_S = 3.0
 BANDWIDTH_FAULT_COUNT = 4
 LIMITED_BYTES_PER_S = 400_000.0
+LIMIT_FAULT_COUNT = 4
+LEAVING_FAULT_COUNT = 2
+MIN_LIMIT_DURATION_S = 2.0
+MAX_LIMIT_DURATION_S = 7.0
+# What targets name as their limit, one after the other; some of it is no number.
+LIMIT_TEXTS = ("0", "0.5", "1.7", "2.4", "5", "12", "many", "-1", "nan")
+MAX_LIMIT_CHANGES = 3
 # The power loss that ends a run comes right after a change was accepted, or after this
 # time if none is.
 ACCEPTED_TIMEOUT_S = 5.0
@@ -102,6 +109,14 @@
     """Drains a target, stops it and starts a new one on its VM."""
 
 
+class NameLimits(Fault):
+    """Makes a target name limits, one after the other, and then none."""
+
+
+class LeaveByAnswers(Fault):
+    """Makes a target announce in its answers that it leaves, then stops it."""
+
+
 class EvacuateZone(Fault):
     """Evacuates an availability zone and returns it to service."""
 
@@ -169,6 +184,18 @@
     return faults
 
 
+def draw_notice_faults(seed, seconds):
+    """Return the limits and leavings of targets; they have their own generator."""
+    rng = random.Random(f"notices {seed}")
+    kinds = [NameLimits] * LIMIT_FAULT_COUNT + [LeaveByAnswers] * LEAVING_FAULT_COUNT
+    faults = []
+    for kind in kinds:
+        at_s = round(rng.uniform(0.0, seconds), 3)
+        duration_s = rng.uniform(MIN_LIMIT_DURATION_S, MAX_LIMIT_DURATION_S)
+        faults.append(kind(at_s, rng.randrange(1 << 30), round(duration_s, 3)))
+    return faults
+
+
 def _process(fleet, fault):
     processes = [*fleet.controls, *fleet.daemons]
     return processes[fault.selector % len(processes)]
@@ -353,6 +380,25 @@
         await fleet.restart_target(vm)
 
 
+@inject.register
+async def _(fault: NameLimits, fleet):
+    # The target may be replaced meanwhile; limits are those of one life.
+    target = fleet.target_vm(fault.selector).target
+    rng = random.Random(fault.selector)
+    texts = rng.choices(LIMIT_TEXTS, k=rng.randint(1, MAX_LIMIT_CHANGES))
+    for text in texts:
+        target.name_limit(text)
+        await asyncio.sleep(fault.duration_s / len(texts))
+    target.name_limit(None)
+
+
+@inject.register
+async def _(fault: LeaveByAnswers, fleet):
+    async with fleet.taken(fleet.target_vm(fault.selector)) as vm:
+        await vm.target.leave_by_answers(fault.duration_s)
+        await fleet.restart_target(vm)
+
+
 @inject.register
 async def _(fault: EvacuateZone, fleet):
     async with fleet.taken(fleet.zones[fault.selector % len(fleet.zones)]) as zone:
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -109,9 +109,11 @@
             await asyncio.sleep(0.05)
         self._taken.add(part)
         self._disturbances[part] += 1
+        self.records.excuse(part)
         try:
             yield part
         finally:
+            self.records.excuse(part)
             self._taken.discard(part)
 
     def is_taken(self, part):
--- a/soak/_load.py
+++ b/soak/_load.py
@@ -101,10 +101,13 @@
         if not request.is_safe:
             request.sent = self._body(request.attempt)
         lines += [f"Content-Length: {len(request.sent)}", "", ""]
+        daemon = self._daemon.name
+        self._fleet.records.sent(request.attempt, daemon)
         writer.write("\r\n".join(lines).encode() + request.sent)
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
         length = int(head.split("content-length:", 1)[1].split("\r\n", 1)[0])
         answer = await reader.readexactly(length)
+        self._fleet.records.returned(daemon, head, answer)
         if "connection: close" in head:
             self._close()
         return int(head.split()[1]), answer
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from standin.notice_watch import WINDOW_S
+
 # Statuses from which a caller concludes that its request wasn't executed.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 # Tolerance for requests that start after the drain time that follows an acknowledged
@@ -78,6 +80,7 @@
     zone_out_s: float = 5.0
     targets: list = attrs.field(factory=list)
     zone_out_since_s: dict = attrs.field(factory=dict)
+    _origin_by_attempt: dict = attrs.field(factory=dict)
     _fence_by_key: dict = attrs.field(factory=dict)
     _accepted: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -106,6 +109,7 @@
         """Check that ``target`` may start executing a request now."""
         now_s = time.monotonic()
         self.executions_by_attempt[attempt].append((target.name, now_s))
+        self._check_notices(target, attempt, now_s)
         drain_end_s = target.drain_end_s
         if (
             drain_end_s is not None
@@ -129,8 +133,48 @@
                     "one owner", f"key {key}: {target.name} and {other.name}"
                 )
 
+    def _check_notices(self, target, attempt, now_s):
+        """Check a start against the limit that the target named, and its leaving."""
+        if attempt not in self._origin_by_attempt:
+            return
+        vm, sent_s = self._origin_by_attempt[attempt]
+        window_start_s = now_s - WINDOW_S
+        stalled_s = WINDOW_S - self._elapsed_without_stalls_s(window_start_s, now_s)
+        for detail in target.watch.arrived(vm, sent_s, now_s, stalled_s):
+            self.report_violation("notices", f"{attempt} at {target.name}: {detail}")
+
     # Callers.
 
+    def sent(self, attempt, vm):
+        """Record that a caller sends a request to the daemon of a VM."""
+        self._origin_by_attempt[attempt] = vm, time.monotonic()
+
+    def returned(self, vm, head, body):
+        """Record that a VM's daemon returned a target's answer.
+
+        Parameters
+        ----------
+        vm : str
+            Name of the daemon.
+        head : str
+            Status line and headers, in lower case.
+        body : bytes
+            Begins with the target's name.
+        """
+        for target in self.targets:
+            if body.startswith(target.name.encode() + b" "):
+                target.watch.returned(
+                    vm,
+                    _header(head, "server-limit"),
+                    _header(head, "server-leaving") == "1",
+                    time.monotonic(),
+                )
+
+    def excuse(self, part):
+        """Record that a part was restarted or suspended, which may be a daemon."""
+        for target in self.targets:
+            target.watch.excuse(getattr(part, "name", part))
+
     def ended(self, request):
         """Record a completed request of a caller and check its response."""
         self.requests.append(request)
@@ -209,3 +253,9 @@
             self.report_violation(
                 "never reverts", f"read r{version} after r{accepted_before}"
             )
+
+
+def _header(head, name):
+    """Return the value of a header in a response's lower-case head, or None."""
+    _, found, rest = head.partition(f"\r\n{name}:")
+    return rest.split("\r\n", 1)[0].strip() if found else None
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -5,6 +5,7 @@
 import time
 
 from standin.fleet import HEARTBEAT_S, Target
+from standin.notice_watch import NoticeWatch, named_limit
 
 # Simulates the slowest clock allowed for a target, by which its holds last longer.
 HOLD_TIME_FACTOR = 1.02
@@ -25,6 +26,7 @@
         super().__init__(host, service, zone)
         self.name = f"i-{host}-{self.born_ms}"
         self._records = records
+        self.watch = NoticeWatch(records.drain_s)
         self.is_up = False
         self.drain_end_s = None
 
@@ -40,13 +42,30 @@
         await self.stop()
 
     async def leave(self):
-        """Drain, send a leave request and stop."""
+        """Drain, send a leave request and stop; answers say so all the while."""
         self.state = "draining"
+        self.is_announced = True
         await asyncio.sleep(DRAIN_DURATION_S + HEARTBEAT_S)
         await self.send_leave()
         await asyncio.sleep(DRAIN_DURATION_S)
         await self.crash()
 
+    async def leave_by_answers(self, duration_s):
+        """Announce the leaving in answers only, serve for a while and stop."""
+        self.is_announced = True
+        await asyncio.sleep(self._records.drain_s + duration_s)
+        await self.crash()
+
+    def name_limit(self, text):
+        """Name a limit in all answers from now on; None ends it.
+
+        A text that isn't a number changes nothing.
+        """
+        self.limit_text = text
+        limit_per_s = None if text is None else named_limit(text)
+        if text is None or limit_per_s is not None:
+            self.watch.name_limit(limit_per_s, time.monotonic())
+
     def _apply_grants(self, response, sent_s):
         if self.state == "draining" and self.drain_end_s is None:
             self.drain_end_s = time.monotonic() + self._records.drain_s
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,7 @@
 from soak._records import CallerRequest, Records
 from standin.fleet import PORTS, Process
 from standin.narrow_link import NarrowLink
+from standin.notice_watch import NoticeWatch
 
 
 class HoldingTarget:
@@ -28,6 +29,7 @@
 
     def __init__(self, name):
         self.name = name
+        self.watch = NoticeWatch()
 
     def holds(self, _key):
         return True
@@ -86,6 +88,35 @@
     assert any("zone out" in each for each in records.violations)
 
 
+def returned(records, target, vm, header):
+    records.returned(vm, f"http/1.1 200 ok\r\n{header}", f"{target.name} x".encode())
+
+
+@pytest.mark.parametrize(("is_excused", "is_broken"), [(False, True), (True, False)])
+def test_requests_above_a_named_limit_are_detected(is_excused, is_broken):
+    records, target = Records(), HoldingTarget("one")
+    records.targets = [target]
+    target.watch.name_limit(1.0, time.monotonic() - 9.0)
+    returned(records, target, "d", "server-limit: 1\r\n")
+    target.watch._told_s_by_vm["d"] -= 1.0
+    if is_excused:
+        records.excuse(types.SimpleNamespace(name="d"))
+    for number in range(20):
+        records.sent(number, "d")
+        records.check_start(target, number, None)
+    assert any("notices" in each for each in records.violations) is is_broken
+
+
+def test_a_request_at_a_target_that_returned_its_leaving_is_detected():
+    records, target = Records(), HoldingTarget("one")
+    records.targets = [target]
+    returned(records, target, "d", "server-leaving: 1\r\n")
+    target.watch._leaving_s_by_vm["d"] -= 3.0
+    records.sent("a", "d")
+    records.check_start(target, "a", None)
+    assert any("notices" in each for each in records.violations)
+
+
 def test_reverted_configuration_is_detected():
     records = Records()
     records.accepted(5)
