Tell apart whose leave request it is, and keep one that comes before the first heartbeat

A daemon that had just started knew no target, acknowledged the leave request and dropped it; the next heartbeat made the target a ready one. And the start of the life that leaves (`born`) wasn't read, so a late request of a former life with the same name would drain the present one, for good since its leaving is kept. **Change:** both are looked at; a request that isn't of the present life is logged. **Measured:** the new tests in tests/sidecar/test_target_state.py failed before: by reading, the old `leave` did nothing without a heartbeat and took no start.

--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -310,11 +310,16 @@
             self._control.report_now()
         return reply
 
-    def mark_target_leaving(self, name):
-        """Mark the target as draining, since it announced that it leaves."""
-        self.state.leave(name, boot_s())
-        self.log.say("target leaves", name=name)
-        self._on_target_leaving()
+    def mark_target_leaving(self, name, born_ms=None):
+        """Mark the target as draining, since it announced that it leaves.
+
+        ``born_ms`` is the start of the life that says so, None if it isn't known.
+        """
+        if self.state.leave(name, born_ms, boot_s()):
+            self.log.say("target leaves", name=name)
+            self._on_target_leaving()
+        else:
+            self.log.say("leave of another life", name=name, born_ms=born_ms)
 
     def _on_target_leaving(self):
         self.inbound.apply_target_state()
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -80,6 +80,7 @@
         self.cold_until_s = float("-inf")
         self.leaving_since_s = None
         self.limit = NamedLimit()
+        self._early_leave = None
         self.ended_lives = []
         self._keys = None
         self._hold_orders = HoldOrders.HEARTBEATS
@@ -101,7 +102,9 @@
         self.heartbeat = beat
         self.heartbeat_received_s = now
         self.cold_until_s = now + beat.cold_s
-        if beat.phase is TargetPhase.DRAINING:
+        has_left = self._early_leave and _is_life(beat, *self._early_leave)
+        self._early_leave = None
+        if has_left or beat.phase is TargetPhase.DRAINING:
             self._start_draining(now)
         if self._keys is None:
             self._keys = self._make_holds()
@@ -145,10 +148,31 @@
         self.limit = NamedLimit()
         self._keys = None
 
-    def leave(self, name, now):
-        """Mark the target as draining, since it announced that it leaves."""
-        if self.heartbeat is not None and self.heartbeat.name == name:
-            self._start_draining(now)
+    def leave(self, name, born_ms, now):
+        """Mark the target as draining if the current life says that it leaves.
+
+        Parameters
+        ----------
+        name, born_ms : str, int or None
+            Of the life that says so; its start isn't always known. A call of a former
+            life with the same name may come late.
+        now : float
+            Seconds of the boot clock.
+
+        Returns
+        -------
+        bool
+            Whether it was the current life, or may be the next one that is known.
+        """
+        if self.heartbeat is None:
+            # This daemon has just started. The call is acknowledged, and the target
+            # isn't bound to send it again.
+            self._early_leave = name, born_ms
+            return True
+        if not _is_life(self.heartbeat, name, born_ms):
+            return False
+        self._start_draining(now)
+        return True
 
     def leave_life(self, life, since_s):
         """Mark a life as draining since ``since_s``; return whether it wasn't before.
@@ -274,3 +298,8 @@
             limit_per_s=self.limit.per_s,
             is_leaving=is_leaving,
         )
+
+
+def _is_life(heartbeat, name, born_ms):
+    """Whether a heartbeat is of a life; ``born_ms`` is None if its start isn't known."""
+    return heartbeat.name == name and born_ms in (None, heartbeat.born_ms)
--- a/tests/platform_adapter/test_wire_documents.py
+++ b/tests/platform_adapter/test_wire_documents.py
@@ -5,7 +5,7 @@
 import pytest
 import wire_configuration as documents
 from hypothesis import given, settings, strategies as st
-from target_registry import read_heartbeat
+from target_registry import read_born_ms, read_heartbeat
 
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.fleet import Hold, Release, TargetPhase
@@ -209,3 +209,11 @@
             read(document)
         except TamarackhavenError as error:
             assert error.kind is ErrorKind.INVALID_RESOURCE
+
+
+@pytest.mark.parametrize(
+    ("body", "born_ms"),
+    [(b'{"born":12}', 12), (b"{}", None), (b"", None), (b"no", None), (b"[1]", None)],
+)
+def test_a_leave_may_say_which_life_leaves(body, born_ms):
+    assert read_born_ms(body) == born_ms
--- a/tests/sidecar/test_target_state.py
+++ b/tests/sidecar/test_target_state.py
@@ -112,12 +112,33 @@
 
 
 def test_a_target_that_announced_that_it_leaves_is_draining(state):
-    state.leave("someone else", 11.0)
+    assert not state.leave("someone else", None, 11.0)
     assert state.accepts_new(False, 11.0)
-    state.leave("i", 11.0)
+    assert state.leave("i", None, 11.0)
     assert not state.accepts_new(False, 11.0)
 
 
+def test_a_late_leave_of_a_former_life_with_the_same_name_is_ignored(state):
+    # Guards against: a target that started again under its name gets nothing for good.
+    state.apply_heartbeat(make_heartbeat(born_ms=5), 11.0)
+    assert not state.leave("i", 1, 11.5)
+    assert state.accepts_new(False, 11.6)
+    assert state.leave("i", 5, 12.0)
+    assert not state.accepts_new(False, 12.1)
+
+
+@pytest.mark.parametrize(
+    ("born_ms", "is_leaving"), [(None, True), (1, True), (9, False)]
+)
+def test_a_leave_before_the_first_heartbeat_counts(born_ms, is_leaving):
+    # Guards against: a daemon that has just started acknowledges a leave, knows no
+    # target yet, and takes the next heartbeat for that of a ready one.
+    state = TargetState(SETTINGS, "h", 1)
+    assert state.leave("i", born_ms, 10.0)
+    state.apply_heartbeat(make_heartbeat(born_ms=1), 10.2)
+    assert state.accepts_new(False, 10.2) is not is_leaving
+
+
 def test_only_the_life_that_gave_the_answer_leaves(state):
     life = state.life
     assert not state.leave_life("i@9@elsewhere:1", 11.0)
