--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -301,5 +301,5 @@
 
 
 def _is_life(heartbeat, name, born_ms):
-    """Whether a heartbeat is of a life; ``born_ms`` is None if its start isn't known."""
+    """Whether a heartbeat is of a life, whose start may be unknown (None)."""
     return heartbeat.name == name and born_ms in (None, heartbeat.born_ms)
