Remember a limit for longer, for a target's daemon that restarts

**Cause:** by reading: a target that accepts nothing answers one request in 4 s, so of 13 daemons each reads its limit once in 52 s; after a restart of the target's daemon the first forwards named no limit, as 30 s had passed. **Change:** 300 s. A limit that has ended meanwhile costs one late start: the first answer ends it. **Measured:** tests/sidecar/test_notice_memory.py passes.

--- a/tamarackhaven/sidecar/_notice_memory.py
+++ b/tamarackhaven/sidecar/_notice_memory.py
@@ -13,7 +13,7 @@
 # more lives than this, the one returned longest ago is forgotten.
 MAX_LIVES = 4096
 # A limit that this daemon hasn't seen named for longer may have ended long ago.
-LIMIT_TTL_S = 30.0
+LIMIT_TTL_S = 300.0
 
 
 class NoticeMemory:
