--- a/standin/simulated_link.py
+++ b/standin/simulated_link.py
@@ -6,6 +6,7 @@
 import attrs
 
 from tamarackhaven.sidecar._arrivals import BodyTransfers
+from tamarackhaven.sidecar._gate import WAIT_SAFETY_FACTOR
 
 
 @attrs.frozen
@@ -18,9 +19,9 @@
         """Return the latest start that meets the objective, in seconds."""
         return offer.objective_s - self.work_s
 
-    def longest_wait_s(self, offer, now):
-        """Return how long a request may wait for its start, in seconds."""
-        return self.latest_start_s(offer) - now
+    def has_time_for(self, offer, wait_s, now):
+        """Whether a request may wait for an estimated ``wait_s`` seconds."""
+        return WAIT_SAFETY_FACTOR * wait_s <= self.latest_start_s(offer) - now
 
 
 @attrs.define
--- a/tamarackhaven/sidecar/_arrivals.py
+++ b/tamarackhaven/sidecar/_arrivals.py
@@ -28,8 +28,6 @@
 ROUND_TRIP_INTERVAL_S = 2.0
 # The round trip is the minimum of this many measurements.
 MAX_ROUND_TRIPS = 4
-# The estimate of when a body is complete is rough.
-WAIT_SAFETY_FACTOR = 1.25
 
 
 @attrs.frozen
@@ -156,7 +154,7 @@
     ----------
     gate : Gate
         Or an object that has its ``latest_start_s(offer)`` and
-        ``longest_wait_s(offer, now)``.
+        ``has_time_for(offer, wait_s, now)``.
     """
 
     def __init__(self, gate):
@@ -300,4 +298,4 @@
     def _should_refuse(self, body, wait_s, now):
         if body.requested_bytes:
             return now + self._transfer_s(body.remaining_bytes) >= body.offer.deadline_s
-        return WAIT_SAFETY_FACTOR * wait_s > self._gate.longest_wait_s(body.offer, now)
+        return not self._gate.has_time_for(body.offer, wait_s, now)
--- a/tamarackhaven/sidecar/_gate.py
+++ b/tamarackhaven/sidecar/_gate.py
@@ -215,7 +215,7 @@
         wait_s = self._estimated_wait_s(offer, now)
         if not offer.waits:
             return Refuse(offer.number, self._refusal_kind, wait_s)
-        if WAIT_SAFETY_FACTOR * wait_s > self.longest_wait_s(offer, now):
+        if not self.has_time_for(offer, wait_s, now):
             return self.refuse(offer, wait_s)
         self._waiting_by_number[offer.number] = (next(self._arrival_order), offer)
         return None
@@ -246,7 +246,7 @@
         wait_s = max(transfer_s, queue_s)
         if not offer.waits and (queue_s or has_other_bodies):
             return Refuse(offer.number, self._refusal_kind, wait_s)
-        if WAIT_SAFETY_FACTOR * wait_s > self.longest_wait_s(offer, now):
+        if not self.has_time_for(offer, wait_s, now):
             return self.refuse(offer, wait_s)
         return None
 
@@ -254,6 +254,10 @@
         """Return when a request must start, at the latest, to be answered in time."""
         return offer.objective_s - self._work_by_route[offer.route].mean_s
 
+    def has_time_for(self, offer, wait_s, now):
+        """Whether a request may wait for an estimated ``wait_s`` seconds."""
+        return WAIT_SAFETY_FACTOR * wait_s <= self.longest_wait_s(offer, now)
+
     def longest_wait_s(self, offer, now):
         """Return for how many seconds a request may wait and still be worth a slot."""
         work_s = self._work_by_route[offer.route].mean_s
@@ -422,7 +426,7 @@
             entry = self._waiting_by_number.pop(number)
             _, offer = entry
             wait_s = self._estimated_wait_s(offer, now)
-            if WAIT_SAFETY_FACTOR * wait_s > self.longest_wait_s(offer, now):
+            if not self.has_time_for(offer, wait_s, now):
                 refusals.append(self.refuse(offer, wait_s))
             else:
                 self._waiting_by_number[number] = entry
