--- a/tamarackhaven/fleet/_directory.py
+++ b/tamarackhaven/fleet/_directory.py
@@ -132,6 +132,7 @@
         return self._start_ms_by_daemon.get(daemon, 0) > start_ms
 
     def remove_silent(self, now):
+        """Remove targets that have been silent for long and can hold no keys."""
         for life, reported in list(self._reported_by_life.items()):
             silent_s = now - reported.reported_s
             if silent_s > SILENT_TARGET_TTL_S and self._leases.has_expired(life, now):
--- a/tamarackhaven/sidecar/_gate.py
+++ b/tamarackhaven/sidecar/_gate.py
@@ -186,6 +186,7 @@
         """
         if per_s is None:
             self._limit = None
+            self._has_lower_limit = False
         elif self._limit is None:
             self._limit = RateLimit(per_s, now)
             self._limited_starts = RecentStarts(FAIRNESS_WINDOW_S)
