Give the tests of notices a loopback network of their own

**Cause:** they and the tests of group repair both counted their networks from 61, so that a process left over by one would take the ports of the other. **Change:** the tests of notices count from 81.

--- a/tests/fleet/test_target_notices.py
+++ b/tests/fleet/test_target_notices.py
@@ -12,7 +12,7 @@
 from standin.notice_watch import NoticeWatch
 from tests.fleet import real_fleet
 
-NETWORK_NUMBERS = itertools.count(61)
+NETWORK_NUMBERS = itertools.count(81)
 SERVICES = ("owned", "owned", "shared", "shared")
 LIMIT_PER_S = 2.0
 # Requests per second to each daemon, and for how many seconds.
