Tell by which configuration a request was handled, and what is in force where

**Cause:** logs could not tell the hypotheses of the incident apart: the line of a request that ran named no configuration, a version number doesn't say which routes are in force under it, and nothing said how old a daemon's news were. **Change:** configurations have a digest of their content, independent of order and of the fields that only control VMs keep. `caller: ended` and `caller: refused` name version, log index and digest of the configuration by which the request was handled, and the view's age; `configuration taken` names them for a daemon, `configuration in force` for the leader, four metrics for both. `leader found` names the leader and its term.

--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -8,6 +8,7 @@
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven._consensus import Consensus
+from tamarackhaven._digests import digest_text
 from tamarackhaven._members import Membership
 from tamarackhaven._raft import Role
 from tamarackhaven._settings import RaftSettings
@@ -88,6 +89,7 @@
         self._settings = settings
         self._log = log
         self._metrics = metrics
+        metrics.add_source(self._update_gauges)
         self._on_fatal = on_fatal
         self._host, self._port = split(settings.links)
         self._required_voters = _growth.count_required_voters(settings.tolerated_losses)
@@ -212,6 +214,34 @@
                 detail=outcome.detail or getattr(command, "cause", ""),
             )
         self._send_state_updates()
+        self._log_new_configuration(index)
+
+    def _log_new_configuration(self, index):
+        """Log the configuration if it was set at a log index and this member leads."""
+        with self.machine.lock:
+            state = self.machine.state
+            configuration = state.configuration
+            if state.configuration_index != index or not self.leads:
+                return
+        self._log.say(
+            "configuration in force",
+            version=configuration.version,
+            index=index,
+            digest=digest_text(configuration.digest),
+            routes=len(configuration.routes),
+            daemons=len(self._session_by_link),
+        )
+
+    def _update_gauges(self):
+        """Set the gauges of the configuration, to compare with those of daemons."""
+        with self.machine.lock:
+            configuration = self.machine.state.configuration
+            index = self.machine.state.configuration_index
+        self._metrics.gauge(
+            "tamarackhaven_configuration_version", configuration.version
+        )
+        self._metrics.gauge("tamarackhaven_configuration_index", index)
+        self._metrics.gauge("tamarackhaven_configuration_digest", configuration.digest)
 
     @property
     def leads(self):
--- a/tamarackhaven/routing/_model.py
+++ b/tamarackhaven/routing/_model.py
@@ -1,11 +1,17 @@
 """Configuration model: services, routes and request limits.
 
-A ``Configuration`` is immutable; a change creates a new one. Times are in seconds.
+A ``Configuration`` is immutable; a change creates a new one. Times are in seconds. The
+``digest`` of each class covers all fields but ``source``.
 """
 
 import enum
+import functools
 
 import attrs
+from cattrs.gen import make_dict_unstructure_fn, override
+from cattrs.preconf.msgpack import make_converter
+
+from tamarackhaven._digests import record_digest, set_digest
 
 
 class RequestKind(enum.Enum):
@@ -59,6 +65,11 @@
     hold_orders: HoldOrders = HoldOrders.HEARTBEATS
     source: dict = attrs.field(factory=dict, repr=False)
 
+    @functools.cached_property
+    def digest(self):
+        """The digest of this service, an integer."""
+        return _digest(self)
+
 
 @attrs.frozen
 class WeightedService:
@@ -105,6 +116,11 @@
     max_attempts: int = 1
     source: dict = attrs.field(factory=dict, repr=False)
 
+    @functools.cached_property
+    def digest(self):
+        """The digest of this route, an integer."""
+        return _digest(self)
+
 
 @attrs.frozen
 class Limits:
@@ -120,6 +136,11 @@
     idle_timeout_s: float = 15.0
     source: dict = attrs.field(factory=dict, repr=False)
 
+    @functools.cached_property
+    def digest(self):
+        """The digest of these limits, an integer."""
+        return _digest(self)
+
 
 @attrs.frozen
 class Configuration:
@@ -130,6 +151,14 @@
     routes: tuple[Route, ...] = ()
     limits: Limits = Limits()
 
+    @functools.cached_property
+    def digest(self):
+        """The digest of all of it, an integer; the order of items has no meaning."""
+        items = (*self.services, *self.routes, self.limits)
+        return set_digest(
+            (record_digest(self.version), *(each.digest for each in items))
+        )
+
     @property
     def service_by_name(self):
         """The services, keyed by name."""
@@ -139,3 +168,21 @@
     def route_by_name(self):
         """The routes, keyed by name."""
         return {route.name: route for route in self.routes}
+
+
+def _digest(item):
+    """Return the digest of a service, a route or limits."""
+    kind = type(item)
+    return record_digest(kind.__name__, _CONVERTER.unstructure(item, kind))
+
+
+def _make_converter():
+    """Return a converter to plain values that leaves out ``source``."""
+    converter = make_converter()
+    for kind in (ServiceSpec, Route, Limits):
+        hook = make_dict_unstructure_fn(kind, converter, source=override(omit=True))
+        converter.register_unstructure_hook(kind, hook)
+    return converter
+
+
+_CONVERTER = _make_converter()
--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -126,14 +126,10 @@
             route=route,
             retry_after_s=round(error.retry_after_s, 3),
             after_s=round(boot_s() - request.arrived_s, 3),
-            configuration=self._configuration_version(),
             state_index=self._view.state_index,
+            **self._view.configuration_stamp(boot_s()).log_fields(),
         )
 
-    def _configuration_version(self):
-        table = self._view.table
-        return table.configuration.version if table else 0
-
     async def _parse(self, request):
         """Return the ``PendingRequest`` for an ``HttpRequest``.
 
@@ -158,7 +154,13 @@
         deadline_s = request.arrived_s + left_s - ANSWER_MARGIN_S
         objective_s = request.arrived_s + route.objective_s
         return PendingRequest(
-            caller_request, route, spec, request.arrived_s, deadline_s, objective_s
+            caller_request,
+            route,
+            spec,
+            request.arrived_s,
+            deadline_s,
+            objective_s,
+            self._view.configuration_stamp(boot_s()),
         )
 
     def _no_route_error(self, path):
--- a/tamarackhaven/sidecar/_control_link.py
+++ b/tamarackhaven/sidecar/_control_link.py
@@ -84,7 +84,11 @@
             while True:
                 session = await self._find_leader()
                 is_former = session is self._session
-                self._log.say("leader answers again" if is_former else "leader found")
+                self._log.say(
+                    "leader answers again" if is_former else "leader found",
+                    host=session.host,
+                    term=session.term,
+                )
                 await self._run_session(session)
                 self._log.say(
                     "leader lost", silent_s=round(boot_s() - self.confirmed_s, 3)
@@ -151,7 +155,7 @@
     async def _query(self, address):
         """Return a session with the control VM at an address if it leads, else None."""
         hints = asyncio.Queue()
-        session = _Session(self, hints)
+        session = _Session(self, hints, address[0])
         deadline_s = boot_s() + HELLO_TIMEOUT_S
         try:
             link = session.link = await dial(
@@ -175,6 +179,7 @@
         if hint is None:
             return None
         self._known_addresses.add(hint.control)
+        session.term = hint.term
         if hint.is_leader:
             return session
         link.abort()
@@ -278,9 +283,11 @@
     one session is in use at a time.
     """
 
-    def __init__(self, owner, hints):
+    def __init__(self, owner, hints, host):
         self._owner = owner
         self._hints = hints
+        self.host = host
+        self.term = None
         self._early_messages = []
         self._has_begun = False
         self.link = None
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -189,7 +189,8 @@
         self._caller_server.stop_listening()
 
     def _update_gauges(self):
-        """Set the gauges of the link and of the target's limit."""
+        """Set the gauges of the view, of the link and of the target's limit."""
+        self._update_view_gauges()
         limit_per_s = self.state.limit.per_s
         self.metrics.gauge(
             "tamarackhaven_target_limits_in_force", int(limit_per_s is not None)
@@ -205,6 +206,18 @@
             "tamarackhaven_link_unsent_bytes", self._peers.unsent_bytes()
         )
 
+    def _update_view_gauges(self):
+        stamp = self.view.configuration_stamp(boot_s())
+        self.metrics.gauge("tamarackhaven_configuration_version", stamp.version)
+        self.metrics.gauge("tamarackhaven_configuration_index", stamp.index)
+        self.metrics.gauge(
+            "tamarackhaven_configuration_digest", int(stamp.digest or "0", 16)
+        )
+        self.metrics.gauge(
+            "tamarackhaven_view_age_seconds",
+            float("inf") if stamp.age_s is None else stamp.age_s,
+        )
+
     # Control group.
 
     def _seeds(self):
@@ -275,10 +288,14 @@
         service = self.view.table.service_by_name.get(self.settings.service)
         if service is not None:
             self.state.set_hold_orders(service.hold_orders)
+        stamp = self.view.configuration_stamp(boot_s())
         self.log.say(
             "configuration taken",
-            version=configuration.version,
+            version=stamp.version,
+            index=stamp.index,
+            digest=stamp.digest,
             routes=len(configuration.routes),
+            view_age_s=stamp.age_s,
         )
 
     def _apply_grant(self, grant, requested_s):
--- a/tamarackhaven/sidecar/_sender.py
+++ b/tamarackhaven/sidecar/_sender.py
@@ -31,6 +31,8 @@
     arrived_s, deadline_s, objective_s : float
         When it arrived, when it must be answered, and until when its answer is in time,
         in seconds of the boot clock.
+    stamp : ConfigurationStamp
+        The configuration by which route and service were chosen.
     sends : int
         How many times a target has received it.
     unsent_bytes : int
@@ -43,6 +45,7 @@
     arrived_s: float
     deadline_s: float
     objective_s: float
+    stamp: object
     sends: int = 0
     unsent_bytes: int = 0
 
@@ -188,4 +191,6 @@
             unsent_bytes=pending.unsent_bytes,
             arriving_bytes=result.load.arriving_bytes,
             load=[result.load.running, result.load.waiting, result.load.slots],
+            service=pending.spec.name,
+            **pending.stamp.log_fields(),
         )
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -2,7 +2,10 @@
 
 import functools
 
+import attrs
+
 from tamarackhaven._clock import boot_s
+from tamarackhaven._digests import digest_text
 from tamarackhaven.fleet._messages import (
     ConfigurationChange,
     ConfigurationView,
@@ -21,6 +24,38 @@
 CONFIRMATION_TTL_S = 1.5
 
 
+@attrs.frozen
+class ConfigurationStamp:
+    """Which configuration a request was handled by, and how old the view was then.
+
+    Parameters
+    ----------
+    version : int
+        As declared by operators, 0 without a configuration.
+    index : int
+        Log index of the configuration, -1 without one.
+    digest : str
+        Of its content, hexadecimal.
+    age_s : float or None
+        Seconds since the newest report that the leader has answered was sent; None
+        before the first answer.
+    """
+
+    version: int = 0
+    index: int = -1
+    digest: str = ""
+    age_s: float | None = None
+
+    def log_fields(self):
+        """Return the fields of a log line about a request."""
+        return {
+            "configuration": self.version,
+            "configuration_index": self.index,
+            "configuration_digest": self.digest,
+            "view_age_s": self.age_s,
+        }
+
+
 class View:
     """Configuration, zones, owners of keys and targets."""
 
@@ -49,6 +84,21 @@
         """Whether the view includes all changes that were accepted until recently."""
         return now - self._confirmed_s <= CONFIRMATION_TTL_S
 
+    def configuration_stamp(self, now):
+        """Return the ``ConfigurationStamp`` of the configuration in force."""
+        age_s = None
+        if self._confirmed_s > float("-inf"):
+            age_s = round(now - self._confirmed_s, 3)
+        if self.table is None:
+            return ConfigurationStamp(age_s=age_s)
+        configuration = self.table.configuration
+        return ConfigurationStamp(
+            configuration.version,
+            self._index_by_part["configuration"],
+            digest_text(configuration.digest),
+            age_s,
+        )
+
     @property
     def state_index(self):
         """Highest log index of any part."""
