--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -3,7 +3,10 @@
 import asyncio
 import enum
 
+import attrs
+
 READ_BYTES = 65536
+SILENCE_POLL_INTERVAL_S = 0.05
 
 
 class Direction(enum.Enum):
@@ -13,6 +16,32 @@
     BACK = "back"
 
 
+@attrs.define(eq=False)
+class Flow:
+    """One connection through a proxy, with faults of its own.
+
+    Parameters
+    ----------
+    first_bytes : bytes
+        What the connecting side sent first; tells who it is.
+    delay_s_by_direction : dict
+        Delay of each chunk of bytes, in seconds, by ``Direction``.
+    silenced_directions : frozenset of Direction
+        Directions in which no bytes are forwarded. Bytes that have arrived meanwhile
+        are forwarded once the direction is no longer silenced.
+    """
+
+    first_bytes: bytes = b""
+    delay_s_by_direction: dict = attrs.field(factory=dict)
+    silenced_directions: frozenset = frozenset()
+    writers: tuple = ()
+
+    def reset(self):
+        """Reset the connection."""
+        for writer in self.writers:
+            writer.transport.abort()
+
+
 class Proxy:
     """Forwards connections, subject to the faults set in its attributes.
 
@@ -29,6 +58,11 @@
         Limits the bandwidth in direction ``THERE``.
     silenced_directions : frozenset of Direction
         Directions in which no bytes are forwarded.
+    flows : list of Flow
+        The open connections, oldest first.
+    on_flow : callable
+        ``on_flow(flow)`` is called when the first bytes of a new connection have
+        arrived, before they are forwarded; it may set the flow's faults.
     """
 
     def __init__(self, address, to):
@@ -37,7 +71,8 @@
         self.delay_s = 0.0
         self.link = None
         self.silenced_directions = frozenset()
-        self._writers = set()
+        self.flows = []
+        self.on_flow = lambda flow: None
         self._server = None
 
     async def start(self):
@@ -52,8 +87,8 @@
 
     def reset(self):
         """Reset all connections."""
-        for writer in tuple(self._writers):
-            writer.transport.abort()
+        for flow in tuple(self.flows):
+            flow.reset()
 
     def clear_faults(self):
         """Remove all faults.
@@ -78,32 +113,40 @@
             return
 
     async def _forward_both(self, reader, writer, other_reader, other):
-        self._writers |= {writer, other}
+        flow = Flow(writers=(writer, other))
+        self.flows.append(flow)
         try:
             await asyncio.gather(
-                self._forward(reader, other, Direction.THERE),
-                self._forward(other_reader, writer, Direction.BACK),
+                self._forward(flow, reader, other, Direction.THERE),
+                self._forward(flow, other_reader, writer, Direction.BACK),
             )
         finally:
-            self._writers -= {writer, other}
-            for each in (writer, other):
-                each.transport.abort()
+            self.flows.remove(flow)
+            flow.reset()
 
-    async def _forward(self, reader, writer, direction):
+    async def _forward(self, flow, reader, writer, direction):
         try:
             while data := await reader.read(READ_BYTES):
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
-                if self.link is not None and direction is Direction.THERE:
-                    await self.link.carry(len(data))
-                # Bytes in a silenced direction are lost, and so are all later ones: TCP
-                # never delivers a stream with a gap.
-                while direction in self.silenced_directions:
-                    await asyncio.sleep(0.05)
-                    if reader.at_eof():
-                        break
+                if direction is Direction.THERE and not flow.first_bytes:
+                    flow.first_bytes = data
+                    self.on_flow(flow)
+                await self._hold_up(flow, reader, direction, len(data))
                 writer.write(data)
                 await writer.drain()
             writer.write_eof()
         except OSError:
             writer.transport.abort()
+
+    async def _hold_up(self, flow, reader, direction, size):
+        """Wait for as long as the faults of a direction delay ``size`` bytes."""
+        delay_s = self.delay_s + flow.delay_s_by_direction.get(direction, 0.0)
+        if delay_s:
+            await asyncio.sleep(delay_s)
+        if self.link is not None and direction is Direction.THERE:
+            await self.link.carry(size)
+        # Bytes in a silenced direction are lost, and so are all later ones: TCP never
+        # delivers a stream with a gap.
+        while direction in self.silenced_directions | flow.silenced_directions:
+            await asyncio.sleep(SILENCE_POLL_INTERVAL_S)
+            if reader.at_eof():
+                break
