Let a daemon's parts of the state be exactly what the group had, in any order of sessions

What callers saw: requests run at the service that an older version names, dropped routes served, by daemons that had the newest version's number.

**Cause:** a difference didn't say what it changes. A daemon's hello named what it had, its former session went on delivering until the next began, and the answer to the hello, a difference from what had been named, was applied to what it had by then. A change that was taken back in between stayed in force, for good. Nothing compared the two ends, and the index was raised before the change was applied. **Change:** a difference of configuration or owners names its base, and a daemon with another version refuses it; its next report, sent at once, names the part, and the leader sends it again from what the report says. A session begins with the daemon's first report on the link, which says what it has when it stops listening to any other. Versions are recorded after their content. Sessions are split off the control VM's process.

--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -15,7 +15,7 @@
 from tamarackhaven._storage import Storage
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.fleet import _growth
-from tamarackhaven.fleet._feed import UpdateCache
+from tamarackhaven.fleet._daemon_sessions import DaemonSessions
 from tamarackhaven.fleet._group_keeper import MembershipManager
 from tamarackhaven.fleet._group_links import GroupLinks
 from tamarackhaven.fleet._leadership import Leadership
@@ -30,7 +30,6 @@
     Report,
 )
 from tamarackhaven.fleet._report_answers import ReportAnswers
-from tamarackhaven.fleet._sessions import Session
 from tamarackhaven.fleet._settings import split
 from tamarackhaven.fleet._state import encode
 from tamarackhaven.net import LinkServer, listen
@@ -89,12 +88,10 @@
         self._settings = settings
         self._log = log
         self._metrics = metrics
-        metrics.add_source(self._update_gauges)
         self._on_fatal = on_fatal
         self._host, self._port = split(settings.links)
         self._required_voters = _growth.count_required_voters(settings.tolerated_losses)
-        self._session_by_link = {}
-        self._update_cache = UpdateCache()
+        self._sessions = DaemonSessions(log, metrics)
         self._last_decision_s = float("-inf")
         self._decision_timer = None
         self._leadership = None
@@ -124,6 +121,7 @@
             PORT_TAKEN, or an error of the storage.
         """
         self._loop = asyncio.get_running_loop()
+        self._metrics.add_source(self._update_gauges)
         storage = Storage.open(Path(self._settings.data_folder) / "group")
         name, membership = self._identity(storage)
         hello = MemberHello(name, self._host, self._port)
@@ -229,7 +227,7 @@
             index=index,
             digest=digest_text(configuration.digest),
             routes=len(configuration.routes),
-            daemons=len(self._session_by_link),
+            daemons=len(self._sessions),
         )
 
     def _update_gauges(self):
@@ -278,9 +276,7 @@
         self._membership_manager.add_addresses(hint.control)
 
     def _on_closed(self, link):
-        session = self._session_by_link.pop(link, None)
-        if session is not None:
-            self._log.say("daemon lost", daemon=session.daemon)
+        self._sessions.close(link)
 
     def _on_daemon_hello(self, link, hello):
         status = self.consensus.status()
@@ -288,27 +284,22 @@
         address = (leader.host, leader.port) if leader else None
         control = (*self._membership_manager.addresses, (self._host, self._port))
         link.send(LeaderHint(self.leads, status.term, address, control))
-        if not self.leads:
-            return
-        session = Session(hello.daemon, link, self._update_cache, hello.known)
-        self._session_by_link[link] = session
-        self._log.say("daemon found", daemon=hello.daemon)
-        link.send(self._leadership.directory.targets_view())
-        with self.machine.lock:
-            session.catch_up(self.machine.state)
+        if self.leads:
+            self._sessions.register(link, hello.daemon)
 
     # Leases.
 
     def _on_report(self, link, report):
-        if not self.leads or link not in self._session_by_link:
+        if not self.leads or link not in self._sessions:
             link.abort()
             return
-        self._leadership.directory.record(report, boot_s())
+        directory = self._leadership.directory
+        directory.record(report, boot_s())
         self._answers.add(link, report)
-        session = self._session_by_link[link]
-        session.acknowledge(report.state_index)
         with self.machine.lock:
-            session.send_updates(self.machine.state)
+            self._sessions.record_report(
+                link, report, self.machine.state, directory.targets_view
+            )
         self._send_targets_update()
         if report.releases or report.ended_lives:
             self._schedule_decision()
@@ -325,11 +316,10 @@
     # Updates for daemons.
 
     def _send_state_updates(self):
-        if not self._session_by_link:
+        if not self._sessions:
             return
         with self.machine.lock:
-            for session in self._session_by_link.values():
-                session.send_updates(self.machine.state)
+            self._sessions.send_updates(self.machine.state)
 
     def _send_targets_update(self):
         view = self._leadership.directory.take_targets_update()
@@ -345,9 +335,7 @@
             )
         for life in view.gone:
             self._log.say("target gone", life=life)
-        packed = CONTROL_CODEC.packed(view)
-        for session in self._session_by_link.values():
-            session.link.send(packed)
+        self._sessions.send_to_all(view)
 
     # Periodic work.
 
@@ -387,8 +375,7 @@
             )
         if self._leadership is not None and not self.leads:
             self._leadership = None
-            for link in list(self._session_by_link):
-                link.abort()
+            self._sessions.abort_all()
 
     def _start_confirming(self, term):
         if self._confirming_term != term:
--- a/tamarackhaven/fleet/_feed.py
+++ b/tamarackhaven/fleet/_feed.py
@@ -11,11 +11,15 @@
 import collections
 
 from tamarackhaven.fleet._messages import (
+    CONFIGURATION_PART,
     CONTROL_CODEC,
+    NO_INDEX,
+    ZONES_PART,
     ConfigurationChange,
     ConfigurationView,
     KeysView,
     ZonesView,
+    keys_part,
 )
 from tamarackhaven.routing import bare, difference
 
@@ -37,7 +41,7 @@
         state : FleetState
             The present one.
         since : int
-            Log index of the daemon's configuration, -1 if it has none.
+            Log index of the daemon's configuration.
         """
         index = state.configuration_index
         old = state.configuration_at(since)
@@ -46,11 +50,11 @@
             if old is None:
                 return ConfigurationView(index, bare(state.configuration))
             edit = difference(old, state.configuration)
-            return ConfigurationChange(index, bare(edit))
+            return ConfigurationChange(since, index, bare(edit))
 
         # Without the old state, the whole is sent, so all such daemons share an entry.
-        since = -1 if old is None else since
-        return self._packed(("configuration", since, index), make)
+        since = NO_INDEX if old is None else since
+        return self._packed((CONFIGURATION_PART, since, index), make)
 
     def zones(self, state):
         """Return the update with all zones that are out."""
@@ -59,7 +63,7 @@
         def make():
             return ZonesView(index, tuple(sorted(state.zones_out)))
 
-        return self._packed(("zones", -1, index), make)
+        return self._packed((ZONES_PART, NO_INDEX, index), make)
 
     def keys(self, state, service, since):
         """Return the update from a service's owners at ``since`` to the present."""
@@ -72,10 +76,10 @@
                 return KeysView(index, service, ranges)
             known = set(old)
             changed = tuple(each for each in ranges if each not in known)
-            return KeysView(index, service, changed, is_whole=False)
+            return KeysView(index, service, changed, since)
 
-        since = -1 if old is None else since
-        return self._packed((f"keys {service}", since, index), make)
+        since = NO_INDEX if old is None else since
+        return self._packed((keys_part(service), since, index), make)
 
     def _packed(self, step, make):
         packed = self._packed_by_step.get(step)
--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -53,21 +53,37 @@
     control: tuple[tuple[str, int], ...]
 
 
+# Log index of a part of the replicated state that a process doesn't have, and base of
+# an update that contains the whole part.
+NO_INDEX = -1
+# Names of parts of the replicated state. The owners of each service's keys are another
+# part, see ``keys_part``.
+CONFIGURATION_PART = "configuration"
+ZONES_PART = "zones"
+
+
+def keys_part(service):
+    """Return the name of the part that says who owns the keys of a service."""
+    return f"keys {service}"
+
+
 @attrs.frozen
-class Known:
-    """The parts of the replicated state that a daemon has.
+class PartVersion:
+    """What a process has of one part of the replicated state.
 
     Parameters
     ----------
-    configuration, zones : int
-        Log index of each, -1 for none.
-    keys : tuple of (str, int)
-        Services and the log index of their keys' owners.
+    part : str
+        Its name.
+    index : int
+        Log index of its last change.
+    digest : int
+        Of its content.
     """
 
-    configuration: int = -1
-    zones: int = -1
-    keys: tuple[tuple[str, int], ...] = ()
+    part: str
+    index: int
+    digest: int
 
 
 @attrs.frozen
@@ -80,13 +96,10 @@
         Host and port of its links.
     boot : str
         Random name of this run of the process.
-    known : Known
-        Parts of the state that needn't be sent again.
     """
 
     daemon: str
     boot: str
-    known: Known = Known()
 
 
 @attrs.frozen
@@ -139,6 +152,11 @@
         Ranges that the target refuses to hold under their present token.
     knows_holds : bool
         Whether ``holds`` is all that the target may hold; else it may hold any key.
+    known : tuple of PartVersion
+        The parts of the replicated state that the daemon has.
+    refused_parts : tuple of str
+        Parts of which the daemon has refused an update since its former report, because
+        the update changes another version than the daemon's.
     """
 
     number: int
@@ -152,6 +170,8 @@
     key_rest: float = 0.0
     refused: tuple[Hold, ...] = ()
     knows_holds: bool = True
+    known: tuple[PartVersion, ...] = ()
+    refused_parts: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -189,18 +209,39 @@
     index: int
     configuration: Configuration
 
+    @property
+    def part(self):
+        """The name of the part."""
+        return CONFIGURATION_PART
+
 
 @attrs.frozen
 class ConfigurationChange:
-    """The difference from the daemon's configuration to that of log index ``index``.
+    """The difference from the configuration of one log index to that of another.
 
     With hundreds of routes and several changes a second, whole configurations would
     saturate the link of a small VM.
+
+    Parameters
+    ----------
+    base : int
+        Log index of the configuration that it changes. A daemon that has another one
+        refuses it: it would end with the new version's number and neither's routes.
+    index : int
+        Log index of the resulting configuration.
+    edit : Edit
+        The changes.
     """
 
+    base: int
     index: int
     edit: Edit
 
+    @property
+    def part(self):
+        """The name of the part."""
+        return CONFIGURATION_PART
+
 
 @attrs.frozen
 class ZonesView:
@@ -209,6 +250,11 @@
     index: int
     zones_out: tuple[str, ...]
 
+    @property
+    def part(self):
+        """The name of the part."""
+        return ZONES_PART
+
 
 @attrs.frozen
 class KeysView:
@@ -216,14 +262,20 @@
 
     Parameters
     ----------
-    is_whole : bool
-        Whether ``ranges`` cover all keys; else they replace the keys that they cover.
+    base : int
+        Log index of the owners that it changes: ``ranges`` replace the keys that they
+        cover. ``NO_INDEX`` if ``ranges`` cover all keys.
     """
 
     index: int
     service: str
     ranges: tuple[KeyRange, ...]
-    is_whole: bool = True
+    base: int = NO_INDEX
+
+    @property
+    def part(self):
+        """The name of the part."""
+        return keys_part(self.service)
 
 
 @attrs.frozen
--- a/tamarackhaven/fleet/_model.py
+++ b/tamarackhaven/fleet/_model.py
@@ -1,9 +1,12 @@
 """Targets, key ranges and grants, as exchanged by control VMs and daemons."""
 
 import enum
+import functools
 
 import attrs
 
+from tamarackhaven._digests import record_digest
+
 # Keys are 16-bit numbers.
 KEY_COUNT = 1 << 16
 # Load is counted for buckets of this many adjacent keys: a hot run of some dozens of
@@ -42,6 +45,13 @@
     owner: str = ""
     handover: str = ""
 
+    @functools.cached_property
+    def digest(self):
+        """The digest of all fields, an integer."""
+        return record_digest(
+            self.first, self.last, self.fence, self.owner, self.handover
+        )
+
 
 @attrs.frozen
 class Hold:
--- a/tamarackhaven/fleet/_ranges.py
+++ b/tamarackhaven/fleet/_ranges.py
@@ -1,10 +1,12 @@
 """Operations on ordered key ranges without gap or overlap. Pure."""
 
 import bisect
+import functools
 import itertools
 
 import attrs
 
+from tamarackhaven._digests import set_digest
 from tamarackhaven.fleet._model import KEY_COUNT, KeyRange
 
 
@@ -86,11 +88,21 @@
         self.ranges = ranges
         self._firsts = [each.first for each in ranges]
 
+    @functools.cached_property
+    def digest(self):
+        """The digest of the ranges, an integer."""
+        return digest(self.ranges)
+
     def find(self, key):
         """Return the ``KeyRange`` of ``key``."""
         return self.ranges[bisect.bisect_right(self._firsts, key) - 1]
 
 
+def digest(ranges):
+    """Return the digest of ranges, an integer."""
+    return set_digest(each.digest for each in ranges)
+
+
 def overlaps(one, other):
     """Return whether two ranges share a key."""
     return one.first <= other.last and other.first <= one.last
--- a/tamarackhaven/fleet/_sessions.py
+++ b/tamarackhaven/fleet/_sessions.py
@@ -1,11 +1,16 @@
-"""Sessions of daemons with the leading control VM: what each has been sent."""
+"""Sessions of daemons with the leading control VM: what each has been sent. Pure."""
 
 import collections
 
 import attrs
 
 from tamarackhaven.fleet._feed import UpdateCache
-from tamarackhaven.fleet._messages import Known
+from tamarackhaven.fleet._messages import (
+    CONFIGURATION_PART,
+    NO_INDEX,
+    ZONES_PART,
+    keys_part,
+)
 
 # Owners may change many times a second, with a hundred daemons on slow links. Without a
 # limit, a new configuration would be queued for seconds behind updates that are
@@ -34,21 +39,23 @@
         To the daemon.
     update_cache : UpdateCache
         Shared by all sessions.
-    known : Known
-        The parts of the state that the daemon reported to have.
+    known : tuple of PartVersion
+        The parts of the state that the daemon has as the session begins. Nothing that
+        was sent on another link may change them afterwards.
     """
 
     daemon: str
     link: object
     update_cache: UpdateCache = attrs.field(factory=UpdateCache)
-    known: Known = Known()
-    _index_by_service: dict = attrs.field(init=False)
+    known: tuple = ()
+    _index_by_part: dict = attrs.field(init=False)
+    _replaced_versions: set = attrs.field(init=False, factory=set)
     _unacknowledged: collections.deque = attrs.field(
         init=False, factory=collections.deque
     )
 
     def __attrs_post_init__(self):
-        self._index_by_service = dict(self.known.keys)
+        self._index_by_part = {each.part: each.index for each in self.known}
 
     def catch_up(self, state):
         """Send all parts of ``state`` that are newer than the daemon's."""
@@ -66,27 +73,79 @@
         while self._unacknowledged and self._unacknowledged[0].index <= index:
             self._unacknowledged.popleft()
 
+    def resend(self, refused_parts, known):
+        """Send updates for refused parts from what the daemon has, from now on.
+
+        Parameters
+        ----------
+        refused_parts : tuple of str
+            Parts of which the daemon has refused an update.
+        known : tuple of PartVersion
+            The parts that it has.
+        """
+        index_by_part = {each.part: each.index for each in known}
+        for part in refused_parts:
+            self._index_by_part[part] = index_by_part.get(part, NO_INDEX)
+
+    def replace_differing(self, known, state):
+        """Send the whole parts whose content differs from ``state`` at the same index.
+
+        A part that still differs after that is not sent again: whole configurations
+        that change nothing would only fill the daemon's link.
+
+        Parameters
+        ----------
+        known : tuple of PartVersion
+            The parts that the daemon has.
+        state : FleetState
+            The leader's.
+
+        Returns
+        -------
+        list of PartVersion
+            The daemon's versions that differ.
+        """
+        version_by_part = state.versions()
+        differing = [
+            each for each in known if _differs(each, version_by_part.get(each.part))
+        ]
+        for each in differing:
+            if each not in self._replaced_versions:
+                self._replaced_versions.add(each)
+                self._index_by_part[each.part] = NO_INDEX
+        return differing
+
     @property
     def _unacknowledged_bytes(self):
         return sum(each.size for each in self._unacknowledged)
 
     def _send_configuration_and_zones(self, state):
-        if state.configuration_index > self.known.configuration:
-            since = self.known.configuration
+        since = self._sent_index(CONFIGURATION_PART)
+        if state.configuration_index > since:
             self.link.send(self.update_cache.configuration(state, since))
-            self._update_known(configuration=state.configuration_index)
-        if state.zones_index > self.known.zones:
+            self._index_by_part[CONFIGURATION_PART] = state.configuration_index
+        if state.zones_index > self._sent_index(ZONES_PART):
             self.link.send(self.update_cache.zones(state))
-            self._update_known(zones=state.zones_index)
+            self._index_by_part[ZONES_PART] = state.zones_index
 
     def _send_owners(self, state):
         for service, index in state.index_by_service.items():
-            since = self._index_by_service.get(service, -1)
+            part = keys_part(service)
+            since = self._sent_index(part)
             if index > since:
                 update = self.update_cache.keys(state, service, since)
                 self.link.send(update)
                 self._unacknowledged.append(_Unacknowledged(index, len(update.data)))
-                self._index_by_service[service] = index
+                self._index_by_part[part] = index
+
+    def _sent_index(self, part):
+        return self._index_by_part.get(part, NO_INDEX)
 
-    def _update_known(self, **indexes):
-        self.known = attrs.evolve(self.known, **indexes)
+
+def _differs(version, other):
+    """Whether two versions of a part have the same index and another content."""
+    return (
+        other is not None
+        and version.index == other.index
+        and version.digest != other.digest
+    )
--- a/tamarackhaven/fleet/_state.py
+++ b/tamarackhaven/fleet/_state.py
@@ -12,8 +12,15 @@
 from cattrs.preconf.msgpack import make_converter
 from cattrs.strategies import configure_tagged_union
 
+from tamarackhaven._digests import record_digest
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.fleet import _ranges
+from tamarackhaven.fleet._messages import (
+    CONFIGURATION_PART,
+    ZONES_PART,
+    PartVersion,
+    keys_part,
+)
 from tamarackhaven.fleet._model import KeyRange
 from tamarackhaven.routing import Configuration, Edit, check, edited
 
@@ -157,6 +164,7 @@
         # whole.
         self._configuration_by_index = _FormerValues()
         self._ranges_by_service_and_index = _FormerValues()
+        self._keys_digest_by_service = {}
 
     def configuration_at(self, index):
         """Return the configuration applied at log ``index``, None if not kept."""
@@ -166,6 +174,31 @@
         """Return a service's ranges as set at log ``index``, None if not kept."""
         return self._ranges_by_service_and_index.get((service, index))
 
+    def versions(self):
+        """Return the ``PartVersion`` of each part, by its name."""
+        versions = [
+            PartVersion(
+                CONFIGURATION_PART,
+                self.configuration_index,
+                self.configuration.digest,
+            ),
+            PartVersion(
+                ZONES_PART, self.zones_index, record_digest(*sorted(self.zones_out))
+            ),
+        ]
+        versions += [
+            PartVersion(keys_part(service), index, self._keys_digest(service))
+            for service, index in self.index_by_service.items()
+        ]
+        return {each.part: each for each in versions}
+
+    def _keys_digest(self, service):
+        digest = self._keys_digest_by_service.get(service)
+        if digest is None:
+            digest = _ranges.digest(self.ranges_by_service[service])
+            self._keys_digest_by_service[service] = digest
+        return digest
+
     def save(self):
         """Return the state as the bytes of a snapshot."""
         saved = _Saved(
@@ -254,6 +287,7 @@
     def _set_ranges(self, service, ranges, index):
         self.ranges_by_service[service] = ranges
         self.index_by_service[service] = index
+        self._keys_digest_by_service.pop(service, None)
         self._ranges_by_service_and_index.keep((service, index), ranges)
 
     @_apply.register
--- a/tamarackhaven/sidecar/_control_link.py
+++ b/tamarackhaven/sidecar/_control_link.py
@@ -42,8 +42,7 @@
     Parameters
     ----------
     make_hello : callable
-        Returns the ``DaemonHello`` with the daemon's identity and the parts of the view
-        that it has.
+        Returns the ``DaemonHello`` with the daemon's identity.
     make_report : callable
         ``make_report(number)`` returns a ``Report``.
     on_view_message : callable
@@ -72,6 +71,7 @@
         self._link_closed = asyncio.Event()
         self._answer_received = asyncio.Event()
         self._session = None
+        self.on_session_begun = lambda: None
         self.confirmed_s = float("-inf")
 
     def report_now(self):
@@ -220,6 +220,7 @@
         self._link_closed.clear()
         self._requested_s_by_number.clear()
         self._last_answered_number = self._last_number
+        self.on_session_begun()
         session.begin()
 
     def _is_lost(self, link, started_s, now):
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -5,7 +5,12 @@
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven.fleet import split
-from tamarackhaven.fleet._messages import DaemonHello, KeysView, Report
+from tamarackhaven.fleet._messages import (
+    DaemonHello,
+    KeysView,
+    Report,
+    TargetsView,
+)
 from tamarackhaven.net import HttpResponse, HttpServer, LinkServer, listen
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._control_link import ControlLink
@@ -13,6 +18,7 @@
 from tamarackhaven.sidecar._key_calls import KeyCalls
 from tamarackhaven.sidecar._messages import PEER_CODEC
 from tamarackhaven.sidecar._peers import Peers, PeerServer
+from tamarackhaven.sidecar._refused_parts import RefusedParts, UpdateOutcome
 from tamarackhaven.sidecar._runs import Runs
 from tamarackhaven.sidecar._target_client import TargetClient
 from tamarackhaven.sidecar._target_state import TargetState
@@ -55,6 +61,7 @@
         host, port = split(settings.links)
         self._address = host, port
         self.view = View()
+        self._refused_parts = RefusedParts()
         self.state = TargetState(settings, host, port)
         client = TargetClient(*split(settings.target))
         self.inbound = Inbound(
@@ -101,13 +108,14 @@
             registry(self), self._on_error, self._on_bad_request
         )
         self._control = ControlLink(
-            lambda: DaemonHello(settings.links, boot, self.view.known()),
+            lambda: DaemonHello(settings.links, boot),
             self._report,
             self._apply_view_message,
             self._apply_grant,
             self._seeds,
             log.part("control"),
         )
+        self._control.on_session_begun = self._refused_parts.begin_session
         self._tasks = []
         self._is_leaving = False
         self.inbound.exchange.on_ended = self._control.report_now
@@ -244,12 +252,16 @@
             key_rest=key_rest,
             refused=state.refused,
             knows_holds=state.knows_holds(now),
+            known=self.view.known(),
+            refused_parts=self._refused_parts.take_due(),
         )
 
     def _apply_view_message(self, message):
         table_before = self.view.table
         zones_out_before = self.view.zones_out
-        if not self.view.apply_update(message):
+        outcome = self.view.apply_update(message)
+        self._record_outcome(message, outcome)
+        if outcome is not UpdateOutcome.APPLIED:
             return
         if self.view.table is not table_before:
             self._on_configuration()
@@ -260,6 +272,21 @@
             self.log.say("zones out changed", zones=sorted(self.view.zones_out))
         self.inbound.apply_target_state()
 
+    def _record_outcome(self, message, outcome):
+        """Log a refused update, and report it to the leader without delay."""
+        if isinstance(message, TargetsView):
+            return
+        if outcome is UpdateOutcome.REFUSED:
+            self.metrics.count("tamarackhaven_updates_refused_total")
+            self.log.say(
+                "update refused",
+                state_part=message.part,
+                base=message.base,
+                index=message.index,
+            )
+        if self._refused_parts.record(message.part, outcome):
+            self._control.report_now()
+
     def _apply_known_leaving(self):
         """Mark the target as leaving if a former process of this daemon reported it.
 
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -5,19 +5,23 @@
 import attrs
 
 from tamarackhaven._clock import boot_s
-from tamarackhaven._digests import digest_text
+from tamarackhaven._digests import digest_text, record_digest
 from tamarackhaven.fleet._messages import (
+    CONFIGURATION_PART,
+    NO_INDEX,
     ConfigurationChange,
     ConfigurationView,
     KeysView,
-    Known,
+    PartVersion,
     TargetsView,
     ZonesView,
+    keys_part,
 )
 from tamarackhaven.fleet._model import TargetPhase
 from tamarackhaven.fleet._ranges import RangeIndex, assigned
 from tamarackhaven.routing import Configuration, RouteTable, edited
 from tamarackhaven.sidecar._pulse import ChangeSignal
+from tamarackhaven.sidecar._refused_parts import UpdateOutcome
 
 # A leader answers several times a second. Without an answer for this long, recent
 # changes by operators may be missing from the view.
@@ -60,6 +64,7 @@
     """Configuration, zones, owners of keys and targets."""
 
     def __init__(self):
+        # None until a version with routes has arrived.
         self.table = None
         self._configuration = Configuration()
         self.zones_out = frozenset()
@@ -68,7 +73,7 @@
         self.target_by_life = {}
         self._targets_by_service = {}
         self._keys_by_service = {}
-        self._index_by_part = {}
+        self._version_by_part = {}
         self._change_signal = ChangeSignal()
         self._confirmed_s = float("-inf")
 
@@ -94,7 +99,7 @@
         configuration = self.table.configuration
         return ConfigurationStamp(
             configuration.version,
-            self._index_by_part["configuration"],
+            self._index(CONFIGURATION_PART),
             digest_text(configuration.digest),
             age_s,
         )
@@ -102,26 +107,22 @@
     @property
     def state_index(self):
         """Highest log index of any part."""
-        return max(self._index_by_part.values(), default=0)
+        return max((each.index for each in self.known()), default=0)
 
     def known(self):
-        """Return the log indexes of the parts received so far, as ``Known``.
+        """Return the versions of the parts in force, as a tuple of ``PartVersion``."""
+        return tuple(self._version_by_part.values())
 
-        A leader doesn't send these parts again.
-        """
-        index_by_part = self._index_by_part
-        return Known(
-            index_by_part.get("configuration", -1),
-            index_by_part.get("zones", -1),
-            tuple(
-                (service, index_by_part[_keys_part(service)])
-                for service in self._keys_by_service
-            ),
-        )
+    def _index(self, part):
+        version = self._version_by_part.get(part)
+        return NO_INDEX if version is None else version.index
 
     @functools.singledispatchmethod
     def apply_update(self, message):
-        """Apply a message about a part; return whether it was newer than the known one.
+        """Apply a message about a part; return its ``UpdateOutcome``.
+
+        A part's version changes after its content, so that an update that fails is not
+        taken for one that was applied.
 
         Raises
         ------
@@ -132,26 +133,32 @@
 
     @apply_update.register
     def _(self, message: ConfigurationView):
-        if not self._is_newer("configuration", message.index):
-            return False
-        return self._apply_configuration(message.configuration)
+        return self._apply_configuration(message, message.configuration)
 
     @apply_update.register
     def _(self, message: ConfigurationChange):
-        if not self._is_newer("configuration", message.index):
-            return False
-        return self._apply_configuration(edited(self._configuration, message.edit))
+        outcome = self._check_base(message)
+        if outcome is not None:
+            return outcome
+        return self._apply_configuration(
+            message, edited(self._configuration, message.edit)
+        )
 
-    def _apply_configuration(self, configuration):
-        self._configuration = configuration
+    def _apply_configuration(self, message, configuration):
+        version = PartVersion(message.part, message.index, configuration.digest)
+        if not self._is_newer(version):
+            return UpdateOutcome.OUTDATED
         if configuration.version:
             self.table = RouteTable(configuration)
-        return self._notify_changed()
+        self._configuration = configuration
+        return self._record_version(version)
 
     @apply_update.register
     def _(self, message: ZonesView):
-        if not self._is_newer("zones", message.index):
-            return False
+        digest = record_digest(*sorted(message.zones_out))
+        version = PartVersion(message.part, message.index, digest)
+        if not self._is_newer(version):
+            return UpdateOutcome.OUTDATED
         # If a daemon restarts while its zone is out and counts from when it's notified,
         # its target runs for longer than operators were told. So zones that are out in
         # the first message count as out for an unlimited time already.
@@ -161,18 +168,22 @@
         self._zone_out_since_s = {
             zone: self._zone_out_since_s.get(zone, now) for zone in self.zones_out
         }
-        return self._notify_changed()
+        return self._record_version(version)
 
     @apply_update.register
     def _(self, message: KeysView):
-        if not self._is_newer(_keys_part(message.service), message.index):
-            return False
         ranges = message.ranges
-        if not message.is_whole:
-            known = self._keys_by_service[message.service].ranges
-            ranges = assigned(known, ranges)
-        self._keys_by_service[message.service] = RangeIndex(ranges)
-        return self._notify_changed()
+        if message.base != NO_INDEX:
+            outcome = self._check_base(message)
+            if outcome is not None:
+                return outcome
+            ranges = assigned(self._keys_by_service[message.service].ranges, ranges)
+        keys = RangeIndex(ranges)
+        version = PartVersion(message.part, message.index, keys.digest)
+        if not self._is_newer(version):
+            return UpdateOutcome.OUTDATED
+        self._keys_by_service[message.service] = keys
+        return self._record_version(version)
 
     @apply_update.register
     def _(self, message: TargetsView):
@@ -187,17 +198,32 @@
             self._targets_by_service.setdefault(target.service, []).append(target)
         return self._notify_changed()
 
-    def _is_newer(self, part, index):
-        # Messages of a deposed leader may still be in flight, and a daemon would return
-        # to an older configuration. The log index only increases, whoever leads.
-        if index <= self._index_by_part.get(part, -1):
-            return False
-        self._index_by_part[part] = index
-        return True
+    def _check_base(self, message):
+        """Return why a difference can't be applied, None if it can."""
+        index = self._index(message.part)
+        if message.index <= index:
+            return UpdateOutcome.OUTDATED
+        return None if message.base == index else UpdateOutcome.REFUSED
+
+    def _is_newer(self, version):
+        """Whether a whole part replaces the present one.
+
+        Messages of a deposed leader may still be in flight, and a daemon would return
+        to an older configuration. The log index only increases, whoever leads. Under
+        the same index, the leader replaces a part that differs from its own.
+        """
+        known = self._version_by_part.get(version.part)
+        if known is None or version.index > known.index:
+            return True
+        return version.index == known.index and version.digest != known.digest
+
+    def _record_version(self, version):
+        self._version_by_part[version.part] = version
+        return self._notify_changed()
 
     def _notify_changed(self):
         self._change_signal.notify_all()
-        return True
+        return UpdateOutcome.APPLIED
 
     async def changed(self, timeout_s):
         """Wait for the next change, for at most ``timeout_s`` seconds."""
@@ -227,7 +253,7 @@
 
     def keys_index(self, service):
         """Return the log index of the owners of a service's keys, -1 if unknown."""
-        return self._index_by_part.get(_keys_part(service), -1)
+        return self._index(keys_part(service))
 
     def available_targets(self, service):
         """Return the targets of a service that may get new requests."""
@@ -240,7 +266,3 @@
     def daemon_count(self):
         """Return the number of known daemons, at least 1."""
         return max(len(self.target_by_life), 1)
-
-
-def _keys_part(service):
-    return f"keys {service}"
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -29,6 +29,7 @@
             "_open_changes",
             "_placement",
             "_ranges",
+            "_sessions",
             "_state",
         )
     ),
@@ -47,6 +48,7 @@
             "_notice_memory",
             "_offers",
             "_rate_limit",
+            "_refused_parts",
             "_target_state",
         )
     ),
--- a/tests/fleet/test_sessions.py
+++ b/tests/fleet/test_sessions.py
@@ -1,11 +1,21 @@
 """Updates that a leader sends to a daemon, and the daemon's resulting view."""
 
 import asyncio
+import types
 
 import attrs
+import pytest
 
+from tamarackhaven._metrics import Metrics
+from tamarackhaven.fleet._daemon_sessions import DaemonSessions
 from tamarackhaven.fleet._feed import UpdateCache
-from tamarackhaven.fleet._messages import CONTROL_CODEC
+from tamarackhaven.fleet._messages import (
+    CONTROL_CODEC,
+    ConfigurationChange,
+    ConfigurationView,
+    Report,
+    TargetsView,
+)
 from tamarackhaven.fleet._model import KEY_COUNT, KeyRange
 from tamarackhaven.fleet._sessions import MAX_UNACKNOWLEDGED_BYTES, Session
 from tamarackhaven.fleet._state import (
@@ -280,3 +290,46 @@
         assert view._keys_by_service["s"].ranges == state.ranges_by_service["s"]
 
     run(test)
+
+
+def exchange(sessions, state, view, link):
+    """Let the leader handle a report of what the daemon has."""
+    report = Report(1, known=view.known())
+    sessions.record_report(link, report, state, lambda: TargetsView(1, ()))
+
+
+def test_a_configuration_that_differs_under_the_same_index_is_replaced_once():
+    # Guards against: a daemon keeps a wrong configuration until the next change of it.
+    def test(state, view, link, session):
+        logged = []
+        log = types.SimpleNamespace(
+            say=lambda sentence, **fields: logged.append(sentence)
+        )
+        sessions = DaemonSessions(log, Metrics())
+        sessions.register(link, "d")
+        exchange(sessions, state, view, link)
+        wrong = attrs.evolve(state.configuration, routes=())
+        view.apply_update(ConfigurationView(1, wrong))
+        assert not view.table.configuration.routes
+        exchange(sessions, state, view, link)
+        assert logged[-1] == "daemon differs"
+        assert view.table.configuration.digest == state.configuration.digest
+        before = link.bytes
+        exchange(sessions, state, view, link)
+        view.apply_update(ConfigurationView(1, wrong))
+        exchange(sessions, state, view, link)
+        assert link.bytes - before < 200, "a lasting difference must not fill the link"
+
+    run(test)
+
+
+def test_an_update_that_fails_does_not_count_as_applied():
+    # Guards against: the newest index beside the content of the version before.
+    def test(state, view, link, session):
+        before = view.known()
+        broken = Edit(2, routes=(None,))
+        with pytest.raises(AttributeError):
+            view.apply_update(ConfigurationChange(1, 2, broken))
+        assert view.known() == before
+
+    run(test)
