Forget targets that ended while there was no leader, and late views of a deposed one

**Cause:** a new leader's view of targets added to what a daemon had and removed nothing: a target that ended while there was no leader is one that the new leader never knows, so that it never says that it's gone. Such a target got requests until the daemon's restart, also the life before a restart. The view's term wasn't compared, so that a deposed leader's late message could bring a target back. **Change:** a leader marks its whole view. What it doesn't list is kept for as long as a leader keeps a silent target, since it may only not have reported yet, and is dropped then if the leader answers; without a leader nothing is dropped.

--- a/tamarackhaven/fleet/_directory.py
+++ b/tamarackhaven/fleet/_directory.py
@@ -4,14 +4,15 @@
 
 from tamarackhaven.fleet._lasting_limits import LastingLimits
 from tamarackhaven.fleet._messages import TargetsView
-from tamarackhaven.fleet._model import Target, TargetPhase, daemon_and_start
+from tamarackhaven.fleet._model import (
+    SILENT_TARGET_TTL_S,
+    Target,
+    TargetPhase,
+    daemon_and_start,
+)
 
 # A target whose daemon has sent no report for longer than this gets no new keys.
 MAX_REPORT_AGE_S = 1.5
-# A silent target stays in the directory for this long: callers detect by themselves
-# that its daemon is gone, and a daemon that is only partitioned from the control VMs
-# keeps serving.
-SILENT_TARGET_TTL_S = 20.0
 # Until a request has been answered, all targets count as equally fast.
 DEFAULT_WORK_S = 0.1
 # Utilization is work divided by capacity, and a target may accept nothing for a while.
@@ -171,7 +172,7 @@
     def targets_view(self):
         """Return all targets, for a daemon that has just connected."""
         targets = tuple(reported.target for reported in self._reported_by_life.values())
-        return TargetsView(self._term, targets)
+        return TargetsView(self._term, targets, is_whole=True)
 
     def take_targets_update(self):
         """Return a ``TargetsView`` of all changes since the last call, or None."""
--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -290,11 +290,15 @@
         New or changed.
     gone : tuple of str
         Lives of targets that are gone.
+    is_whole : bool
+        Whether ``targets`` are all that the leader knows. A new leader may not yet know
+        some that run.
     """
 
     term: int
     targets: tuple[Target, ...]
     gone: tuple[str, ...] = ()
+    is_whole: bool = False
 
 
 CONTROL_CODEC = Codec(
--- a/tamarackhaven/fleet/_model.py
+++ b/tamarackhaven/fleet/_model.py
@@ -14,6 +14,12 @@
 BUCKET_KEYS = 16
 
 
+# Without a report for this long, a target doesn't count as running any more. Callers
+# detect by themselves that its daemon is gone, and a daemon that is only partitioned
+# from the control VMs keeps serving.
+SILENT_TARGET_TTL_S = 20.0
+
+
 class TargetPhase(enum.Enum):
     """The phase that a target reports."""
 
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -327,6 +327,7 @@
 
     def _apply_grant(self, grant, requested_s):
         self.view.confirm(requested_s)
+        self.view.drop_unlisted_targets(boot_s())
         self.state.apply_grant(grant, requested_s)
         self.inbound.wake_key_waiters()
         self._key_calls.start_due_calls()
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -20,6 +20,7 @@
 from tamarackhaven.fleet._model import TargetPhase
 from tamarackhaven.fleet._ranges import RangeIndex, assigned
 from tamarackhaven.routing import Configuration, RouteTable, edited
+from tamarackhaven.sidecar._known_targets import KnownTargets
 from tamarackhaven.sidecar._pulse import ChangeSignal
 from tamarackhaven.sidecar._refused_parts import UpdateOutcome
 
@@ -70,8 +71,7 @@
         self.zones_out = frozenset()
         self._zone_out_since_s = {}
         self._has_received_zones = False
-        self.target_by_life = {}
-        self._targets_by_service = {}
+        self._targets = KnownTargets()
         self._keys_by_service = {}
         self._version_by_part = {}
         self._change_signal = ChangeSignal()
@@ -187,17 +187,18 @@
 
     @apply_update.register
     def _(self, message: TargetsView):
-        for life in message.gone:
-            self.target_by_life.pop(life, None)
-        for target in message.targets:
-            # A new leader may not know yet that a target leaves.
-            known = self.target_by_life.get(target.life)
-            self.target_by_life[target.life] = target.with_known_leaving(known)
-        self._targets_by_service = {}
-        for target in self.target_by_life.values():
-            self._targets_by_service.setdefault(target.service, []).append(target)
+        if not self._targets.apply_view(message, boot_s()):
+            return UpdateOutcome.OUTDATED
         return self._notify_changed()
 
+    def drop_unlisted_targets(self, now):
+        """Remove targets that leaders haven't known for too long.
+
+        Without a leader nothing is removed. ``now`` is in seconds of the boot clock.
+        """
+        if self.is_confirmed(now) and self._targets.drop_unlisted(now):
+            self._notify_changed()
+
     def _check_base(self, message):
         """Return why a difference can't be applied, None if it can."""
         index = self._index(message.part)
@@ -231,6 +232,11 @@
 
     # Questions.
 
+    @property
+    def target_by_life(self):
+        """The known targets, each a ``Target``, by life."""
+        return self._targets.by_life
+
     def service(self, heartbeat):
         """Return the ``ServiceSpec`` of a target's service, None if not known."""
         if self.table is None or heartbeat is None:
@@ -259,7 +265,7 @@
         """Return the targets of a service that may get new requests."""
         return [
             target
-            for target in self._targets_by_service.get(service, ())
+            for target in self._targets.of_service(service)
             if target.phase is TargetPhase.READY and target.zone not in self.zones_out
         ]
 
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -44,6 +44,7 @@
             "_gate",
             "_key_holds",
             "_key_load",
+            "_known_targets",
             "_named_limit",
             "_notice_memory",
             "_offers",
