Begin no session with a leader of an older term than one that has answered

Found by looking for the same class elsewhere.

**Cause:** a control VM that is cut off from its group goes on saying that it leads until it notices.

--- a/tamarackhaven/sidecar/_control_link.py
+++ b/tamarackhaven/sidecar/_control_link.py
@@ -71,6 +71,8 @@
         self._link_closed = asyncio.Event()
         self._answer_received = asyncio.Event()
         self._session = None
+        # Of the newest leader that a quorum has confirmed to this daemon.
+        self._confirmed_term = 0
         self.on_session_begun = lambda: None
         self.confirmed_s = float("-inf")
 
@@ -180,7 +182,10 @@
             return None
         self._known_addresses.add(hint.control)
         session.term = hint.term
-        if hint.is_leader:
+        # A leader that is cut off from its group doesn't know that it's deposed. A
+        # daemon that took it would get old news from it until its first report times
+        # out.
+        if hint.is_leader and hint.term >= self._confirmed_term:
             return session
         link.abort()
         return None
@@ -255,6 +260,7 @@
             self._last_answered_number = max(self._last_answered_number, message.number)
             if requested_s is not None:
                 self.confirmed_s = boot_s()
+                self._confirmed_term = max(self._confirmed_term, message.grant.term)
                 self._on_grant(message, requested_s)
             self._answer_received.set()
         elif not isinstance(message, LeaderHint | Report):
--- a/tests/sidecar/test_control_link_search.py
+++ b/tests/sidecar/test_control_link_search.py
@@ -29,8 +29,9 @@
 class ControlVm:
     """Fake control VM that claims to lead, and answers each report."""
 
-    def __init__(self, host):
+    def __init__(self, host, term=1):
         self.host = host
+        self.term = term
         self.reports = []
         self.links = []
         self._server = LinkServer(CONTROL_CODEC, self._on_message, lambda _link: None)
@@ -42,11 +43,12 @@
     def _on_message(self, link, message):
         if isinstance(message, DaemonHello):
             self.links.append(link)
-            link.send(LeaderHint(True, 1, None, ()))
+            link.send(LeaderHint(True, self.term, None, ()))
             link.send(ZonesView(1, (self.host,)))
         elif isinstance(message, Report):
             self.reports.append(message.number)
-            link.send(LeaseGrant(message.number, GrantId(1, message.number), 4.0))
+            grant = GrantId(self.term, message.number)
+            link.send(LeaseGrant(message.number, grant, 4.0))
 
     def close(self):
         self._server.close()
@@ -129,6 +131,24 @@
     run(test)
 
 
+def test_a_deposed_leader_that_does_not_know_it_yet_gets_no_session():
+    # Guards against: a daemon that has heard of a later leader takes what a deposed
+    # one, cut off from its group, sends as the newest.
+    async def test(fleet):
+        await until(lambda: fleet.reports)
+        (in_use,) = [vm for vm in fleet.vms if vm.reports]
+        (other,) = [vm for vm in fleet.vms if vm is not in_use]
+        await until(lambda: fleet.control.confirmed_s > 0)
+        other.term = in_use.term - 1
+        in_use.close()
+        await asyncio.sleep(OBSERVATION_S)
+        assert not other.reports
+        other.term = in_use.term + 1
+        await until(lambda: other.reports)
+
+    run(test)
+
+
 PROXY_HOSTS = ("127.77.1.1",)
 CONTROL_HOST = "127.77.1.2"
 DELAY_S = 0.6
