--- a/tamarackhaven/fleet/_state.py
+++ b/tamarackhaven/fleet/_state.py
@@ -160,8 +160,8 @@
         self.index_by_service = {}
         self._last_fence = 0
         self._version_by_digest = collections.OrderedDict()
-        # Not part of a snapshot: without former values, the present ones are sent
-        # whole.
+        # A snapshot contains only the present values; daemons that have older ones are
+        # sent the whole.
         self._configuration_by_index = _FormerValues()
         self._ranges_by_service_and_index = _FormerValues()
         self._keys_digest_by_service = {}
@@ -226,8 +226,15 @@
         state.ranges_by_service = dict(saved.ranges_by_service)
         state.index_by_service = dict(saved.index_by_service)
         state._last_fence = saved.last_fence
+        state._keep_present_values()
         return state
 
+    def _keep_present_values(self):
+        self._configuration_by_index.keep(self.configuration_index, self.configuration)
+        for service, index in self.index_by_service.items():
+            ranges = self.ranges_by_service[service]
+            self._ranges_by_service_and_index.keep((service, index), ranges)
+
     def apply(self, index, command):
         """Apply a command at log ``index``; return its ``Outcome``."""
         try:
--- a/tests/fleet/test_sessions.py
+++ b/tests/fleet/test_sessions.py
@@ -333,3 +333,19 @@
         assert view.known() == before
 
     run(test)
+
+
+def test_a_leader_with_its_state_from_a_snapshot_sends_differences():
+    # Guards against: hundreds of daemons on small links are sent whole configurations
+    # at once, since the new leader has restored its state.
+    def test(state, view, link, session):
+        restored = FleetState.restored(state.save())
+        before = link.bytes
+        other = Session("d", link, UpdateCache(), view.known())
+        apply_changes(restored, 1)
+        other.catch_up(restored)
+        assert link.bytes - before < 200
+        assert view.table.configuration.version == 2
+        assert view.table.configuration.digest == restored.configuration.digest
+
+    run(test)
