--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -39,10 +39,6 @@
 RAFT_SETTINGS = RaftSettings(heartbeat_ms=100, election_ms=500, first_election_ms=200)
 # Interval of the checks for due changes of targets, keys and members.
 TICK_INTERVAL_S = 0.1
-# After the start, orders are refused for this long while there are fewer voters than
-# the tolerated losses need. Then they're accepted with fewer voters, since a control VM
-# may be missing permanently.
-FOUNDING_TIMEOUT_S = 20.0
 READ_TIMEOUT_S = 1.0
 # Releases arrive one by one from many daemons, and checking all targets and keys for
 # each would saturate the leader's CPU. The delay is short compared with the time that
@@ -97,8 +93,7 @@
         self._leadership = None
         self._confirming_term = None
         self._last_role = (None, "")
-        self._started_s = boot_s()
-        self._is_founded = False
+        self._founding = _growth.Founding(self._required_voters, boot_s())
         self._tasks = []
         self._loop = None
         self.consensus = None
@@ -457,7 +452,10 @@
             have been.
         """
         self._require_leadership()
-        self._require_voters()
+        with self.machine.lock:
+            has_configuration = self.machine.state.configuration.version > 0
+        voters = len(self.consensus.status().membership.voters)
+        self._founding.require_voters(voters, has_configuration, boot_s())
         future = asyncio.wrap_future(self.consensus.propose(encode(command)))
         try:
             return await asyncio.wait_for(future, self._settings.order_timeout_s)
@@ -474,32 +472,6 @@
         is_other = leader is not None and status.leader != status.name
         raise NotLeaderError(leader.host if is_other else None)
 
-    def _require_voters(self):
-        """Refuse orders that the tolerated losses of disks could undo.
-
-        A change accepted by three voters is gone if two of them lose their disks. With
-        all required voters, a majority keeps it on one disk more than may be lost.
-
-        Raises
-        ------
-        TamarackhavenError
-            NO_QUORUM if there are too few voters.
-        """
-        if self._is_founded:
-            return
-        with self.machine.lock:
-            self._is_founded = self.machine.state.configuration.version > 0
-        voters = len(self.consensus.status().membership.voters)
-        waited_s = boot_s() - self._started_s
-        has_too_few = voters < self._required_voters and not self._is_founded
-        if has_too_few and waited_s < FOUNDING_TIMEOUT_S:
-            raise TamarackhavenError(
-                ErrorKind.NO_QUORUM,
-                f"{voters} of {self._required_voters} required voters",
-                0.2,
-            )
-        self._is_founded = True
-
     async def read_configuration(self):
         """Return the newest configuration.
 
--- a/tamarackhaven/fleet/_growth.py
+++ b/tamarackhaven/fleet/_growth.py
@@ -7,6 +7,7 @@
 import attrs
 
 from tamarackhaven._members import Member, Membership, Step
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 # A voter that is silent for longer is replaced if a learner is available. A frozen one
 # that resumes later joins again. A shorter time would replace members because of a slow
@@ -15,6 +16,11 @@
 # A learner that is silent for longer is removed, which bounds the list of members.
 SILENT_LEARNER_TIMEOUT_S = 15.0
 MIN_VOTERS = 3
+# After the start, orders are refused for this long while there are fewer voters than
+# the tolerated losses need. Then they're accepted with fewer voters, since a control VM
+# may be missing permanently.
+FOUNDING_TIMEOUT_S = 20.0
+FOUNDING_RETRY_S = 0.2
 
 
 def count_required_voters(tolerated_losses):
@@ -109,3 +115,52 @@
         ):
             return DueChange(Step("remove", member), "silent learner")
     return None
+
+
+class Founding:
+    """Refuses orders while the tolerated losses of disks could undo them.
+
+    A change accepted by three voters is gone if two of them lose their disks. With all
+    required voters, a majority keeps it on one disk more than may be lost.
+
+    Parameters
+    ----------
+    required_voters : int
+        As from ``count_required_voters``.
+    started_s : float
+        When the process started, in seconds of the boot clock.
+    """
+
+    def __init__(self, required_voters, started_s):
+        self._required_voters = required_voters
+        self._started_s = started_s
+        self._is_over = False
+
+    def require_voters(self, voters, has_configuration, now):
+        """Check that there are enough voters for an order.
+
+        Parameters
+        ----------
+        voters : int
+            How many there are.
+        has_configuration : bool
+            Whether an order has been accepted already.
+        now : float
+            Seconds of the boot clock.
+
+        Raises
+        ------
+        TamarackhavenError
+            NO_QUORUM if there are too few voters.
+        """
+        if self._is_over or has_configuration:
+            self._is_over = True
+            return
+        has_too_few = voters < self._required_voters
+        if has_too_few and now - self._started_s < FOUNDING_TIMEOUT_S:
+            raise TamarackhavenError(
+                ErrorKind.NO_QUORUM,
+                f"{voters} of {self._required_voters} required voters",
+                FOUNDING_RETRY_S,
+            )
+        self._is_over = True
--- a/tests/fleet/test_growth.py
+++ b/tests/fleet/test_growth.py
@@ -6,7 +6,10 @@
 
 from tamarackhaven._members import Member, Membership
 from tamarackhaven._raft_membership import changed
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.fleet._growth import (
+    FOUNDING_TIMEOUT_S,
+    Founding,
     Newcomer,
     count_required_voters,
     founders,
@@ -110,3 +113,16 @@
         membership, silent={"late"}, required_voters=3
     )
     assert actions == [("remove", "late")]
+
+
+def test_orders_wait_for_the_required_voters_but_not_for_ever():
+    # Guards against: an accepted order is lost with the disks that may be lost.
+    founding = Founding(5, 100.0)
+    with pytest.raises(TamarackhavenError) as refused:
+        founding.require_voters(3, False, 100.0 + FOUNDING_TIMEOUT_S - 0.1)
+    assert refused.value.kind is ErrorKind.NO_QUORUM
+    Founding(5, 100.0).require_voters(5, False, 100.0)
+    Founding(5, 100.0).require_voters(3, True, 100.0)
+    founding.require_voters(3, False, 100.0 + FOUNDING_TIMEOUT_S)
+    # Later losses of voters do not refuse orders again.
+    founding.require_voters(1, False, 100.0)
