--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -153,7 +153,8 @@
     knows_holds : bool
         Whether ``holds`` is all that the target may hold; else it may hold any key.
     known : tuple of PartVersion
-        The parts of the replicated state that the daemon has.
+        The parts of the replicated state that the daemon has: all of them in the first
+        report of a session, then those that the leader hasn't been told.
     refused_parts : tuple of str
         Parts of which the daemon has refused an update since its former report, because
         the update changes another version than the daemon's.
--- a/tamarackhaven/fleet/_sessions.py
+++ b/tamarackhaven/fleet/_sessions.py
@@ -81,7 +81,7 @@
         refused_parts : tuple of str
             Parts of which the daemon has refused an update.
         known : tuple of PartVersion
-            The parts that it has.
+            The versions of these parts that it has, others are ignored.
         """
         index_by_part = {each.part: each.index for each in known}
         for part in refused_parts:
@@ -96,7 +96,7 @@
         Parameters
         ----------
         known : tuple of PartVersion
-            The parts that the daemon has.
+            What the daemon has reported.
         state : FleetState
             The leader's.
 
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -18,11 +18,11 @@
 from tamarackhaven.sidecar._key_calls import KeyCalls
 from tamarackhaven.sidecar._messages import PEER_CODEC
 from tamarackhaven.sidecar._peers import Peers, PeerServer
-from tamarackhaven.sidecar._refused_parts import RefusedParts, UpdateOutcome
 from tamarackhaven.sidecar._runs import Runs
 from tamarackhaven.sidecar._target_client import TargetClient
 from tamarackhaven.sidecar._target_state import TargetState
 from tamarackhaven.sidecar._view import View
+from tamarackhaven.sidecar._view_reports import UpdateOutcome, ViewReports
 
 # The platform checks readiness once a second, and callers stop using
 # the daemon after two failed checks. Requests that arrive until then are still served.
@@ -61,7 +61,7 @@
         host, port = split(settings.links)
         self._address = host, port
         self.view = View()
-        self._refused_parts = RefusedParts()
+        self._view_reports = ViewReports()
         self.state = TargetState(settings, host, port)
         client = TargetClient(*split(settings.target))
         self.inbound = Inbound(
@@ -115,7 +115,7 @@
             self._seeds,
             log.part("control"),
         )
-        self._control.on_session_begun = self._refused_parts.begin_session
+        self._control.on_session_begun = self._view_reports.begin_session
         self._tasks = []
         self._is_leaving = False
         self.inbound.exchange.on_ended = self._control.report_now
@@ -237,6 +237,7 @@
         now = boot_s()
         load = self.inbound.load()
         key_load, key_rest = self.inbound.key_load(now)
+        known, refused_parts = self._view_reports.take(self.view.known())
         load_per_slot = (load.running + load.waiting) / max(load.slots, 1)
         return Report(
             number=number,
@@ -252,8 +253,8 @@
             key_rest=key_rest,
             refused=state.refused,
             knows_holds=state.knows_holds(now),
-            known=self.view.known(),
-            refused_parts=self._refused_parts.take_due(),
+            known=known,
+            refused_parts=refused_parts,
         )
 
     def _apply_view_message(self, message):
@@ -284,7 +285,7 @@
                 base=message.base,
                 index=message.index,
             )
-        if self._refused_parts.record(message.part, outcome):
+        if self._view_reports.record(message.part, outcome):
             self._control.report_now()
 
     def _apply_known_leaving(self):
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -22,7 +22,7 @@
 from tamarackhaven.routing import Configuration, RouteTable, edited
 from tamarackhaven.sidecar._known_targets import KnownTargets
 from tamarackhaven.sidecar._pulse import ChangeSignal
-from tamarackhaven.sidecar._refused_parts import UpdateOutcome
+from tamarackhaven.sidecar._view_reports import UpdateOutcome
 
 # A leader answers several times a second. Without an answer for this long, recent
 # changes by operators may be missing from the view.
--- a/tamarackhaven/sidecar/_refused_parts.py
+++ b/tamarackhaven/sidecar/_view_reports.py
@@ -1,4 +1,4 @@
-"""Outcomes of updates, and the parts that the leader must send again. Pure."""
+"""What a daemon reports of its view to the leader. Pure."""
 
 import enum
 
@@ -13,8 +13,8 @@
     REFUSED = "refused"
 
 
-class RefusedParts:
-    """Parts of which an update was refused, since it changes another version.
+class ViewReports:
+    """Versions that the leader hasn't been told in this session, and refused parts.
 
     Updates that the leader sends before it learns of a refusal are refused as well. If
     each were reported, the leader would send the same again for each, from a version
@@ -23,9 +23,16 @@
     """
 
     def __init__(self):
+        self._reported_by_part = {}
         self._due = []
         self._pending = set()
 
+    def begin_session(self):
+        """Begin anew: the first report of a session contains all versions."""
+        self._reported_by_part.clear()
+        self._due.clear()
+        self._pending.clear()
+
     def record(self, part, outcome):
         """Record what became of an update; return whether a report is due."""
         if outcome is UpdateOutcome.APPLIED:
@@ -36,12 +43,27 @@
         self._due.append(part)
         return True
 
-    def take_due(self):
-        """Return the parts to report now, as a tuple, each only once."""
-        due, self._due = tuple(self._due), []
-        return due
+    def take(self, known):
+        """Return what the next report contains; each version and part only once.
 
-    def begin_session(self):
-        """Forget all parts: a session begins with what the daemon has."""
-        self._due.clear()
-        self._pending.clear()
+        Parameters
+        ----------
+        known : tuple of PartVersion
+            The versions in force.
+
+        Returns
+        -------
+        tuple of PartVersion
+            The versions that are new to the leader, and those of refused parts.
+        tuple of str
+            The refused parts.
+        """
+        refused, self._due = tuple(self._due), []
+        new = tuple(
+            version
+            for version in known
+            if version.part in refused
+            or self._reported_by_part.get(version.part) != version
+        )
+        self._reported_by_part.update((version.part, version) for version in new)
+        return new, refused
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -49,8 +49,8 @@
             "_notice_memory",
             "_offers",
             "_rate_limit",
-            "_refused_parts",
             "_target_state",
+            "_view_reports",
         )
     ),
 ]
--- a/tests/sidecar/test_view_model.py
+++ b/tests/sidecar/test_view_model.py
@@ -12,7 +12,12 @@
 
 from tamarackhaven._metrics import Metrics
 from tamarackhaven.fleet._daemon_sessions import DaemonSessions
-from tamarackhaven.fleet._messages import CONTROL_CODEC, Report, TargetsView
+from tamarackhaven.fleet._messages import (
+    CONTROL_CODEC,
+    PartVersion,
+    Report,
+    TargetsView,
+)
 from tamarackhaven.fleet._model import KEY_COUNT, KeyRange
 from tamarackhaven.fleet._state import (
     AssignKeys,
@@ -29,8 +34,8 @@
     ServiceSpec,
     WeightedService,
 )
-from tamarackhaven.sidecar._refused_parts import RefusedParts, UpdateOutcome
 from tamarackhaven.sidecar._view import View
+from tamarackhaven.sidecar._view_reports import UpdateOutcome, ViewReports
 
 SERVICES = ("one", "two")
 ROUTE_COUNT = 4
@@ -80,7 +85,7 @@
         self._link = None
         self._reports = 0
         self.view = View()
-        self._refused_parts = RefusedParts()
+        self._view_reports = ViewReports()
         self._commit(ReplaceConfiguration(0, self._configuration(1), "first"))
 
     # Changes.
@@ -141,7 +146,7 @@
         self._link.leader = self._leader
         self._links.append(self._link)
         self._leader.sessions.register(self._link, "d")
-        self._refused_parts.begin_session()
+        self._view_reports.begin_session()
         self.report()
 
     def lose_link(self):
@@ -156,12 +161,13 @@
         if self._link is None:
             return
         self._reports += 1
+        known, refused_parts = self._view_reports.take(self.view.known())
         self._link.to_leader.append(
             Report(
                 self._reports,
                 state_index=self.view.state_index,
-                known=self.view.known(),
-                refused_parts=self._refused_parts.take_due(),
+                known=known,
+                refused_parts=refused_parts,
             )
         )
 
@@ -188,7 +194,7 @@
         outcome = self.view.apply_update(message)
         if isinstance(message, TargetsView):
             return
-        if self._refused_parts.record(message.part, outcome):
+        if self._view_reports.record(message.part, outcome):
             self.report()
         for version in self.view.known():
             expected = self._content_by_version[version.part, version.index]
@@ -255,11 +261,26 @@
 
 def test_updates_in_flight_behind_a_refused_one_are_reported_once():
     # Guards against: the leader sends the same again for each of them.
-    parts = RefusedParts()
+    parts = ViewReports()
     assert parts.record("configuration", UpdateOutcome.REFUSED)
     assert not parts.record("configuration", UpdateOutcome.REFUSED)
-    assert parts.take_due() == ("configuration",)
-    assert parts.take_due() == ()
+    assert parts.take(()) == ((), ("configuration",))
+    assert parts.take(()) == ((), ())
     assert not parts.record("configuration", UpdateOutcome.REFUSED)
     parts.record("configuration", UpdateOutcome.APPLIED)
     assert parts.record("configuration", UpdateOutcome.REFUSED)
+
+
+def test_a_version_is_reported_once_a_session_and_again_if_refused():
+    # Guards against: reports that repeat all versions several times a second.
+    reports = ViewReports()
+    one = PartVersion("configuration", 1, 5)
+    two = PartVersion("zones", 2, 6)
+    assert reports.take((one, two)) == ((one, two), ())
+    assert reports.take((one, two)) == ((), ())
+    replaced = PartVersion("configuration", 1, 7)
+    assert reports.take((replaced, two)) == ((replaced,), ())
+    reports.record("zones", UpdateOutcome.REFUSED)
+    assert reports.take((replaced, two)) == ((two,), ("zones",))
+    reports.begin_session()
+    assert reports.take((replaced, two)) == ((replaced, two), ())
