Soak: check by which configuration each request was handled, amid storms and races

**Cause:** the soak changed timeouts only and read configurations back from control VMs; nothing looked at which service ran a request. So it could not see the incident's fault, nor any other break of the rule's first case. **Change:** twelve routes move between two services, come and go, in storms and races, half of the changes taken back. Each request on them is judged as the users state the rule: run by the old service, served though dropped, 404 though there, more than 2 s after the acknowledgement, at daemons whose process, control group and links were not disturbed for 3 s. A version that was refused must not be in force. Each daemon is asked for each route after the faults, before and after the loss of power.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,15 +20,18 @@
     draw_faults,
     draw_link_faults,
     draw_notice_faults,
+    draw_session_faults,
     inject,
     lose_power,
 )
-from soak._fleet import SoakFleet
-from soak._load import Caller, Operator, describe
+from soak._fleet import DEFAULT_VMS, SoakFleet
+from soak._load import STORM_FRACTION, Caller, Operator, describe
 from standin.fleet import PORTS
 
 REGRESSIONS = Path(__file__).with_name("regressions.toml")
 CALLER_COUNT = 24
+# One run in so many changes only daemons' sessions.
+SESSION_RUN_INTERVAL = 3
 STALL_CHECK_INTERVAL_S = 0.05
 CANCEL_RETRY_INTERVAL_S = 1.0
 # Loopback networks of runs; other tests use lower ones. Each soak process picks a block
@@ -56,6 +59,8 @@
     """
     if seed in regression_seeds():
         return draw_faults(seed, seconds)
+    if is_session_run(seed):
+        return draw_session_faults(seed, seconds)
     faults = [
         *draw_faults(seed, seconds),
         *draw_control_faults(seed, seconds),
@@ -65,24 +70,33 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
-async def _play(seed, seconds, folder, net):
-    fleet = SoakFleet(folder, net)
+def is_session_run(seed):
+    """Whether a run changes daemons' sessions amid storms of changes, and no more."""
+    return seed % SESSION_RUN_INTERVAL == 0 and seed not in regression_seeds()
+
+
+async def _play(seed, seconds, folder, net, vms):
+    fleet = SoakFleet(folder, net, vms)
     monitors = [
         asyncio.create_task(_measure_stalls(fleet.records)),
         asyncio.create_task(_check_busy_processes(fleet)),
     ]
     callers = [Caller(fleet, number, seed) for number in range(CALLER_COUNT)]
-    operator = Operator(fleet, seed)
+    storm_fraction = 1.0 if is_session_run(seed) else STORM_FRACTION
+    operator = Operator(fleet, seed, storm_fraction)
     try:
         await fleet.start()
         tasks = [asyncio.create_task(each.run()) for each in (*callers, operator)]
         await _inject_all(fleet, _faults(seed, seconds))
         if seed not in regression_seeds():
             await fleet.check_recovered()
+            # A restart of a daemon would repair its view.
+            await fleet.check_routes()
             await lose_power(seed, fleet)
         await end(tasks)
         await fleet.check_recovered()
         await _check_config_readable(fleet, operator)
+        await fleet.check_routes()
         await fleet.wait_for_targets()
         fleet.records.check_end()
     finally:
@@ -143,15 +157,15 @@
         )
 
 
-def play(seed, seconds, net, folder=None):
-    """Execute one run in this process; return its ``Outcome``.
+def play(seed, seconds, net, folder=None, vms=DEFAULT_VMS):
+    """Execute one run with ``vms`` targets in this process; return its ``Outcome``.
 
     An exception of the run becomes a violation.
     """
     with tempfile.TemporaryDirectory() as temporary_folder:
         try:
             return asyncio.run(
-                _play(seed, seconds, Path(folder or temporary_folder), net)
+                _play(seed, seconds, Path(folder or temporary_folder), net, vms)
             )
         except Exception as error:
             # The other runs continue, and the results of all are reported.
@@ -204,6 +218,7 @@
     first: int = -1,
     seconds: float = 12.0,
     jobs: int = 4,
+    vms: int = DEFAULT_VMS,
     keep: str = "",
     regressions: bool = False,
 ) -> int:
@@ -219,6 +234,8 @@
         Time during which faults are injected in each run.
     jobs
         Number of concurrent runs.
+    vms
+        Number of VMs with a target in each run.
     keep
         Folder for the logs of the processes; empty to keep none.
     regressions
@@ -242,7 +259,7 @@
                 folder.mkdir(parents=True)
             # With twice as many nets as jobs, a net is reused only after its last run.
             net = first_net + number % NETS_PER_BLOCK
-            runs.append(pool.submit(play, seed, seconds, net, folder))
+            runs.append(pool.submit(play, seed, seconds, net, folder, vms))
         for run in concurrent.futures.as_completed(runs):
             outcome = run.result()
             failed += bool(outcome.violations)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -9,12 +9,23 @@
 import attrs
 
 from soak._proxy import Direction
+from soak._routes import CONTROL_GROUP
 from standin.narrow_link import NarrowLink
 
 # Faults may last longer than the interval between them, so that they overlap.
 MAX_INTERVAL_S = 1.2
 MAX_DURATION_S = 3.0
 BANDWIDTH_FAULT_COUNT = 4
+MIN_SWITCH_S = 3.0
+MAX_SWITCH_S = 4.5
+# Fraction of switches during which a process is suspended, and for how long.
+SUSPEND_FRACTION = 0.4
+MAX_SUSPEND_S = 1.5
+# Delays of connections that are open, and of those that are opened meanwhile.
+FORMER_BACK_DELAYS_S = (0.5, 1.1)
+NEW_THERE_DELAYS_S = (0.1, 0.5)
+NEW_BACK_DELAYS_S = (0.0, 0.3)
+DAEMON_HELLO = b"DaemonHello"
 LIMITED_BYTES_PER_S = 400_000.0
 LIMIT_FAULT_COUNT = 4
 LEAVING_FAULT_COUNT = 2
@@ -85,6 +96,14 @@
     """Delays the bytes of one proxy."""
 
 
+class SwitchConnections(Fault):
+    """Silences what daemons' connections send to control VMs, and delays what they get.
+
+    New connections are delayed less, so that a daemon has a session before the former
+    one has brought all that was sent on it.
+    """
+
+
 class ResetConnections(Fault):
     """Resets all connections of one proxy."""
 
@@ -184,6 +203,29 @@
     return faults
 
 
+def draw_session_faults(seed, seconds):
+    """Return the faults of a run in which daemons change their sessions only.
+
+    No process ends, since a restarted daemon has a view that is right again. Processes
+    are suspended while connections are switched.
+    """
+    rng = random.Random(f"sessions {seed}")
+    faults = []
+    at_s = 0.0
+    while at_s < seconds:
+        duration_s = round(rng.uniform(MIN_SWITCH_S, MAX_SWITCH_S), 3)
+        faults.append(
+            SwitchConnections(round(at_s, 3), rng.randrange(1 << 30), duration_s)
+        )
+        if rng.random() < SUSPEND_FRACTION:
+            kind = rng.choice((Suspend, SuspendLeader))
+            suspended_s = round(at_s + rng.uniform(0.0, duration_s), 3)
+            duration_s = round(rng.uniform(0.1, MAX_SUSPEND_S), 3)
+            faults.append(kind(suspended_s, rng.randrange(1 << 30), duration_s))
+        at_s += MAX_SWITCH_S + rng.uniform(0.0, MAX_INTERVAL_S)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
 def draw_notice_faults(seed, seconds):
     """Return the limits and leavings of targets; they have their own generator."""
     rng = random.Random(f"notices {seed}")
@@ -303,8 +345,9 @@
 async def _(fault: StallDisk, fleet):
     control = fleet.controls[fault.selector % len(fleet.controls)]
     control.stall()
-    await asyncio.sleep(fault.duration_s)
-    control.unstall()
+    with fleet.records.routes.disturbed(CONTROL_GROUP):
+        await asyncio.sleep(fault.duration_s)
+        control.unstall()
 
 
 @inject.register
@@ -332,37 +375,76 @@
 async def _(fault: Delay, fleet):
     proxy = _proxy(fleet, fault)
     proxy.delay_s = fault.duration_s / 10
-    await asyncio.sleep(fault.duration_s)
-    proxy.clear_faults()
+    with fleet.disturbed_link(proxy):
+        await asyncio.sleep(fault.duration_s)
+        proxy.clear_faults()
 
 
 @inject.register
 async def _(fault: LimitBandwidth, fleet):
     proxy = _proxy(fleet, fault)
     proxy.link = NarrowLink(LIMITED_BYTES_PER_S)
-    await asyncio.sleep(fault.duration_s)
-    proxy.clear_faults()
+    with fleet.disturbed_link(proxy):
+        await asyncio.sleep(fault.duration_s)
+        proxy.clear_faults()
 
 
 @inject.register
 async def _(fault: ResetConnections, fleet):
-    _proxy(fleet, fault).reset()
+    with fleet.disturbed_link(_proxy(fleet, fault)) as proxy:
+        proxy.reset()
 
 
 @inject.register
 async def _(fault: DropAllBytes, fleet):
     proxy = _proxy(fleet, fault)
     proxy.silenced_directions = frozenset(Direction)
-    await asyncio.sleep(fault.duration_s)
-    proxy.clear_faults()
+    with fleet.disturbed_link(proxy):
+        await asyncio.sleep(fault.duration_s)
+        proxy.clear_faults()
 
 
 @inject.register
 async def _(fault: DropResponses, fleet):
     proxy = _proxy(fleet, fault)
     proxy.silenced_directions = frozenset((Direction.BACK,))
-    await asyncio.sleep(fault.duration_s)
-    proxy.clear_faults()
+    with fleet.disturbed_link(proxy):
+        await asyncio.sleep(fault.duration_s)
+        proxy.clear_faults()
+
+
+@inject.register
+async def _(fault: SwitchConnections, fleet):
+    rng = random.Random(fault.selector)
+    proxies = fleet.control_proxies
+    former = [
+        flow
+        for proxy in proxies
+        for flow in proxy.flows
+        if DAEMON_HELLO in flow.first_bytes
+    ]
+    for flow in former:
+        flow.silenced_directions = frozenset((Direction.THERE,))
+        flow.delay_s_by_direction[Direction.BACK] = rng.uniform(*FORMER_BACK_DELAYS_S)
+
+    def delay_new(flow):
+        if DAEMON_HELLO in flow.first_bytes:
+            flow.delay_s_by_direction = {
+                Direction.THERE: rng.uniform(*NEW_THERE_DELAYS_S),
+                Direction.BACK: rng.uniform(*NEW_BACK_DELAYS_S),
+            }
+
+    with fleet.records.routes.disturbed(CONTROL_GROUP):
+        for proxy in proxies:
+            proxy.on_flow = delay_new
+        await asyncio.sleep(fault.duration_s)
+        for proxy in proxies:
+            proxy.on_flow = lambda flow: None
+            for flow in proxy.flows:
+                flow.delay_s_by_direction.clear()
+        # What they sent meanwhile is lost, and so is all later.
+        for flow in former:
+            flow.reset()
 
 
 @inject.register
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -10,13 +10,19 @@
 
 from soak._proxy import Proxy
 from soak._records import Records
+from soak._routes import CONFIG_DEADLINE_S, CONTACT_S, CONTROL_GROUP, MOVING_PREFIXES
 from soak._target import SoakTarget
 from standin.fleet import HEARTBEAT_S, PORTS, TARGET_PORT, Fleet, call
 
 # Processes listen on the usual port plus this offset; proxies take the usual ports.
 LISTEN_OFFSET = 10
 ZONES = ("z0", "z1")
+# Services of the targets of a small run; larger ones repeat them.
 SERVICES = ("owned", "owned", "owned", "shared", "shared")
+DEFAULT_VMS = len(SERVICES)
+# A request on a changing route is repeated while its daemon refuses it, for so long.
+PROBE_TIMEOUT_S = 5.0
+PROBE_KEY = 7
 # Minimum time between two lost disks; the VM of the first must vote again as well.
 MIN_WIPE_INTERVAL_S = 8.0
 # The whole fleet must serve within this time after the last fault.
@@ -44,16 +50,19 @@
         Contains settings, logs and data.
     net : int
         Second octet of the loopback addresses.
+    vms : int
+        Number of VMs with a target.
     """
 
-    def __init__(self, folder, net):
+    def __init__(self, folder, net, vms=DEFAULT_VMS):
         self.records = Records()
         self.proxies = []
-        super().__init__(folder, SERVICES, net)
+        services = [SERVICES[number % len(SERVICES)] for number in range(vms)]
+        super().__init__(folder, services, net)
         self.zones = ZONES
         self.target_vms = []
         for number, (host, service) in enumerate(
-            zip(self.target_hosts, SERVICES, strict=True)
+            zip(self.target_hosts, services, strict=True)
         ):
             zone = self._zone(host)
             target = SoakTarget(host, service, zone, self.records)
@@ -111,11 +120,32 @@
         self._disturbances[part] += 1
         self.records.excuse(part)
         try:
-            yield part
+            with self.records.routes.disturbed(self._disturbed_by(part)):
+                yield part
         finally:
             self.records.excuse(part)
             self._taken.discard(part)
 
+    def _disturbed_by(self, part):
+        """Return which daemon a fault on a part disturbs, or that it's all of them."""
+        if part in self.controls:
+            return CONTROL_GROUP
+        return getattr(part, "name", part)
+
+    @contextlib.contextmanager
+    def disturbed_link(self, proxy):
+        """Excuse the daemons whose links to the control group a proxy carries."""
+        is_control = proxy in self.control_proxies
+        vm = CONTROL_GROUP if is_control else proxy.address[0]
+        with self.records.routes.disturbed(vm):
+            yield proxy
+
+    @property
+    def control_proxies(self):
+        """The proxies of the links to control VMs."""
+        address = {(host, PORTS["links"]) for host in self.control_hosts}
+        return [each for each in self.proxies if each.address in address]
+
     def is_taken(self, part):
         """Whether a fault has reserved the part."""
         return part in self._taken
@@ -271,6 +301,38 @@
                         "no faults", f"{process.name}: {line}"
                     )
 
+    async def check_routes(self):
+        """Check on each daemon that each changing route is the newest version's."""
+        await asyncio.sleep(CONFIG_DEADLINE_S + CONTACT_S)
+        await asyncio.gather(
+            *(self._check_routes_of(at) for at in range(len(self.target_hosts)))
+        )
+
+    async def _check_routes_of(self, at):
+        for prefix in MOVING_PREFIXES:
+            answer = await self._probe(prefix, at)
+            if answer.status not in (200, 404):
+                self.records.report_violation(
+                    "recovery",
+                    f"{prefix} at {self.target_hosts[at]}: status {answer.status}",
+                )
+
+    async def _probe(self, prefix, at):
+        """Ask for a changing route until its daemon doesn't refuse; return the answer.
+
+        A target may refuse while its keys move or it's full.
+        """
+        deadline_s = time.monotonic() + PROBE_TIMEOUT_S
+        while True:
+            attempt = f"probe{next(self._attempts)}"
+            self.records.routes.sent(attempt, self.target_hosts[at], prefix)
+            answer = await self.ask(prefix, PROBE_KEY, at, attempt)
+            if answer.status == 404:
+                self.records.check_route(attempt, None)
+            if answer.status in (200, 404) or time.monotonic() > deadline_s:
+                return answer
+            await asyncio.sleep(0.1)
+
     async def wait_for_targets(self):
         """Wait until targets have completed their requests."""
         await asyncio.sleep(4 * HEARTBEAT_S)
--- a/soak/_load.py
+++ b/soak/_load.py
@@ -10,6 +10,7 @@
 
 from soak._fleet import read_version
 from soak._records import CallerRequest
+from soak._routes import MOVING_PREFIXES, draw_change, path_routes
 from standin.fleet import CONFIGURATION, PORTS
 
 DEADLINE_S = 2.0
@@ -19,6 +20,12 @@
 MEAN_CHANGE_INTERVAL_S = 0.7
 # Fraction of changes that two operators send at once, based on the same version.
 RACE_FRACTION = 0.3
+# Fraction of changes that start a storm, its length, and the time between changes.
+STORM_FRACTION = 0.2
+MAX_STORM_CHANGES = 8
+MAX_STORM_PAUSE_S = 0.3
+# Fraction of lookups that go to a route that moves between services, comes and goes.
+MOVING_FRACTION = 0.4
 # Fraction of bookings with a large body, and how often it repeats the attempt id.
 LARGE_BODY_FRACTION = 0.15
 MAX_BODY_REPEATS = 20_000
@@ -58,9 +65,12 @@
             return
         is_safe = self._random.random() < 0.5
         key = self._random.randrange(65536) if is_safe else None
+        prefix = "/owned/" if is_safe else "/shared/"
+        if is_safe and self._random.random() < MOVING_FRACTION:
+            prefix = self._random.choice(MOVING_PREFIXES)
         now = time.monotonic()
         request = CallerRequest(
-            next(self._attempts), key, is_safe, now, now + DEADLINE_S
+            next(self._attempts), key, is_safe, now, now + DEADLINE_S, prefix=prefix
         )
         fleet = self._fleet
         daemon, before = self._daemon, fleet.disturbances(self._daemon)
@@ -89,9 +99,9 @@
 
     async def _exchange(self, request):
         reader, writer = self._streams
-        path, method = ("/owned/", "GET") if request.is_safe else ("/shared/", "POST")
+        method = "GET" if request.is_safe else "POST"
         lines = [
-            f"{method} {path}{request.attempt} HTTP/1.1",
+            f"{method} {request.prefix}{request.attempt} HTTP/1.1",
             "Host: h.example",
             f"Tamarackhaven-Attempt-Id: {request.attempt}",
             f"Tamarackhaven-Deadline-Ms: {DEADLINE_S * 1000:.0f}",
@@ -103,6 +113,8 @@
         lines += [f"Content-Length: {len(request.sent)}", "", ""]
         daemon = self._daemon.name
         self._fleet.records.sent(request.attempt, daemon)
+        if request.prefix in MOVING_PREFIXES:
+            self._fleet.records.routes.sent(request.attempt, daemon, request.prefix)
         writer.write("\r\n".join(lines).encode() + request.sent)
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
         length = int(head.split("content-length:", 1)[1].split("\r\n", 1)[0])
@@ -125,13 +137,21 @@
 
 
 class Operator:
-    """Repeatedly changes the configuration and reads it back."""
+    """Repeatedly changes the configuration and reads it back.
 
-    def __init__(self, fleet, seed):
+    ``storm_fraction`` is the fraction of changes that start a storm.
+    """
+
+    def __init__(self, fleet, seed, storm_fraction=STORM_FRACTION):
+        self._storm_fraction = storm_fraction
         self._fleet = fleet
         self._random = random.Random(f"{seed} operator")
+        self._route_random = random.Random(f"{seed} routes")
         self._base = 1
         self._version = 1
+        self._former_services = {}
+        fleet.records.routes.declare(1, {})
+        fleet.records.routes.acknowledge(1)
 
     async def run(self):
         """Send changes until cancelled."""
@@ -141,8 +161,17 @@
                 await self._race()
             else:
                 await self._change(self._next_version())
+            if self._route_random.random() < self._storm_fraction:
+                await self._storm()
             await self.read(self._random.choice(self._fleet.control_hosts))
 
+    async def _storm(self):
+        """Send changes in quick succession."""
+        for _ in range(self._route_random.randint(2, MAX_STORM_CHANGES)):
+            await self._change(self._next_version())
+            pause_s = self._route_random.uniform(0, MAX_STORM_PAUSE_S)
+            await asyncio.sleep(pause_s)
+
     def _next_version(self):
         self._version += self._random.randint(1, 3)
         return self._version
@@ -152,15 +181,24 @@
         document = copy.deepcopy(CONFIGURATION)
         document["version"] = f"r{version}"
         timeout_s = round(self._random.uniform(1.8, 2.2), 3)
-        for route in document["virtual_hosts"][0]["path_routes"]:
+        routes = document["virtual_hosts"][0]["path_routes"]
+        for route in routes:
             route["timeout_s"] = timeout_s
+        watch = self._fleet.records.routes
+        present = watch.services(self._base)
+        services = draw_change(self._route_random, present, self._former_services)
+        routes += path_routes(services)
         base = f"r{self._base}"
+        watch.declare(version, services)
         with contextlib.suppress(AssertionError):
             answer = await self._fleet.order("/api/config/replace", document, base)
             if answer.status == 200:
                 self._base = version
+                self._former_services = present
+                watch.acknowledge(version)
                 self._fleet.records.accepted(version)
                 return True
+            watch.refuse(version)
             await self._refresh_version()
         return False
 
@@ -192,8 +230,8 @@
 def describe(records):
     """Return the counts of a run as a line of JSON.
 
-    Includes the longest stall of the event loop in seconds and the maximum fraction of
-    a core that a process used.
+    Includes the requests whose configuration was checked, the longest stall of the
+    event loop in seconds and the maximum fraction of a core that a process used.
     """
     count_by_status = {
         str(status): count for status, count in sorted(records.counts.items())
@@ -201,6 +239,7 @@
     described = {
         "asked": len(records.requests),
         "answers": count_by_status,
+        "routes_judged": records.routes.judged,
         "stall_s": round(records.longest_stall_s, 2),
         "busy": round(records.max_core_fraction, 2),
     }
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from soak._routes import RouteWatch
 from standin.notice_watch import WINDOW_S
 
 # Statuses from which a caller concludes that its request wasn't executed.
@@ -38,6 +39,8 @@
         HTTP status; 0 if the connection ended without a response.
     sent : bytes
         Body of the request; a target's response ends with it.
+    prefix : str
+        Path prefix of its route.
     """
 
     attempt: str
@@ -50,6 +53,7 @@
     body: bytes = b""
     sent: bytes = b""
     was_disturbed: bool = False
+    prefix: str = ""
 
 
 @attrs.define
@@ -79,6 +83,7 @@
     drain_s: float = 2.0
     zone_out_s: float = 5.0
     targets: list = attrs.field(factory=list)
+    routes: RouteWatch = attrs.field(factory=RouteWatch)
     zone_out_since_s: dict = attrs.field(factory=dict)
     _origin_by_attempt: dict = attrs.field(factory=dict)
     _fence_by_key: dict = attrs.field(factory=dict)
@@ -110,6 +115,7 @@
         now_s = time.monotonic()
         self.executions_by_attempt[attempt].append((target.name, now_s))
         self._check_notices(target, attempt, now_s)
+        self.check_route(attempt, target.service)
         drain_end_s = target.drain_end_s
         if (
             drain_end_s is not None
@@ -143,6 +149,16 @@
         for detail in target.watch.arrived(vm, sent_s, now_s, stalled_s):
             self.report_violation("notices", f"{attempt} at {target.name}: {detail}")
 
+    def check_route(self, attempt, service):
+        """Check by which configuration a request was handled.
+
+        ``service`` is the one that runs it, None if the caller was told that no route
+        exists.
+        """
+        detail = self.routes.handled(attempt, service)
+        if detail is not None:
+            self.report_violation("configuration", detail)
+
     # Callers.
 
     def sent(self, attempt, vm):
@@ -179,6 +195,8 @@
         """Record a completed request of a caller and check its response."""
         self.requests.append(request)
         self.counts[request.status] += 1
+        if request.status == 404:
+            self.check_route(request.attempt, None)
         if request.status == 200 and request.attempt.encode() not in request.body:
             self.report_violation(
                 "whole answers", f"{request.attempt} got {request.body[:60]!r}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from soak.__main__ import end, is_in_use, main
+from soak.__main__ import end, is_in_use, is_session_run, main
 from soak._faults import draw_faults
 from soak._proxy import Direction, Proxy
 from soak._records import CallerRequest, Records
@@ -24,6 +24,7 @@
 
     is_up = True
     drain_end_s = None
+    service = "owned"
     zone = "z"
     born_ms = 1
 
@@ -212,9 +213,10 @@
         signal.signal(signal.SIGHUP, before)
 
 
-def test_runs_that_once_failed_and_a_short_one_pass():
-    # The full soak is run manually with many new seeds.
-    assert main(seeds=1, first=11, seconds=12.0, jobs=4, regressions=True) == 0
+def test_runs_that_once_failed_and_two_short_ones_pass():
+    # The full soak is run manually with many new seeds. Seed 12 changes sessions only.
+    assert [is_session_run(seed) for seed in (11, 12)] == [False, True]
+    assert main(seeds=2, first=11, seconds=12.0, jobs=4, regressions=True) == 0
 
 
 def test_truncated_body_is_detected():
