Compare a daemon's versions also when its session begins

**Cause:** found in reading the change: a session's first report was not compared with the leader's state, and since a version is reported once a session, a difference that was there before would have stayed. **Change:** the first report takes the same way as all others. Catching up was the same as sending updates then, and goes. **Measured:** test_a_configuration_that_differs_is_replaced_when_the_session_begins, red before.

--- a/tamarackhaven/fleet/_daemon_sessions.py
+++ b/tamarackhaven/fleet/_daemon_sessions.py
@@ -60,8 +60,6 @@
         if session is None:
             session = self._begin(link, report)
             link.send(make_targets_view())
-            session.catch_up(state)
-            return
         session.acknowledge(report.state_index)
         if report.refused_parts:
             self._log_refused_parts(session, report)
--- a/tamarackhaven/fleet/_sessions.py
+++ b/tamarackhaven/fleet/_sessions.py
@@ -57,13 +57,11 @@
     def __attrs_post_init__(self):
         self._index_by_part = {each.part: each.index for each in self.known}
 
-    def catch_up(self, state):
-        """Send all parts of ``state`` that are newer than the daemon's."""
-        self._send_configuration_and_zones(state)
-        self._send_owners(state)
-
     def send_updates(self, state):
-        """Send newer parts of ``state``; owners only if few are unacknowledged."""
+        """Send the parts of ``state`` that are newer than what the daemon was sent.
+
+        Owners are sent only if few updates of them are unacknowledged.
+        """
         self._send_configuration_and_zones(state)
         if self._unacknowledged_bytes < MAX_UNACKNOWLEDGED_BYTES:
             self._send_owners(state)
--- a/tests/fleet/test_sessions.py
+++ b/tests/fleet/test_sessions.py
@@ -66,7 +66,7 @@
         view = View()
         link = Link(view)
         session = Session("d", link)
-        session.catch_up(state)
+        session.send_updates(state)
         test(state, view, link, session)
 
     asyncio.run(main())
@@ -83,7 +83,7 @@
         for number, edit in enumerate(edits):
             order = EditConfiguration(edit.version - 1, edit, f"e{number}")
             assert state.apply(number + 2, order).kind is None
-            session.catch_up(state)
+            session.send_updates(state)
             seen = view.table.configuration
             assert seen.route_by_name == state.configuration.route_by_name
             assert seen.service_by_name == state.configuration.service_by_name
@@ -101,11 +101,11 @@
         (whole,) = state.ranges_by_service["s"]
         halves = (KeyRange(0, 99, owner="a@1@h:1"), KeyRange(100, KEY_COUNT - 1))
         state.apply(2, AssignKeys("s", halves, (whole,)))
-        session.catch_up(state)
+        session.send_updates(state)
         piece = KeyRange(50, 60, owner="b@1@h:2")
         (low, _) = state.ranges_by_service["s"]
         state.apply(3, AssignKeys("s", (piece,), (low,)))
-        session.catch_up(state)
+        session.send_updates(state)
         ranges = view._keys_by_service["s"].ranges
         assert ranges == state.ranges_by_service["s"]
 
@@ -120,10 +120,10 @@
         former_session = Session("d", link)
         order = EditConfiguration(1, Edit(2, removed_routes=("r1",)), "e")
         state.apply(2, order)
-        session.catch_up(state)
+        session.send_updates(state)
         former_state = FleetState()
         former_state.configuration, former_state.configuration_index = old, 1
-        former_session.catch_up(former_state)
+        former_session.send_updates(former_state)
         assert view.table.configuration.version == 2
 
     run(test)
@@ -132,10 +132,10 @@
 def test_a_daemon_records_since_when_a_zone_is_out():
     def test(state, view, link, session):
         state.apply(2, SetZoneOut("z", True))
-        session.catch_up(state)
+        session.send_updates(state)
         assert view.zone_out_since_s("z") is not None
         state.apply(3, SetZoneOut("z", False))
-        session.catch_up(state)
+        session.send_updates(state)
         assert view.zone_out_since_s("z") is None
 
     run(test)
@@ -155,7 +155,7 @@
     def test(state, view, link, session):
         whole = link.bytes
         apply_changes(state, 3)
-        Session("d", link, UpdateCache(), view.known()).catch_up(state)
+        Session("d", link, UpdateCache(), view.known()).send_updates(state)
         assert link.bytes - whole < 200
         assert view.table.configuration.version == 4
         assert view.table.configuration.route_by_name == (
@@ -171,7 +171,7 @@
     def test(state, view, link, session):
         known = view.known()
         apply_changes(state, MAX_FORMER_VALUES + 1)
-        Session("d", link, UpdateCache(), known).catch_up(state)
+        Session("d", link, UpdateCache(), known).send_updates(state)
         assert view.table.configuration.route_by_name == (
             state.configuration.route_by_name
         )
@@ -195,7 +195,7 @@
         sessions = [Session("d", each, update_cache) for each in links]
         for number in range(2):
             for each in sessions:
-                each.catch_up(state)
+                each.send_updates(state)
             apply_changes(state, number)
         one, other = (each.sent for each in links)
         assert one
@@ -211,7 +211,7 @@
         declared = attrs.evolve(route("x", "/x/"), source=source)
         order = EditConfiguration(1, Edit(2, routes=(declared,)), "e")
         state.apply(2, order)
-        session.catch_up(state)
+        session.send_updates(state)
         assert "x" in view.table.configuration.route_by_name
         assert link.bytes - before < 200
 
@@ -225,7 +225,7 @@
     def test(state, view, link, session):
         state.apply(2, SetZoneOut("z", True))
         restarted = View()
-        Session("d", Link(restarted)).catch_up(state)
+        Session("d", Link(restarted)).send_updates(state)
         assert restarted.zone_out_since_s("z") == float("-inf")
 
     run(test)
@@ -323,6 +323,20 @@
     run(test)
 
 
+def test_a_configuration_that_differs_is_replaced_when_the_session_begins():
+    # Guards against: a daemon keeps it since it reports each version once a session.
+    def test(state, view, link, session):
+        wrong = attrs.evolve(state.configuration, routes=())
+        view.apply_update(ConfigurationView(1, wrong))
+        log = types.SimpleNamespace(say=lambda sentence, **fields: None)
+        sessions = DaemonSessions(log, Metrics())
+        sessions.register(link, "d")
+        exchange(sessions, state, view, link)
+        assert view.table.configuration.digest == state.configuration.digest
+
+    run(test)
+
+
 def test_an_update_that_fails_does_not_count_as_applied():
     # Guards against: the newest index beside the content of the version before.
     def test(state, view, link, session):
@@ -343,7 +357,7 @@
         before = link.bytes
         other = Session("d", link, UpdateCache(), view.known())
         apply_changes(restored, 1)
-        other.catch_up(restored)
+        other.send_updates(restored)
         assert link.bytes - before < 200
         assert view.table.configuration.version == 2
         assert view.table.configuration.digest == restored.configuration.digest
