Don't count a view as confirmed while it lacks a refused update

**Cause:** found in reading the change: the leader's answer to a report confirms all that it has sent before. With a refused update among it, a daemon would say 404 for a route that the update adds. **Change:** an answer confirms nothing while an update of a refused part is still to come; callers get 503 as they do without word from the leader. **Measured:** tests/sidecar/test_view_model.py, the state of a refused part.

--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -327,7 +327,8 @@
         )
 
     def _apply_grant(self, grant, requested_s):
-        self.view.confirm(requested_s)
+        if not self._view_reports.is_waiting:
+            self.view.confirm(requested_s)
         self.view.drop_unlisted_targets(boot_s())
         self.state.apply_grant(grant, requested_s)
         self.inbound.wake_key_waiters()
--- a/tamarackhaven/sidecar/_view_reports.py
+++ b/tamarackhaven/sidecar/_view_reports.py
@@ -43,6 +43,11 @@
         self._due.append(part)
         return True
 
+    @property
+    def is_waiting(self):
+        """Whether the view lacks an update that the leader takes for applied."""
+        return bool(self._pending)
+
     def take(self, known):
         """Return what the next report contains; each version and part only once.
 
--- a/tests/sidecar/test_view_model.py
+++ b/tests/sidecar/test_view_model.py
@@ -263,11 +263,13 @@
     # Guards against: the leader sends the same again for each of them.
     parts = ViewReports()
     assert parts.record("configuration", UpdateOutcome.REFUSED)
+    assert parts.is_waiting
     assert not parts.record("configuration", UpdateOutcome.REFUSED)
     assert parts.take(()) == ((), ("configuration",))
     assert parts.take(()) == ((), ())
     assert not parts.record("configuration", UpdateOutcome.REFUSED)
     parts.record("configuration", UpdateOutcome.APPLIED)
+    assert not parts.is_waiting
     assert parts.record("configuration", UpdateOutcome.REFUSED)
 
 
