--- a/tamarackhaven/sidecar/_known_targets.py
+++ b/tamarackhaven/sidecar/_known_targets.py
@@ -20,6 +20,7 @@
     def __init__(self):
         self.by_life = {}
         self._by_service = {}
+        self._life_by_address = {}
         self._term = 0
         self._unlisted_since_s_by_life = {}
 
@@ -62,17 +63,25 @@
         return self._by_service.get(service, ())
 
     def _add(self, target):
-        for other in list(self.by_life.values()):
-            # A VM runs one target at a time.
-            if _has_replaced(target, other):
-                self._remove(other.life)
+        # A VM runs one target at a time.
+        address = target.host, target.port
+        former = self.by_life.get(self._life_by_address.get(address))
+        if former is not None and former.born_ms > target.born_ms:
+            return
+        if former is not None and former.born_ms < target.born_ms:
+            self._remove(former.life)
+        self._life_by_address[address] = target.life
         # A new leader may not know yet that a target leaves.
         known = self.by_life.get(target.life)
         self.by_life[target.life] = target.with_known_leaving(known)
         self._unlisted_since_s_by_life.pop(target.life, None)
 
     def _remove(self, life):
-        self.by_life.pop(life, None)
+        target = self.by_life.pop(life, None)
+        if target is not None:
+            address = target.host, target.port
+            if self._life_by_address.get(address) == life:
+                del self._life_by_address[address]
         self._unlisted_since_s_by_life.pop(life, None)
 
     def _note_unlisted(self, listed_lives, now):
@@ -83,9 +92,3 @@
         self._by_service = {}
         for target in self.by_life.values():
             self._by_service.setdefault(target.service, []).append(target)
-
-
-def _has_replaced(target, other):
-    """Whether a target was started later than ``other`` on the same VM."""
-    is_same_vm = (target.host, target.port) == (other.host, other.port)
-    return is_same_vm and target.born_ms > other.born_ms
--- a/tests/sidecar/test_view_targets.py
+++ b/tests/sidecar/test_view_targets.py
@@ -90,6 +90,14 @@
     assert [each.life for each in view.available_targets("s")] == [later.life]
 
 
+def test_a_late_word_of_a_replaced_target_does_not_bring_it_back(clock):
+    view = View()
+    later = target("a", born_ms=2, host="ha")
+    lead(view, 1, later)
+    view.apply_update(TargetsView(1, (A,)))
+    assert [each.life for each in view.available_targets("s")] == [later.life]
+
+
 def test_targets_of_a_deposed_leader_are_ignored(clock):
     # Guards against: a target that is gone comes back with a late message.
     view = View()
