--- a/tamarackhaven/sidecar/_control_link.py
+++ b/tamarackhaven/sidecar/_control_link.py
@@ -182,14 +182,27 @@
             return None
         self._known_addresses.add(hint.control)
         session.term = hint.term
-        # A leader that is cut off from its group doesn't know that it's deposed. A
-        # daemon that took it would get old news from it until its first report times
-        # out.
-        if hint.is_leader and hint.term >= self._confirmed_term:
+        if hint.is_leader and not self._is_deposed(session):
             return session
         link.abort()
         return None
 
+    def _is_deposed(self, session):
+        """Whether a control VM that says that it leads has been replaced since.
+
+        A leader that is cut off from its group doesn't know it yet. A daemon that took
+        it would get old news from it until its first report times out.
+        """
+        if session.term >= self._confirmed_term:
+            return False
+        self._log.say(
+            "deposed leader passed over",
+            host=session.host,
+            term=session.term,
+            confirmed_term=self._confirmed_term,
+        )
+        return True
+
     # Session.
 
     async def _run_session(self, session):
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -5,12 +5,7 @@
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven.fleet import split
-from tamarackhaven.fleet._messages import (
-    DaemonHello,
-    KeysView,
-    Report,
-    TargetsView,
-)
+from tamarackhaven.fleet._messages import DaemonHello, KeysView, Report
 from tamarackhaven.net import HttpResponse, HttpServer, LinkServer, listen
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._control_link import ControlLink
@@ -22,7 +17,7 @@
 from tamarackhaven.sidecar._target_client import TargetClient
 from tamarackhaven.sidecar._target_state import TargetState
 from tamarackhaven.sidecar._view import View
-from tamarackhaven.sidecar._view_reports import UpdateOutcome, ViewReports
+from tamarackhaven.sidecar._view_updates import ViewUpdates
 
 # The platform checks readiness once a second, and callers stop using
 # the daemon after two failed checks. Requests that arrive until then are still served.
@@ -61,7 +56,6 @@
         host, port = split(settings.links)
         self._address = host, port
         self.view = View()
-        self._view_reports = ViewReports()
         self.state = TargetState(settings, host, port)
         client = TargetClient(*split(settings.target))
         self.inbound = Inbound(
@@ -115,7 +109,10 @@
             self._seeds,
             log.part("control"),
         )
-        self._control.on_session_begun = self._view_reports.begin_session
+        self._view_updates = ViewUpdates(
+            self.view, self._control.report_now, log, metrics
+        )
+        self._control.on_session_begun = self._view_updates.begin_session
         self._tasks = []
         self._is_leaving = False
         self.inbound.exchange.on_ended = self._control.report_now
@@ -237,7 +234,7 @@
         now = boot_s()
         load = self.inbound.load()
         key_load, key_rest = self.inbound.key_load(now)
-        known, refused_parts = self._view_reports.take(self.view.known())
+        known, refused_parts = self._view_updates.take_report()
         load_per_slot = (load.running + load.waiting) / max(load.slots, 1)
         return Report(
             number=number,
@@ -260,9 +257,7 @@
     def _apply_view_message(self, message):
         table_before = self.view.table
         zones_out_before = self.view.zones_out
-        outcome = self.view.apply_update(message)
-        self._record_outcome(message, outcome)
-        if outcome is not UpdateOutcome.APPLIED:
+        if not self._view_updates.apply(message):
             return
         if self.view.table is not table_before:
             self._on_configuration()
@@ -273,21 +268,6 @@
             self.log.say("zones out changed", zones=sorted(self.view.zones_out))
         self.inbound.apply_target_state()
 
-    def _record_outcome(self, message, outcome):
-        """Log a refused update, and report it to the leader without delay."""
-        if isinstance(message, TargetsView):
-            return
-        if outcome is UpdateOutcome.REFUSED:
-            self.metrics.count("tamarackhaven_updates_refused_total")
-            self.log.say(
-                "update refused",
-                state_part=message.part,
-                base=message.base,
-                index=message.index,
-            )
-        if self._view_reports.record(message.part, outcome):
-            self._control.report_now()
-
     def _apply_known_leaving(self):
         """Mark the target as leaving if a former process of this daemon reported it.
 
@@ -327,9 +307,7 @@
         )
 
     def _apply_grant(self, grant, requested_s):
-        if not self._view_reports.is_waiting:
-            self.view.confirm(requested_s)
-        self.view.drop_unlisted_targets(boot_s())
+        self._view_updates.confirm(requested_s)
         self.state.apply_grant(grant, requested_s)
         self.inbound.wake_key_waiters()
         self._key_calls.start_due_calls()
--- a/tamarackhaven/sidecar/_known_targets.py
+++ b/tamarackhaven/sidecar/_known_targets.py
@@ -42,7 +42,7 @@
         return True
 
     def drop_unlisted(self, now):
-        """Remove targets that no leader has listed for too long; return whether any.
+        """Remove targets that no leader has listed for too long; return their lives.
 
         A target that runs is listed again after a report of its daemon. ``now`` is in
         seconds of the boot clock.
@@ -56,7 +56,7 @@
             self._remove(life)
         if dropped:
             self._index()
-        return bool(dropped)
+        return dropped
 
     def of_service(self, service):
         """Return the targets of a service."""
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -192,12 +192,16 @@
         return self._notify_changed()
 
     def drop_unlisted_targets(self, now):
-        """Remove targets that leaders haven't known for too long.
+        """Remove targets that leaders haven't known for too long; return their lives.
 
         Without a leader nothing is removed. ``now`` is in seconds of the boot clock.
         """
-        if self.is_confirmed(now) and self._targets.drop_unlisted(now):
+        if not self.is_confirmed(now):
+            return []
+        dropped_lives = self._targets.drop_unlisted(now)
+        if dropped_lives:
             self._notify_changed()
+        return dropped_lives
 
     def _check_base(self, message):
         """Return why a difference can't be applied, None if it can."""
--- /dev/null
+++ b/tamarackhaven/sidecar/_view_updates.py
@@ -0,0 +1,67 @@
+"""Applies the leader's updates to a daemon's view, and logs what came of them."""
+
+from tamarackhaven._clock import boot_s
+from tamarackhaven.fleet._messages import TargetsView
+from tamarackhaven.sidecar._view_reports import UpdateOutcome, ViewReports
+
+
+class ViewUpdates:
+    """Updates of a view, and what the next report says of them.
+
+    Parameters
+    ----------
+    view : View
+        Is changed by updates only.
+    report_now : callable
+        Sends a report without waiting for the interval.
+    log : Log
+        Log of the daemon.
+    metrics : Metrics
+        Metrics of the process.
+    """
+
+    def __init__(self, view, report_now, log, metrics):
+        self._view = view
+        self._report_now = report_now
+        self._log = log
+        self._metrics = metrics
+        self._reports = ViewReports()
+
+    def begin_session(self):
+        """Begin a session, whose first report says what the view has then."""
+        self._reports.begin_session()
+
+    def take_report(self):
+        """Return versions and refused parts for the next report."""
+        return self._reports.take(self._view.known())
+
+    def apply(self, message):
+        """Apply a message about the view; return whether the view has changed."""
+        outcome = self._view.apply_update(message)
+        if isinstance(message, TargetsView):
+            return outcome is UpdateOutcome.APPLIED
+        if outcome is UpdateOutcome.REFUSED:
+            self._metrics.count("tamarackhaven_updates_refused_total")
+            self._log.say(
+                "update refused",
+                state_part=message.part,
+                base=message.base,
+                index=message.index,
+            )
+        if self._reports.record(message.part, outcome):
+            self._report_now()
+        return outcome is UpdateOutcome.APPLIED
+
+    def confirm(self, requested_s):
+        """Apply the leader's answer to a report that was sent at ``requested_s``.
+
+        It confirms all that the leader has sent before. If the view lacks a refused
+        update, an unknown route may be in that update, and callers must not be told
+        that it doesn't exist.
+        """
+        if not self._reports.is_waiting:
+            self._view.confirm(requested_s)
+        lives = self._view.drop_unlisted_targets(boot_s())
+        if lives:
+            self._metrics.count("tamarackhaven_targets_dropped_total", len(lives))
+            self._log.say("targets dropped", lives=sorted(lives))
--- a/tests/fleet/test_sessions.py
+++ b/tests/fleet/test_sessions.py
@@ -305,7 +305,8 @@
         log = types.SimpleNamespace(
             say=lambda sentence, **fields: logged.append(sentence)
         )
-        sessions = DaemonSessions(log, Metrics())
+        metrics = Metrics()
+        sessions = DaemonSessions(log, metrics)
         sessions.register(link, "d")
         exchange(sessions, state, view, link)
         wrong = attrs.evolve(state.configuration, routes=())
@@ -313,6 +314,7 @@
         assert not view.table.configuration.routes
         exchange(sessions, state, view, link)
         assert logged[-1] == "daemon differs"
+        assert metrics.counter("tamarackhaven_fleet_daemons_differing_total") == 1
         assert view.table.configuration.digest == state.configuration.digest
         before = link.bytes
         exchange(sessions, state, view, link)
@@ -323,6 +325,27 @@
     run(test)
 
 
+def test_a_refused_part_is_sent_again_from_what_the_daemon_has():
+    # Guards against: a daemon that refused an update never gets it.
+    def test(state, view, link, session):
+        log = types.SimpleNamespace(say=lambda sentence, **fields: None)
+        metrics = Metrics()
+        sessions = DaemonSessions(log, metrics)
+        known = view.known()
+        apply_changes(state, 2)
+        sessions.register(link, "d")
+        # The leader takes version 2 for sent.
+        report = Report(1, known=tuple(state.versions().values()))
+        sessions.record_report(link, report, state, lambda: TargetsView(1, ()))
+        assert view.table.configuration.version == 1
+        report = Report(2, known=known, refused_parts=("configuration",))
+        sessions.record_report(link, report, state, lambda: TargetsView(1, ()))
+        assert view.table.configuration.digest == state.configuration.digest
+        assert metrics.counter("tamarackhaven_fleet_updates_refused_total") == 1
+
+    run(test)
+
+
 def test_a_configuration_that_differs_is_replaced_when_the_session_begins():
     # Guards against: a daemon keeps it since it reports each version once a session.
     def test(state, view, link, session):
