--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -34,6 +34,9 @@
 SESSION_RUN_INTERVAL = 3
 STALL_CHECK_INTERVAL_S = 0.05
 CANCEL_RETRY_INTERVAL_S = 1.0
+# During an election each control VM answers 503.
+READ_TIMEOUT_S = 3.0
+READ_INTERVAL_S = 0.2
 # Loopback networks of runs; other tests use lower ones. Each soak process picks a block
 # of networks by its process id, so that concurrent soaks rarely collide.
 FIRST_NET = 100
@@ -150,11 +153,16 @@
 
 
 async def _check_config_readable(fleet, operator):
-    versions = [await operator.read(host) for host in fleet.control_hosts]
-    if not any(versions):
-        fleet.records.report_violation(
-            "never reverts", "no control VM returned the configuration"
-        )
+    """Check that a control VM returns the configuration within ``READ_TIMEOUT_S``."""
+    deadline_s = time.monotonic() + READ_TIMEOUT_S
+    while time.monotonic() < deadline_s:
+        versions = [await operator.read(host) for host in fleet.control_hosts]
+        if any(versions):
+            return
+        await asyncio.sleep(READ_INTERVAL_S)
+    fleet.records.report_violation(
+        "never reverts", "no control VM returned the configuration"
+    )
 
 
 def play(seed, seconds, net, folder=None, vms=DEFAULT_VMS):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from soak import __main__ as soak_main
 from soak.__main__ import end, is_in_use, is_session_run, main
 from soak._faults import draw_faults
 from soak._proxy import Direction, Proxy
@@ -125,6 +126,23 @@
     assert any("never reverts" in each for each in records.violations)
 
 
+@pytest.mark.parametrize(("refusals", "is_broken"), [(1, False), (1000, True)])
+def test_configuration_that_does_not_come_back_is_detected(
+    monkeypatch, refusals, is_broken
+):
+    # One election must not count, as each control VM answers 503 meanwhile.
+    monkeypatch.setattr(soak_main, "READ_TIMEOUT_S", 0.5)
+    answers = iter([None] * refusals + [7])
+
+    async def read(_host):
+        return next(answers)
+
+    fleet = types.SimpleNamespace(control_hosts=["c"], records=Records())
+    operator = types.SimpleNamespace(read=read)
+    asyncio.run(soak_main._check_config_readable(fleet, operator))
+    assert bool(fleet.records.violations) is is_broken
+
+
 @pytest.mark.parametrize(
     ("late_s", "stall_s", "is_held"),
     [(0.9, 0.0, False), (1.1, 0.0, True), (3.5, 3.0, False), (4.1, 3.0, True)],
