--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,15 +15,14 @@
 import defopt
 
 from soak._busy import CHECK_INTERVAL_S, BusyWatch
-from soak._faults import (
+from soak._draws import (
     draw_control_faults,
     draw_faults,
     draw_link_faults,
     draw_notice_faults,
     draw_session_faults,
-    inject,
-    lose_power,
 )
+from soak._faults import inject, lose_power
 from soak._fleet import DEFAULT_VMS, SoakFleet
 from soak._load import STORM_FRACTION, Caller, Operator, describe
 from standin.fleet import PORTS
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,7 @@
 
 from soak import __main__ as soak_main
 from soak.__main__ import end, is_in_use, is_session_run, main
-from soak._faults import draw_faults
+from soak._draws import draw_faults
 from soak._proxy import Direction, Proxy
 from soak._records import CallerRequest, Records
 from standin.fleet import PORTS, Process
