--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -352,6 +352,9 @@
     async def start(self):
         """Start all processes, configure them and wait until every target serves.
 
+        The first target to report gets all keys if another one's daemon starts more
+        than a second later; that one gets its share some seconds after its report.
+
         Raises
         ------
         AssertionError
@@ -364,6 +367,7 @@
         try:
             await self.order("/api/config/replace", CONFIGURATION, "r0")
             await self.until(self._serves, 20.0)
+            await self.until(self._all_own_keys, 20.0)
         except AssertionError as error:
             descriptions = "\n".join(
                 each.describe() for each in (*self.controls, *self.daemons)
@@ -383,6 +387,12 @@
         answers += [await self.ask("/shared/", None, n) for n in range(2)]
         return all(answer.status == 200 for answer in answers)
 
+    async def _all_own_keys(self):
+        """Whether each target of the sharded service holds keys."""
+        return all(
+            each.held_by_range for each in self.targets if each.service == "owned"
+        )
+
     async def until(self, condition, timeout_s=10.0):
         """Wait until an async condition holds.
 
