Tell which requests a target had when it ended, and which attempts are equal

**Cause:** logs and metrics could not tell the hypotheses of the incident apart: whether two attempts are the same request, which requests were at a target when it ended, that it ended at all before its port had refused three connections, and a service's repeats by cause.

**Change:** each request has a digest of what it asks for (method, host, path with query, key, body), in the lines about sends, losses and refusals and in the message between daemons. A connection that breaks without an answer is followed by one probe of the target's port; `gate: target ended` names the life, how its end is known, and the requests that it had not answered. `tamarackhaven ends` counts these by digest. Retries are counted by service, too. Nothing decides by any of it yet.

--- a/tamarackhaven/__main__.py
+++ b/tamarackhaven/__main__.py
@@ -17,6 +17,7 @@
     porcelain.explain,
     porcelain.trace,
     porcelain.losses,
+    porcelain.ends,
     porcelain.status,
     porcelain.member_add,
     porcelain.member_promote,
--- a/tamarackhaven/porcelain.py
+++ b/tamarackhaven/porcelain.py
@@ -7,7 +7,7 @@
 import threading
 from typing import Literal
 
-from tamarackhaven import _codec, _losses, _trace, plumbing
+from tamarackhaven import _codec, _ends, _losses, _trace, plumbing
 from tamarackhaven._members import Member, Step
 from tamarackhaven._model import ShardGrant, TargetMember
 from tamarackhaven._settings import ControlSettings, DaemonSettings, OperatorSettings
@@ -248,6 +248,18 @@
         _print_record(loss, output, loss.text)
 
 
+def ends(*logs: str, least: int = 2, output: Output = "text"):
+    """Print the requests under which targets have ended, from a fleet's logs.
+
+    :param logs: Log files of all daemons; - for standard input.
+    :param least: Leave out requests with fewer ends.
+    :param output: text or json.
+    """
+    for found in _ends.ends(_trace.read_lines(plumbing.read_log_lines(logs))):
+        if found.ends >= least:
+            _print_record(found, output, found.text)
+
+
 def status(*, settings: str, output: Output = "text"):
     """Print the status of the control group as reported by each control VM.
 
--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -97,33 +97,30 @@
 
     async def handle(self, request):
         """Return the ``HttpResponse`` to an ``HttpRequest``."""
-        attempt_id = ""
-        service = ""
-        route = ""
+        pending = None
         try:
             pending = await self._parse(request)
-            attempt_id = pending.request.attempt_id
-            service = pending.spec.name
-            route = pending.route.name
             answer = await self._serve(pending)
         except TamarackhavenError as error:
-            self._record_refusal(request, attempt_id, service, route, error)
+            self._record_refusal(request, pending, error)
             return self._dialect.refusal(error)
         self._metrics.count("tamarackhaven_answers_total", status=answer.status)
         self._metrics.observe(
-            boot_s() - request.arrived_s, service=service, part="whole"
+            boot_s() - request.arrived_s, service=pending.spec.name, part="whole"
         )
         return HttpResponse(answer.status, answer.headers, answer.body)
 
-    def _record_refusal(self, request, attempt_id, service, route, error):
+    def _record_refusal(self, request, pending, error):
+        """Count and log a refusal; ``pending`` is None if no route was chosen."""
         self._metrics.count("tamarackhaven_refusals_total", kind=error.kind.name)
         self._log.say(
             "refused",
-            request_id=attempt_id,
+            request_id=pending.request.attempt_id if pending else "",
+            request=pending.request.digest.hex() if pending else "",
             kind=error.kind.name,
             detail=error.detail,
-            service=service,
-            route=route,
+            service=pending.spec.name if pending else "",
+            route=pending.route.name if pending else "",
             retry_after_s=round(error.retry_after_s, 3),
             after_s=round(boot_s() - request.arrived_s, 3),
             state_index=self._view.state_index,
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -318,6 +318,8 @@
         """Apply a heartbeat of the target; return its ``HeartbeatReply``."""
         before = self.state.target(boot_s())
         reply = self.state.apply_heartbeat(beat, boot_s())
+        if before is not None and before.life != self.state.life:
+            self.inbound.ends.life_ended(before.life, "next life")
         self._apply_known_leaving()
         after = self.state.target(boot_s())
         self._key_calls.open_connections()
--- a/tamarackhaven/sidecar/_dialect.py
+++ b/tamarackhaven/sidecar/_dialect.py
@@ -6,9 +6,12 @@
 
 import abc
 import enum
+import functools
 
 import attrs
 
+from tamarackhaven.sidecar._request_digest import request_digest
+
 
 @attrs.frozen
 class CallerRequest:
@@ -39,6 +42,11 @@
     headers: tuple
     body: bytes
 
+    @functools.cached_property
+    def digest(self):
+        """What it asks for, as bytes that are equal for equal requests."""
+        return request_digest(self)
+
 
 class Verdict(enum.Enum):
     """Meaning of a target's reply to a request."""
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -14,6 +14,7 @@
 from tamarackhaven.sidecar._messages import Answered, GateLoad
 from tamarackhaven.sidecar._pulse import ChangeSignal
 from tamarackhaven.sidecar._results import Results
+from tamarackhaven.sidecar._target_ends import TargetEnds
 from tamarackhaven.sidecar._target_exchange import TargetExchange
 from tamarackhaven.sidecar._target_notices import TargetNotices
 
@@ -61,6 +62,7 @@
         self.intake = BodyReceiver(self._gate, metrics)
         self._results = Results(self.load, self._log_context, log, metrics)
         self.notices = TargetNotices(state, dialect, log, metrics)
+        self.ends = TargetEnds(client, log, metrics)
         self.exchange = TargetExchange(
             state,
             dialect,
@@ -68,7 +70,7 @@
             self.load,
             self._results,
             self.notices,
-            log,
+            self.ends,
             metrics,
         )
         self._future_by_number = {}
--- a/tamarackhaven/sidecar/_messages.py
+++ b/tamarackhaven/sidecar/_messages.py
@@ -53,6 +53,8 @@
     limit_per_s : float or None
         Requests per second that the target accepts, as the sender last read it in an
         answer; None without a limit.
+    digest : bytes
+        Of what the caller asks for, see ``request_digest``.
     """
 
     number: int
@@ -73,6 +75,7 @@
     waits: bool = True
     body_bytes: int = 0
     limit_per_s: float | None = None
+    digest: bytes = b""
 
 
 @attrs.frozen
--- a/tamarackhaven/sidecar/_results.py
+++ b/tamarackhaven/sidecar/_results.py
@@ -64,6 +64,7 @@
         self._log.say(
             "may have run",
             request_id=forward.attempt_id,
+            request=forward.digest.hex(),
             kind=kind.name,
             route=forward.route,
             after_s=round(boot_s() - started_s, 3),
--- a/tamarackhaven/sidecar/_retries.py
+++ b/tamarackhaven/sidecar/_retries.py
@@ -60,10 +60,12 @@
             if is_allowed
             else "tamarackhaven_retries_refused_total",
             reason=reason,
+            service=pending.spec.name,
         )
         self._log.say(
             "sent again" if is_allowed else "not sent again: budget",
             request_id=pending.request.attempt_id,
+            request=pending.request.digest.hex(),
             reason=reason,
             sends=pending.sends,
         )
--- a/tamarackhaven/sidecar/_sender.py
+++ b/tamarackhaven/sidecar/_sender.py
@@ -144,6 +144,7 @@
             objective_ms=(pending.objective_s - now) * 1000,
             waits=waits,
             limit_per_s=self._notices.known_limit_per_s(target.life, now),
+            digest=request.digest,
         )
 
     def _record_result(self, pending, target, result):
@@ -177,6 +178,7 @@
         self._log.say(
             "ended",
             request_id=pending.request.attempt_id,
+            request=pending.request.digest.hex(),
             route=pending.route.name,
             life=target.life,
             end=type(result).__name__,
--- a/tamarackhaven/sidecar/_target_client.py
+++ b/tamarackhaven/sidecar/_target_client.py
@@ -1,5 +1,6 @@
 """Sends requests to the target over persistent connections."""
 
+import asyncio
 import enum
 
 import attrs
@@ -21,6 +22,10 @@
 IDLE_MARGIN_FRACTION = 0.25
 # Idle timeout assumed if the target doesn't name one.
 DEFAULT_IDLE_TIMEOUT_S = 3.0
+# A probe is on the same VM; a target that ends takes its listening socket and its
+# connections away within this time of each other.
+PROBE_TIMEOUT_S = 0.1
+PROBE_SETTLE_S = 0.005
 # A target that crashes right after a heartbeat can't be running again within this time.
 MIN_RESTART_S = 0.1
 ANY_TIME = float("inf")
@@ -139,6 +144,22 @@
         self.opened_count += 1
         return await ClientConnection.open(self._host, self._port, OPEN_TIMEOUT_S)
 
+    async def is_listening(self):
+        """Whether the target accepts a connection now.
+
+        One that can't be reached in time counts as gone.
+        """
+        try:
+            connection = await ClientConnection.open(
+                self._host, self._port, PROBE_TIMEOUT_S
+            )
+        except OSError:
+            return False
+        # A listening socket that is being closed may accept one more connection.
+        await asyncio.sleep(PROBE_SETTLE_S)
+        self._return_to_idle(connection)
+        return connection.is_open
+
     async def keep(self, count):
         """Open idle connections until there are ``count`` in all, also those in use.
 
--- a/tamarackhaven/sidecar/_target_exchange.py
+++ b/tamarackhaven/sidecar/_target_exchange.py
@@ -1,6 +1,7 @@
 """Sends requests that the gate has started to the target, and reads its replies."""
 
 import asyncio
+import itertools
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven.errors import ErrorKind
@@ -34,8 +35,8 @@
         Builds the results of requests that got no answer.
     notices : TargetNotices
         Acts on what the target reports of itself.
-    log : Log
-        Log of the part ``gate``.
+    ends : TargetEnds
+        Finds out whether the target has ended.
     metrics : Metrics
         Metrics of the process.
 
@@ -45,15 +46,16 @@
         Called when the target has ended.
     """
 
-    def __init__(self, state, dialect, client, load, results, notices, log, metrics):
+    def __init__(self, state, dialect, client, load, results, notices, ends, metrics):
         self._state = state
         self._dialect = dialect
         self.client = client
         self._load = load
         self._results = results
         self._notices = notices
-        self._log = log
+        self._ends = ends
         self._metrics = metrics
+        self._numbers = itertools.count()
         self._refused_since_s = None
         self._connection_refusals = 0
         self.on_ended = lambda: None
@@ -75,6 +77,15 @@
             return self._results.not_run(forward, ErrorKind.DEADLINE_PAST)
         name = self._state.heartbeat.name if self._state.heartbeat else ""
         headers = self._dialect.target_headers(forward, name, left_s * 1000)
+        number = next(self._numbers)
+        self._ends.begin(number, forward)
+        try:
+            return await self._exchange(forward, body, headers, left_s, number)
+        finally:
+            # Anything but an answer: its caller has left, or its time is over.
+            self._ends.unanswered(number)
+
+    async def _exchange(self, forward, body, headers, left_s, number):
         started_s = boot_s()
         try:
             sent = await asyncio.wait_for(
@@ -90,6 +101,8 @@
         except TimeoutError:
             self._count_sent(forward)
             return self._results.lost(forward, ErrorKind.ANSWER_TIMEOUT, started_s)
+        if sent.end is not SendEnd.UNANSWERED:
+            self._ends.close(number)
         self._record_connection_refusal(sent)
         if sent.end is SendEnd.NOT_SENT:
             return self._results.not_run(
@@ -97,6 +110,7 @@
             )
         self._count_sent(forward)
         if sent.end is SendEnd.UNANSWERED:
+            await self._ends.has_ended(forward.life)
             return self._results.lost(
                 forward, ErrorKind.TARGET_SENT_NOTHING, started_s, sent.detail
             )
@@ -147,7 +161,7 @@
             and has_no_heartbeat
             and self._connection_refusals >= MIN_REFUSED_CONNECTIONS
         ):
-            self._log.say("target ended", life=self._state.life)
+            self._ends.life_ended(self._state.life, "refused connections")
             self._state.end()
             self._refused_since_s = None
             self.on_ended()
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -48,7 +48,9 @@
             "_named_limit",
             "_notice_memory",
             "_offers",
+            "_open_requests",
             "_rate_limit",
+            "_request_digest",
             "_target_state",
             "_view_reports",
         )
