--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -86,6 +86,16 @@
         writer.close()
 
 
+@attrs.frozen
+class Started:
+    """A request that a target starts to run; ``key`` is -1 without one."""
+
+    attempt: str
+    path: str
+    key: int
+    body: bytes
+
+
 class Target:
     """A target that sends heartbeats, holds the granted keys and records executions.
 
@@ -111,6 +121,9 @@
         self.limit_text = None
         self.is_announced = False
         self.on_start = lambda attempt: None
+        # Returns after how many seconds a request ends the target, None if it doesn't.
+        self.ends_under = lambda started: None
+        self.on_ended = lambda target: None
         self.ran = []
         self.begun = []
         self.held_by_range = {}
@@ -120,6 +133,7 @@
         self._released = []
         self._server = None
         self._heartbeats = None
+        self._end_task = None
         self._writers = set()
 
     async def start(self):
@@ -127,6 +141,13 @@
         self._server = await asyncio.start_server(self._serve, self.host, TARGET_PORT)
         self._heartbeats = asyncio.create_task(self._send_heartbeats_forever())
 
+    async def restart(self):
+        """Start again under the same name, as another life that holds nothing."""
+        self.born_ms = next(self._next_born_ms)
+        self._sequence = 0
+        self._released = []
+        await self.start()
+
     async def stop(self):
         """Simulate a crash: send no leave request and drop all holds."""
         self.held_by_range = {}
@@ -234,6 +255,19 @@
         self.begun.append(attempt)
         self.on_start(attempt)
 
+    def _end_later(self, seconds):
+        """Crash after ``seconds``, unless this life has ended by then."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, self._end_life, self.born_ms)
+
+    def _end_life(self, born_ms):
+        if born_ms == self.born_ms and self._server.is_serving():
+            self._end_task = asyncio.create_task(self._end())
+
+    async def _end(self):
+        await self.stop()
+        self.on_ended(self)
+
     async def _answer(self, line, headers, body):
         attempt = headers.get("tamarackhaven-attempt-id", "")
         key = int(headers.get("tamarackhaven-shard-key", -1))
@@ -244,6 +278,10 @@
                 b"Content-Length: 0\r\n\r\n"
             )
         self._record_start(attempt, key)
+        end_s = self.ends_under(Started(attempt, line.split()[1], key, body))
+        if end_s is not None:
+            self._end_later(end_s)
+            await asyncio.sleep(end_s)
         await asyncio.sleep(self.work_s)
         self.ran.append((attempt, key, time.monotonic()))
         text = f"{self.name} {line.split()[1]} ".encode() + body
@@ -406,7 +444,7 @@
             assert time.monotonic() < deadline_s, "condition not met in time"
             await asyncio.sleep(0.1)
 
-    async def ask(self, prefix, key, at, attempt=None):
+    async def ask(self, prefix, key, at, attempt=None, body=b"b"):
         """Send a caller's request to the daemon at index ``at``."""
         attempt = attempt or f"a{next(self._attempts)}"
         headers = [
@@ -417,7 +455,7 @@
         if key is not None:
             headers.append(("Tamarackhaven-Shard-Key", str(key)))
         host = self.target_hosts[at]
-        return await call(host, PORTS["callers"], "POST", f"{prefix}x", headers, b"b")
+        return await call(host, PORTS["callers"], "POST", f"{prefix}x", headers, body)
 
     async def order(self, path, document=None, base=None, timeout_s=20.0):
         """Send an operator's request to the control VMs in turn until one accepts it.
--- a/tests/fleet/real_fleet.py
+++ b/tests/fleet/real_fleet.py
@@ -5,11 +5,11 @@
 from standin.fleet import Fleet
 
 
-def run(test, fleet_settings):
-    """Start the fleet ``Fleet(*fleet_settings)`` and await ``test(fleet)``."""
+def run(test, fleet_settings, fleet_class=Fleet):
+    """Start ``fleet_class(*fleet_settings)`` and await ``test(fleet)``."""
 
     async def main():
-        fleet = Fleet(*fleet_settings)
+        fleet = fleet_class(*fleet_settings)
         try:
             await fleet.start()
             await test(fleet)
