Answer an attempt that may have run with its loss, not with a later refusal

**Cause:** the result of the last send decided the answer. A target ended under a request, the next ones did not listen or had no room, and the caller got 503: "it did not run".

**Change:** a pending request remembers its newest loss and its newest error answer of a target. If it ends with an error that says that it did not run, its caller gets the error answer, else the error of the loss.

**Measured:** `tests/sidecar/test_callers.py -k later_refusal`, four cases (shared and sharded, no room and unreachable): red before, pass. It holds for any order of results, as every result passes through the one place that remembers. Beside it a test that a target's error answer is still returned, which passed before, too.

--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -6,7 +6,7 @@
 import attrs
 
 from tamarackhaven._clock import boot_s
-from tamarackhaven.errors import ErrorKind, TamarackhavenError
+from tamarackhaven.errors import ErrorKind, Ran, TamarackhavenError
 from tamarackhaven.net import HttpResponse
 from tamarackhaven.routing import Splitter
 from tamarackhaven.sidecar._choice import Chooser
@@ -208,12 +208,15 @@
         Raises
         ------
         TamarackhavenError
-            The kind of the last refusal or loss.
+            The kind of the last refusal or loss; that of a loss if there was any.
         """
         self._retries.count_request(pending.spec.name)
-        if pending.spec.sharded:
-            return await self._serve_sharded(pending)
-        return await self._serve_shared(pending)
+        try:
+            if pending.spec.sharded:
+                return await self._serve_sharded(pending)
+            return await self._serve_shared(pending)
+        except TamarackhavenError as error:
+            return _failed_or_raise(pending, error)
 
     # Sharded services.
 
@@ -257,12 +260,11 @@
         """Run a request at one of the targets of a shared service."""
         offers = Offers(self._chooser, pending.route.name, len(pending.request.body))
         refusals = 0
-        failed = None
         result = None
         while True:
             send = await self._next_send(pending, offers)
             if send is None:
-                return _failed_or_raise(failed, result)
+                return _answer_or_raise(result)
             target = send.target
             result = await self._sender.send(pending, target, send.waits)
             if (
@@ -273,19 +275,17 @@
                 offers.busy(target, result.retry_after_s)
                 continue
             offers.close(target)
-            if isinstance(result, Answered):
-                if result.status < 500:
-                    return result
-                failed = result
+            if isinstance(result, Answered) and result.status < 500:
+                return result
             if not isinstance(result, NotRun) or result.was_offered:
                 if not self._retries.may_retry(pending, result):
-                    return _failed_or_raise(failed, result)
+                    return _answer_or_raise(result)
                 continue
             refusals += 1
             if result.kind in _NO_CAPACITY_KINDS:
                 self._chooser.pause(target.life, result.retry_after_s, boot_s())
             if refusals >= MAX_REFUSALS:
-                return _failed_or_raise(failed, result)
+                return _answer_or_raise(result)
 
     async def _next_send(self, pending, offers):
         """Return the next ``Send`` of a request, None if no target is left.
@@ -349,11 +349,24 @@
     )
 
 
-def _failed_or_raise(failed, result):
-    """Return the target's error answer to an earlier attempt, else raise an error."""
-    if failed is None:
-        raise _error_for(result)
-    return failed
+def _answer_or_raise(result):
+    """Return the result if it's an ``Answered``, else raise the error for it."""
+    if isinstance(result, Answered):
+        return result
+    raise _error_for(result)
+
+
+def _failed_or_raise(pending, error):
+    """Return a target's error answer to an earlier send, else raise an error.
+
+    A refusal of the last send says only that this send did not run. The caller of a
+    request that may have run before must not be told that it did not.
+    """
+    if pending.failed is not None:
+        return pending.failed
+    if pending.lost is not None and error.answer.ran is Ran.NO:
+        raise _error_for(pending.lost) from error
+    raise error
 
 
 def _kind_for_caller(kind):
--- a/tamarackhaven/sidecar/_sender.py
+++ b/tamarackhaven/sidecar/_sender.py
@@ -8,7 +8,7 @@
 from tamarackhaven.errors import ErrorKind
 from tamarackhaven.routing import RequestKind
 from tamarackhaven.sidecar._choice import has_failed
-from tamarackhaven.sidecar._messages import Answered, Forward, GateLoad, NotRun
+from tamarackhaven.sidecar._messages import Answered, Forward, GateLoad, Lost, NotRun
 
 # Retry time of a request whose time has run out before it was sent.
 EXPIRED_RETRY_S = 0.5
@@ -35,6 +35,10 @@
         The configuration by which route and service were chosen.
     sends : int
         How many times a target has received it.
+    failed : Answered or None
+        The newest answer of a target that ran it and failed.
+    lost : Lost or None
+        The newest result after which it's unknown whether it ran.
     unsent_bytes : int
         Bytes queued on this daemon's links when it was last sent to a peer.
     """
@@ -47,6 +51,8 @@
     objective_s: float
     stamp: object
     sends: int = 0
+    failed: object = None
+    lost: object = None
     unsent_bytes: int = 0
 
     @property
@@ -164,6 +170,10 @@
             or result.was_offered
         ):
             pending.sends += 1
+        if isinstance(result, Lost):
+            pending.lost = result
+        elif isinstance(result, Answered) and result.status >= 500:
+            pending.failed = result
         # A result that this daemon created itself, for example after a broken link,
         # doesn't include the target's load.
         load = result.load if result.load != GateLoad() else None
--- a/tests/sidecar/test_callers.py
+++ b/tests/sidecar/test_callers.py
@@ -9,8 +9,9 @@
 from tamarackhaven._metrics import Metrics
 from tamarackhaven.errors import ErrorKind
 from tamarackhaven.fleet import DaemonSettings
-from tamarackhaven.fleet._messages import ConfigurationView, TargetsView
-from tamarackhaven.fleet._model import Target
+from tamarackhaven.fleet._messages import ConfigurationView, KeysView, TargetsView
+from tamarackhaven.fleet._model import KeyRange, Target
+from tamarackhaven.fleet._settings import BudgetSettings
 from tamarackhaven.net import HttpRequest, HttpResponse
 from tamarackhaven.routing import (
     Configuration,
@@ -21,7 +22,7 @@
 )
 from tamarackhaven.sidecar import CallerRequest, TargetNotice
 from tamarackhaven.sidecar._callers import Callers
-from tamarackhaven.sidecar._messages import Answered
+from tamarackhaven.sidecar._messages import Answered, Lost, NotRun
 from tamarackhaven.sidecar._view import CONFIRMATION_TTL_S, View
 
 ADDRESS = "10.0.0.1:80"
@@ -51,12 +52,14 @@
 class Dialect:
     """Fake that reads a request without headers, with a set deadline."""
 
+    key = None
+
     def __init__(self, deadline_ms):
         self.deadline_ms = deadline_ms
 
     def read_request(self, request):
         return CallerRequest(
-            "a", self.deadline_ms, None, "h", "GET", request.target, (), b""
+            "a", self.deadline_ms, self.key, "h", "GET", request.target, (), b""
         )
 
     def read_notice(self, headers):
@@ -82,6 +85,12 @@
     def is_leaving(self, address):
         return False
 
+    def is_restarting(self, address):
+        return False
+
+    async def query_wait(self, address, query):
+        return None
+
 
 def send_request(view, deadline_ms, *events):
     """Return the response to a request, and how long it took in seconds.
@@ -206,3 +215,95 @@
     lives = asyncio.run(main())
     assert lives.count(LIFE) == 1
     assert len(lives) == 20
+
+
+class ScriptedRuns:
+    """Ends the sends of a request one after the other as told, then as the last."""
+
+    def __init__(self, *results):
+        self._results = list(results)
+
+    async def run(self, key, forward):
+        result = self._results[0]
+        if len(self._results) > 1:
+            del self._results[0]
+        return attrs.evolve(result, number=forward.number)
+
+
+def send_scripted(view, key, *results):
+    """Return the response to a request whose sends end with ``results``."""
+
+    async def main():
+        runs = ScriptedRuns(*results)
+        dialect = Dialect(2000.0)
+        dialect.key = key
+        settings = attrs.evolve(SETTINGS, budget=BudgetSettings(slack=100))
+        peers = RecordingPeers(runs)
+        callers = Callers(
+            settings, view, State(), dialect, runs, peers, Log(), Metrics()
+        )
+        callers._retries._started_s -= settings.budget.window_s
+        return await callers.handle(HttpRequest("GET", "/x", (), b"", boot_s()))
+
+    return asyncio.run(main())
+
+
+LOST = Lost(0, ErrorKind.TARGET_SENT_NOTHING.name)
+UNREACHABLE = NotRun(0, ErrorKind.TARGET_UNREACHABLE.name)
+FULL = NotRun(0, ErrorKind.QUEUE_FULL.name, 0.1)
+
+
+def sharded_view():
+    view = View()
+    apply_view(view)
+    spec = ServiceSpec("s", sharded=True)
+    route = attrs.evolve(CONFIGURATION.routes[0], max_attempts=3)
+    view.apply_update(ConfigurationView(2, Configuration(2, (spec,), (route,))))
+    view.apply_update(KeysView(3, "s", (KeyRange(0, 65535, 1, LIFE),)))
+    return view
+
+
+def shared_view():
+    view = View()
+    apply_view(view)
+    route = attrs.evolve(CONFIGURATION.routes[0], max_attempts=3)
+    view.apply_update(
+        ConfigurationView(2, Configuration(2, CONFIGURATION.services, (route,)))
+    )
+    others = tuple(
+        Target(f"j@{n}@g:{n}", "j", n, "s", "b", "g", n, 4) for n in range(2, 5)
+    )
+    view.apply_update(TargetsView(1, others))
+    return view
+
+
+@pytest.mark.parametrize(
+    ("make_view", "key", "refusal"),
+    [
+        (shared_view, None, UNREACHABLE),
+        (shared_view, None, FULL),
+        (sharded_view, 7, FULL),
+        (sharded_view, 7, UNREACHABLE),
+    ],
+)
+def test_an_attempt_that_may_have_run_is_not_answered_with_a_later_refusal(
+    make_view, key, refusal
+):
+    # Guards against: a target ends under a request, no other one takes it, and the
+    # caller is told that the request did not run.
+    response = send_scripted(make_view(), key, LOST, refusal)
+    assert response.headers == ((b"Kind", ErrorKind.TARGET_SENT_NOTHING.name.encode()),)
+
+
+def test_a_targets_error_answer_is_returned_also_if_no_target_is_left():
+    # Guards against: a target answers with an error, the next try finds no target, and
+    # the caller is told that the request did not run.
+    view = View()
+    apply_view(view)
+    route = attrs.evolve(CONFIGURATION.routes[0], max_attempts=3)
+    view.apply_update(
+        ConfigurationView(2, Configuration(2, CONFIGURATION.services, (route,)))
+    )
+    failed = Answered(0, 500, (), b"failed")
+    assert send_scripted(view, None, failed).status == 500
+    assert send_scripted(shared_view(), None, failed, LOST, UNREACHABLE).status == 500
