--- a/tamarackhaven/_ends.py
+++ b/tamarackhaven/_ends.py
@@ -63,7 +63,7 @@
             for attempt_id, digest in line.fields.get("requests", ()):
                 lives_by_digest[digest].add(line.fields.get("life"))
                 attempt_id_by_digest[digest] = attempt_id
-        elif line.sentence == "caller: ended":
+        elif line.sentence in ("caller: ended", "caller: refused"):
             lines_by_digest[line.fields.get("request", "")].append(line)
     found = [
         _count(digest, len(lives), lines_by_digest[digest], attempt_id_by_digest)
--- a/tamarackhaven/errors.py
+++ b/tamarackhaven/errors.py
@@ -70,6 +70,8 @@
     ANSWER_MISMATCH = "TH407"
     CANCELLED = "TH408"
     ADDRESS_MISMATCH = "TH409"
+    REQUEST_SUSPECT = "TH410"
+    REQUEST_QUARANTINED = "TH411"
     # Bookings.
     BOOKING_IN_PROGRESS = "TH501"
     BOOKING_UNKNOWN = "TH502"
@@ -230,6 +232,16 @@
         _NEVER,
         "The target announced another address than the daemon's settings name.",
     ),
+    _K.REQUEST_SUSPECT: Answer(
+        503,
+        43,
+        _NO,
+        _LATER,
+        "A target ended under this request; it may run at one target at a time.",
+    ),
+    _K.REQUEST_QUARANTINED: Answer(
+        503, 43, _NO, _LATER, "Several targets have ended under this request."
+    ),
     _K.BOOKING_IN_PROGRESS: Answer(
         409, 50, _UNKNOWN, _SAME, "The first try of this booking is still running."
     ),
--- a/tamarackhaven/fleet/__init__.py
+++ b/tamarackhaven/fleet/__init__.py
@@ -17,6 +17,7 @@
     ReplaceConfiguration,
     SetZoneOut,
 )
+from tamarackhaven.fleet._suspects import UpdateSuspects
 
 __all__ = [
     "DaemonSettings",
@@ -30,5 +31,6 @@
     "ReplaceConfiguration",
     "SetZoneOut",
     "TargetPhase",
+    "UpdateSuspects",
     "split",
 ]
--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -8,7 +8,6 @@
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven._consensus import Consensus
-from tamarackhaven._digests import digest_text
 from tamarackhaven._members import Membership
 from tamarackhaven._raft import Role
 from tamarackhaven._settings import RaftSettings
@@ -32,6 +31,8 @@
 from tamarackhaven.fleet._report_answers import ReportAnswers
 from tamarackhaven.fleet._settings import split
 from tamarackhaven.fleet._state import encode
+from tamarackhaven.fleet._state_log import StateLog
+from tamarackhaven.fleet._suspects import UpdateSuspects
 from tamarackhaven.net import LinkServer, listen
 
 # Heartbeats cross zones in a millisecond. Followers start an election after a leader
@@ -98,8 +99,13 @@
         self._loop = None
         self.consensus = None
         self.machine = FleetMachine(self._on_applied)
+        self._state_log = StateLog(self.machine, log, metrics)
         self._answers = ReportAnswers(
-            self._read, self._leadership_in_force, self.machine, metrics
+            self._read,
+            self._leadership_in_force,
+            self.machine,
+            self._sessions.daemon,
+            metrics,
         )
         self._links = None
         self._membership_manager = None
@@ -116,7 +122,6 @@
             PORT_TAKEN, or an error of the storage.
         """
         self._loop = asyncio.get_running_loop()
-        self._metrics.add_source(self._update_gauges)
         storage = Storage.open(Path(self._settings.data_folder) / "group")
         name, membership = self._identity(storage)
         hello = MemberHello(name, self._host, self._port)
@@ -207,34 +212,11 @@
                 detail=outcome.detail or getattr(command, "cause", ""),
             )
         self._send_state_updates()
-        self._log_new_configuration(index)
-
-    def _log_new_configuration(self, index):
-        """Log the configuration if it was set at a log index and this member leads."""
-        with self.machine.lock:
-            state = self.machine.state
-            configuration = state.configuration
-            if state.configuration_index != index or not self.leads:
-                return
-        self._log.say(
-            "configuration in force",
-            version=configuration.version,
-            index=index,
-            digest=digest_text(configuration.digest),
-            routes=len(configuration.routes),
-            daemons=len(self._sessions),
-        )
-
-    def _update_gauges(self):
-        """Set the gauges of the configuration, to compare with those of daemons."""
-        with self.machine.lock:
-            configuration = self.machine.state.configuration
-            index = self.machine.state.configuration_index
-        self._metrics.gauge(
-            "tamarackhaven_configuration_version", configuration.version
-        )
-        self._metrics.gauge("tamarackhaven_configuration_index", index)
-        self._metrics.gauge("tamarackhaven_configuration_digest", configuration.digest)
+        if not self.leads:
+            return
+        self._state_log.log_configuration(index, len(self._sessions))
+        if isinstance(command, UpdateSuspects):
+            self._state_log.log_suspects()
 
     @property
     def leads(self):
@@ -291,12 +273,16 @@
         directory = self._leadership.directory
         directory.record(report, boot_s())
         self._answers.add(link, report)
+        daemon = self._sessions.daemon(link)
         with self.machine.lock:
+            is_due = self._leadership.trials.record(
+                daemon, report, self.machine.state, boot_s()
+            )
             self._sessions.record_report(
                 link, report, self.machine.state, directory.targets_view
             )
         self._send_targets_update()
-        if report.releases or report.ended_lives:
+        if report.releases or report.ended_lives or is_due:
             self._schedule_decision()
 
     async def _read(self):
@@ -411,6 +397,9 @@
         self._last_decision_s = boot_s()
         with self.machine.lock:
             commands = leadership.tick(self.machine.state, boot_s())
+            update = leadership.trials.update(self.machine.state, boot_s())
+        if update is not None:
+            commands.append(update)
         for command in commands:
             future = self.consensus.propose(encode(command), leadership.term)
             future.add_done_callback(
@@ -434,7 +423,9 @@
         )
 
     def _on_proposal_outcome(self, leadership, command, is_void):
-        if is_void:
+        if isinstance(command, UpdateSuspects):
+            leadership.trials.close(command)
+        elif is_void:
             leadership.discard_change(command)
         self._schedule_decision()
 
@@ -482,7 +473,16 @@
         TamarackhavenError
             NO_QUORUM if no quorum confirms that this member leads.
         """
-        self._require_leadership()
-        await self._read()
+        await self._confirm_state()
         with self.machine.lock:
             return self.machine.state.configuration
+
+    async def read_suspects(self):
+        """Return all known ``SuspectRequest``; see ``read_configuration``."""
+        await self._confirm_state()
+        with self.machine.lock:
+            return tuple(self.machine.state.suspect_by_request.values())
+
+    async def _confirm_state(self):
+        self._require_leadership()
+        await self._read()
--- a/tamarackhaven/fleet/_daemon_sessions.py
+++ b/tamarackhaven/fleet/_daemon_sessions.py
@@ -35,6 +35,10 @@
     def __contains__(self, link):
         return link in self._daemon_by_link
 
+    def daemon(self, link):
+        """Return the daemon at the other end of a link, empty if it's closed."""
+        return self._daemon_by_link.get(link, "")
+
     def register(self, link, daemon):
         """Record which daemon is at the other end of a link.
 
--- a/tamarackhaven/fleet/_feed.py
+++ b/tamarackhaven/fleet/_feed.py
@@ -14,10 +14,12 @@
     CONFIGURATION_PART,
     CONTROL_CODEC,
     NO_INDEX,
+    SUSPECTS_PART,
     ZONES_PART,
     ConfigurationChange,
     ConfigurationView,
     KeysView,
+    SuspectsView,
     ZonesView,
     keys_part,
 )
@@ -65,6 +67,24 @@
 
         return self._packed((ZONES_PART, NO_INDEX, index), make)
 
+    def suspects(self, state, since):
+        """Return the update from the suspects at ``since`` to the present ones."""
+        index = state.suspects_index
+        old = state.suspects_at(since)
+
+        def make():
+            present = state.suspect_by_request
+            if old is None:
+                return SuspectsView(index, tuple(present.values()))
+            changed = tuple(
+                each for request, each in present.items() if old.get(request) != each
+            )
+            gone = tuple(request for request in old if request not in present)
+            return SuspectsView(index, changed, gone, since)
+
+        since = NO_INDEX if old is None else since
+        return self._packed((SUSPECTS_PART, since, index), make)
+
     def keys(self, state, service, since):
         """Return the update from a service's owners at ``since`` to the present."""
         index = state.index_by_service[service]
--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -20,6 +20,7 @@
 from tamarackhaven.fleet._open_changes import OpenChanges, subtract
 from tamarackhaven.fleet._ranges import overlaps
 from tamarackhaven.fleet._state import AssignKeys
+from tamarackhaven.fleet._trials import Trials
 
 # Daemons look for a leader several times a second, so every running daemon has reported
 # within this time of an election. Until then the leader assigns no keys and treats no
@@ -85,14 +86,15 @@
         self._last_grant_number = 0
         self.leases = LeaseTable(lease_s, now)
         self.directory = TargetDirectory(term, self.leases)
+        self.trials = Trials(lease_s)
         self._pending_moves = []
         self._open_changes = OpenChanges()
         self._target_count_by_service = {}
 
     # Reports and grants.
 
-    def grant(self, report, state, now):
-        """Return the ``LeaseGrant`` that answers a report.
+    def grant(self, report, state, now, daemon=""):
+        """Return the ``LeaseGrant`` that answers a report of ``daemon``.
 
         Call it only after a quorum has confirmed the leader, in a round that began
         after the report was received, and send the grant at once.
@@ -100,8 +102,9 @@
         self._last_grant_number += 1
         grant = GrantId(self.term, self._last_grant_number)
         target = report.target
+        trials = self._grant_trials(daemon, report, state, now)
         if target is None or self.leases.has_ended(target.life):
-            return LeaseGrant(report.number, grant, self.leases.lease_s)
+            return LeaseGrant(report.number, grant, self.leases.lease_s, trials=trials)
         ranges = state.ranges_by_service.get(target.service, ())
         owned = tuple(each for each in ranges if each.owner == target.life)
         owned = self._without_moving(owned, target.life)
@@ -114,8 +117,18 @@
             target.life,
             owned,
             state.index_by_service.get(target.service, -1),
+            trials,
         )
 
+    def _grant_trials(self, daemon, report, state, now):
+        """Return the suspects that a daemon may run.
+
+        A new leader doesn't know at first which ones others run.
+        """
+        if now - self._confirmed_s < DISCOVERY_TIMEOUT_S:
+            return ()
+        return self.trials.grant(daemon, report, state, now)
+
     def _without_moving(self, owned, life):
         """Return ``owned`` without the pieces that ``life`` was told to release."""
         pieces = [m.move.old for m in self._pending_moves if m.move.old.owner == life]
@@ -139,7 +152,7 @@
     # Decisions.
 
     def tick(self, state, now):
-        """Return the changes that are due, as a list of ``AssignKeys``.
+        """Return the changes of owners that are due, as a list of ``AssignKeys``.
 
         Their keys are granted to no target until ``state`` shows the outcome, or
         ``discard_change`` is called.
--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -3,6 +3,7 @@
 import attrs
 
 from tamarackhaven.fleet._model import GrantId, Hold, KeyRange, Release, Target
+from tamarackhaven.fleet._suspects import RequestAnswers, SuspectRequest, TargetEnd
 from tamarackhaven.net import Codec
 from tamarackhaven.routing import Configuration, Edit
 
@@ -60,6 +61,7 @@
 # part, see ``keys_part``.
 CONFIGURATION_PART = "configuration"
 ZONES_PART = "zones"
+SUSPECTS_PART = "suspects"
 
 
 def keys_part(service):
@@ -158,6 +160,16 @@
     refused_parts : tuple of str
         Parts of which the daemon has refused an update since its former report, because
         the update changes another version than the daemon's.
+    ends : tuple of TargetEnd
+        Ends of targets and daemons that the daemon has seen and that aren't in the
+        suspects that it has.
+    answers : tuple of RequestAnswers
+        How often its target has answered suspects since the former report.
+    trials : tuple of bytes
+        Digests of the suspects that the daemon has a permit for, or that its target may
+        be running.
+    wanted_trials : tuple of bytes
+        Digests of the suspects that the daemon's callers wait to run.
     """
 
     number: int
@@ -173,6 +185,10 @@
     knows_holds: bool = True
     known: tuple[PartVersion, ...] = ()
     refused_parts: tuple[str, ...] = ()
+    ends: tuple[TargetEnd, ...] = ()
+    answers: tuple[RequestAnswers, ...] = ()
+    trials: tuple[bytes, ...] = ()
+    wanted_trials: tuple[bytes, ...] = ()
 
 
 @attrs.frozen
@@ -193,6 +209,8 @@
         All ranges that this life may hold.
     keys_index : int
         Log index of the service's owners that the grant is based on, -1 for none.
+    trials : tuple of bytes
+        Digests of the suspects that the daemon may run once.
     """
 
     number: int
@@ -201,6 +219,7 @@
     life: str = ""
     ranges: tuple[KeyRange, ...] = ()
     keys_index: int = -1
+    trials: tuple[bytes, ...] = ()
 
 
 @attrs.frozen
@@ -279,6 +298,31 @@
         return keys_part(self.service)
 
 
+@attrs.frozen
+class SuspectsView:
+    """Requests under which targets have ended, as of log index ``index``.
+
+    Parameters
+    ----------
+    suspects : tuple of SuspectRequest
+        New or changed ones.
+    gone : tuple of bytes
+        Digests of those that are suspects no more.
+    base : int
+        Log index of the suspects that it changes, ``NO_INDEX`` if ``suspects`` are all.
+    """
+
+    index: int
+    suspects: tuple[SuspectRequest, ...]
+    gone: tuple[bytes, ...] = ()
+    base: int = NO_INDEX
+
+    @property
+    def part(self):
+        """The name of the part."""
+        return SUSPECTS_PART
+
+
 @attrs.frozen
 class TargetsView:
     """Targets that are new or have changed, and lives that are gone.
@@ -316,6 +360,7 @@
         ConfigurationChange,
         ZonesView,
         KeysView,
+        SuspectsView,
         TargetsView,
     ),
     compressed=(
@@ -324,6 +369,7 @@
         ConfigurationView,
         ConfigurationChange,
         KeysView,
+        SuspectsView,
         TargetsView,
     ),
 )
--- a/tamarackhaven/fleet/_report_answers.py
+++ b/tamarackhaven/fleet/_report_answers.py
@@ -25,14 +25,17 @@
         Returns the ``Leadership`` in force, None if there is none.
     machine : FleetMachine
         Of the member.
+    daemon_of : callable
+        ``daemon_of(link)`` returns the host and port of the daemon at its other end.
     metrics : Metrics
         Of the process.
     """
 
-    def __init__(self, read, leadership, machine, metrics):
+    def __init__(self, read, leadership, machine, daemon_of, metrics):
         self._read = read
         self._leadership = leadership
         self._machine = machine
+        self._daemon_of = daemon_of
         self._metrics = metrics
         self._report_by_link = {}
         self._confirm_task = None
@@ -68,7 +71,8 @@
         with self._machine.lock:
             state = self._machine.state
             for link, report in report_by_link.items():
-                link.send(leadership.grant(report, state, boot_s()))
+                daemon = self._daemon_of(link)
+                link.send(leadership.grant(report, state, boot_s(), daemon))
         self._metrics.count(
             "tamarackhaven_fleet_reports_answered_total", len(report_by_link)
         )
--- a/tamarackhaven/fleet/_sessions.py
+++ b/tamarackhaven/fleet/_sessions.py
@@ -8,6 +8,7 @@
 from tamarackhaven.fleet._messages import (
     CONFIGURATION_PART,
     NO_INDEX,
+    SUSPECTS_PART,
     ZONES_PART,
     keys_part,
 )
@@ -62,6 +63,8 @@
 
         Owners are sent only if few updates of them are unacknowledged.
         """
+        # A daemon that gets a configuration begins to serve callers by it.
+        self._send_suspects(state)
         self._send_configuration_and_zones(state)
         if self._unacknowledged_bytes < MAX_UNACKNOWLEDGED_BYTES:
             self._send_owners(state)
@@ -117,6 +120,12 @@
     def _unacknowledged_bytes(self):
         return sum(each.size for each in self._unacknowledged)
 
+    def _send_suspects(self, state):
+        since = self._sent_index(SUSPECTS_PART)
+        if state.suspects_index > since:
+            self.link.send(self.update_cache.suspects(state, since))
+            self._index_by_part[SUSPECTS_PART] = state.suspects_index
+
     def _send_configuration_and_zones(self, state):
         since = self._sent_index(CONFIGURATION_PART)
         if state.configuration_index > since:
--- a/tamarackhaven/fleet/_state.py
+++ b/tamarackhaven/fleet/_state.py
@@ -1,4 +1,6 @@
-"""The replicated state of a fleet: configuration, zones taken out, owners of keys.
+"""The replicated state of a fleet.
+
+Configuration, zones taken out, owners of keys, requests that ended targets.
 
 The outcome of a command depends only on the state at its own log index, so all members
 reach the same one. Pure.
@@ -17,11 +19,18 @@
 from tamarackhaven.fleet import _ranges
 from tamarackhaven.fleet._messages import (
     CONFIGURATION_PART,
+    SUSPECTS_PART,
     ZONES_PART,
     PartVersion,
     keys_part,
 )
 from tamarackhaven.fleet._model import KeyRange
+from tamarackhaven.fleet._suspects import (
+    SuspectRequest,
+    UpdateSuspects,
+    suspects_digest,
+    updated,
+)
 from tamarackhaven.routing import Configuration, Edit, check, edited
 
 # Operators repeat an order for seconds, not days; this covers some hours of changes at
@@ -83,7 +92,9 @@
     cause: str = ""
 
 
-Command = ReplaceConfiguration | EditConfiguration | SetZoneOut | AssignKeys
+Command = (
+    ReplaceConfiguration | EditConfiguration | SetZoneOut | AssignKeys | UpdateSuspects
+)
 
 
 @attrs.frozen
@@ -117,6 +128,8 @@
     ranges_by_service: dict[str, tuple[KeyRange, ...]]
     index_by_service: dict[str, int]
     last_fence: int
+    suspects: tuple[SuspectRequest, ...] = ()
+    suspects_index: int = 0
 
 
 def _make_converter():
@@ -158,12 +171,15 @@
         self.zones_index = 0
         self.ranges_by_service = {}
         self.index_by_service = {}
+        self.suspect_by_request = {}
+        self.suspects_index = 0
         self._last_fence = 0
         self._version_by_digest = collections.OrderedDict()
         # A snapshot contains only the present values; daemons that have older ones are
         # sent the whole.
         self._configuration_by_index = _FormerValues()
         self._ranges_by_service_and_index = _FormerValues()
+        self._suspects_by_index = _FormerValues()
         self._keys_digest_by_service = {}
 
     def configuration_at(self, index):
@@ -174,6 +190,10 @@
         """Return a service's ranges as set at log ``index``, None if not kept."""
         return self._ranges_by_service_and_index.get((service, index))
 
+    def suspects_at(self, index):
+        """Return the suspects set at log ``index``, None if not kept."""
+        return self._suspects_by_index.get(index)
+
     def versions(self):
         """Return the ``PartVersion`` of each part, by its name."""
         versions = [
@@ -185,6 +205,11 @@
             PartVersion(
                 ZONES_PART, self.zones_index, record_digest(*sorted(self.zones_out))
             ),
+            PartVersion(
+                SUSPECTS_PART,
+                self.suspects_index,
+                suspects_digest(self.suspect_by_request),
+            ),
         ]
         versions += [
             PartVersion(keys_part(service), index, self._keys_digest(service))
@@ -210,6 +235,8 @@
             dict(self.ranges_by_service),
             dict(self.index_by_service),
             self._last_fence,
+            tuple(self.suspect_by_request.values()),
+            self.suspects_index,
         )
         return msgpack.packb(_CONVERTER.unstructure(saved))
 
@@ -226,11 +253,14 @@
         state.ranges_by_service = dict(saved.ranges_by_service)
         state.index_by_service = dict(saved.index_by_service)
         state._last_fence = saved.last_fence
+        state.suspect_by_request = {each.request: each for each in saved.suspects}
+        state.suspects_index = saved.suspects_index
         state._keep_present_values()
         return state
 
     def _keep_present_values(self):
         self._configuration_by_index.keep(self.configuration_index, self.configuration)
+        self._suspects_by_index.keep(self.suspects_index, self.suspect_by_request)
         for service, index in self.index_by_service.items():
             ranges = self.ranges_by_service[service]
             self._ranges_by_service_and_index.keep((service, index), ranges)
@@ -307,6 +337,15 @@
             self.zones_index = index
         return Outcome()
 
+    @_apply.register
+    def _(self, command: UpdateSuspects, index):
+        suspect_by_request = updated(self.suspect_by_request, command)
+        if suspect_by_request != self.suspect_by_request:
+            self.suspect_by_request = suspect_by_request
+            self.suspects_index = index
+            self._suspects_by_index.keep(index, suspect_by_request)
+        return Outcome()
+
     @_apply.register
     def _(self, command: AssignKeys, index):
         ranges = self.ranges_by_service.get(command.service)
--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -7,12 +7,14 @@
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven.errors import ErrorKind, Ran, TamarackhavenError
+from tamarackhaven.fleet._suspects import MAX_ENDS
 from tamarackhaven.net import HttpResponse
 from tamarackhaven.routing import Splitter
 from tamarackhaven.sidecar._choice import Chooser
 from tamarackhaven.sidecar._messages import Answered, NotRun, WaitQuery
 from tamarackhaven.sidecar._notice_memory import NoticeMemory
 from tamarackhaven.sidecar._offers import Ask, Offers
+from tamarackhaven.sidecar._permits import SUSPECT_RETRY_S
 from tamarackhaven.sidecar._retries import Retries
 from tamarackhaven.sidecar._sender import PendingRequest, RequestSender
 
@@ -70,18 +72,36 @@
         Runs requests at the target beside this daemon.
     peers : Peers
         Links to other daemons.
+    suspects : KnownSuspects
+        Learns under which requests targets have ended.
+    permits : Permits
+        Permits to send these requests on.
     log : Log
         Log of the part ``caller``.
     metrics : Metrics
         Metrics of the process.
     """
 
-    def __init__(self, settings, view, state, dialect, runs, peers, log, metrics):
+    def __init__(
+        self,
+        settings,
+        view,
+        state,
+        dialect,
+        runs,
+        peers,
+        suspects,
+        permits,
+        log,
+        metrics,
+    ):
         self._view = view
         self._state = state
         self._dialect = dialect
         self._runs = runs
         self._peers = peers
+        self._suspects = suspects
+        self._permits = permits
         self._log = log
         self._metrics = metrics
         self._splitter = Splitter()
@@ -91,7 +111,15 @@
         self._retries = Retries(settings, view, log, metrics)
         self._notices = NoticeMemory(settings.drain_s)
         self._sender = RequestSender(
-            settings, state, dialect, runs, peers, self._chooser, self._notices, log
+            settings,
+            state,
+            dialect,
+            runs,
+            peers,
+            self._chooser,
+            self._notices,
+            suspects,
+            log,
         )
         self.is_closing = False
 
@@ -217,6 +245,46 @@
             return await self._serve_shared(pending)
         except TamarackhavenError as error:
             return _failed_or_raise(pending, error)
+        finally:
+            self._release_permit(pending)
+
+    # Suspects.
+
+    async def _require_permit(self, pending):
+        """Wait for a permit if the request is a suspect and has none.
+
+        Raises
+        ------
+        TamarackhavenError
+            REQUEST_QUARANTINED or REQUEST_SUSPECT.
+        """
+        if pending.has_permit:
+            self._permits.check(pending.request.digest)
+        else:
+            pending.has_permit = await self._permits.acquire(pending)
+
+    def _release_permit(self, pending):
+        """Give the permit back; it's for one run."""
+        if pending.has_permit:
+            pending.has_permit = False
+            self._permits.release(pending.request.digest)
+
+    async def _send(self, pending, target, waits=True):
+        """Send the request to ``target``; return its result.
+
+        Raises
+        ------
+        TamarackhavenError
+            REQUEST_QUARANTINED.
+        """
+        result = await self._sender.send(pending, target, waits)
+        if not isinstance(result, NotRun) or result.was_offered:
+            self._release_permit(pending)
+        elif result.kind == ErrorKind.REQUEST_QUARANTINED.name:
+            raise _error_for(result)
+        elif _lacks_permit(pending, result):
+            self._permits.note_suspect(pending.request.digest)
+        return result
 
     # Sharded services.
 
@@ -231,7 +299,8 @@
             if target is not None and not self._accepts_new(target, True):
                 kind = ErrorKind.DRAINING
             elif target is not None:
-                result = await self._sender.send(pending, target)
+                await self._require_permit(pending)
+                result = await self._send(pending, target)
                 if isinstance(result, Answered):
                     return result
                 kind = ErrorKind[result.kind]
@@ -262,11 +331,12 @@
         refusals = 0
         result = None
         while True:
+            await self._require_permit(pending)
             send = await self._next_send(pending, offers)
             if send is None:
                 return _answer_or_raise(result)
             target = send.target
-            result = await self._sender.send(pending, target, send.waits)
+            result = await self._send(pending, target, send.waits)
             if (
                 not send.waits
                 and isinstance(result, NotRun)
@@ -274,6 +344,8 @@
             ):
                 offers.busy(target, result.retry_after_s)
                 continue
+            if _lacks_permit(pending, result):
+                continue
             offers.close(target)
             if isinstance(result, Answered) and result.status < 500:
                 return result
@@ -303,6 +375,7 @@
                 if self._accepts_new(target, False)
                 and not self._peers.is_leaving((target.host, target.port))
             ]
+            self._spare_last_target(pending, targets)
             step = offers.next(targets, boot_s())
             if isinstance(step, Ask):
                 await self._query_waits(pending, offers, step.targets)
@@ -317,6 +390,22 @@
             else:
                 await self._view.changed(OWNER_POLL_INTERVAL_S)
 
+    def _spare_last_target(self, pending, targets):
+        """Don't send a request that several targets ended under to the last one.
+
+        Raises
+        ------
+        TamarackhavenError
+            REQUEST_SUSPECT.
+        """
+        digest = pending.request.digest
+        if len(targets) > 1 or not pending.has_permit:
+            return
+        if self._suspects.end_count(digest, boot_s()) >= MAX_ENDS - 1:
+            raise TamarackhavenError(
+                ErrorKind.REQUEST_SUSPECT, digest.hex(), SUSPECT_RETRY_S
+            )
+
     async def _query_waits(self, pending, offers, targets):
         """Query the expected waits at targets concurrently; skip those without one."""
         objective_ms = (pending.objective_s - boot_s()) * 1000
@@ -340,6 +429,14 @@
         return await self._peers.query_wait((target.host, target.port), query)
 
 
+def _lacks_permit(pending, result):
+    """Whether a target's daemon knows a suspect that this daemon doesn't know yet."""
+    is_suspect = (
+        isinstance(result, NotRun) and result.kind == ErrorKind.REQUEST_SUSPECT.name
+    )
+    return is_suspect and not pending.has_permit
+
+
 def _error_for(result):
     """Return the error for the caller of a request that wasn't answered."""
     return TamarackhavenError(
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -5,7 +5,12 @@
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven.fleet import split
-from tamarackhaven.fleet._messages import DaemonHello, KeysView, Report
+from tamarackhaven.fleet._messages import (
+    DaemonHello,
+    KeysView,
+    Report,
+    SuspectsView,
+)
 from tamarackhaven.net import HttpResponse, HttpServer, LinkServer, listen
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._control_link import ControlLink
@@ -13,7 +18,9 @@
 from tamarackhaven.sidecar._key_calls import KeyCalls
 from tamarackhaven.sidecar._messages import PEER_CODEC
 from tamarackhaven.sidecar._peers import Peers, PeerServer
+from tamarackhaven.sidecar._permits import Permits
 from tamarackhaven.sidecar._runs import Runs
+from tamarackhaven.sidecar._suspects import KnownSuspects
 from tamarackhaven.sidecar._target_client import TargetClient
 from tamarackhaven.sidecar._target_state import TargetState
 from tamarackhaven.sidecar._view import View
@@ -58,12 +65,14 @@
         self.view = View()
         self.state = TargetState(settings, host, port)
         client = TargetClient(*split(settings.target))
+        self.suspects = KnownSuspects()
         self.inbound = Inbound(
             settings,
             self.state,
             self.view,
             dialect,
             client,
+            self.suspects,
             log.part("gate"),
             metrics,
         )
@@ -84,6 +93,7 @@
             PEER_CODEC, self._peer_server.on_message, self._peer_server.on_closed
         )
         metrics.add_source(self._update_gauges)
+        self._permits = Permits(self.suspects, self.view, log.part("caller"), metrics)
         self._caller_requests = Callers(
             settings,
             self.view,
@@ -91,6 +101,8 @@
             dialect,
             self._runs,
             self._peers,
+            self.suspects,
+            self._permits,
             log.part("caller"),
             metrics,
         )
@@ -115,6 +127,9 @@
         self._control.on_session_begun = self._view_updates.begin_session
         self._tasks = []
         self._is_leaving = False
+        self._permits.report_now = self._control.report_now
+        self.inbound.ends.on_end = self._on_target_end
+        self.inbound.on_suspect_answered = self._permits.report_soon
         self.inbound.exchange.on_ended = self._control.report_now
         self.inbound.notices.on_leaving = self._on_target_leaving
 
@@ -235,6 +250,7 @@
         load = self.inbound.load()
         key_load, key_rest = self.inbound.key_load(now)
         known, refused_parts = self._view_updates.take_report()
+        trials = self._permits.held() | self.inbound.running_suspects()
         load_per_slot = (load.running + load.waiting) / max(load.slots, 1)
         return Report(
             number=number,
@@ -252,6 +268,10 @@
             knows_holds=state.knows_holds(now),
             known=known,
             refused_parts=refused_parts,
+            ends=self.suspects.own_ends(now),
+            answers=self.suspects.take_answers(),
+            trials=tuple(trials),
+            wanted_trials=self._permits.wanted(number),
         )
 
     def _apply_view_message(self, message):
@@ -263,6 +283,9 @@
             self._on_configuration()
         if self._makes_target_owner(message):
             self._control.report_now()
+        if isinstance(message, SuspectsView):
+            self.suspects.apply(self.view.suspect_by_request)
+            self._permits.notify_changed()
         self._apply_known_leaving()
         if self.view.zones_out != zones_out_before:
             self.log.say("zones out changed", zones=sorted(self.view.zones_out))
@@ -309,6 +332,7 @@
     def _apply_grant(self, grant, requested_s):
         self._view_updates.confirm(requested_s)
         self.state.apply_grant(grant, requested_s)
+        self._permits.apply_grant(grant, requested_s)
         self.inbound.wake_key_waiters()
         self._key_calls.start_due_calls()
 
@@ -348,6 +372,12 @@
         else:
             self.log.say("leave of another life", name=name, born_ms=born_ms)
 
+    def _on_target_end(self, life, requests):
+        digests = [each.digest for each in requests]
+        self.suspects.record_end(life, digests, boot_s())
+        self._permits.notify_changed()
+        self._control.report_now()
+
     def _on_target_leaving(self):
         self.inbound.apply_target_state()
         self._control.report_now()
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -8,6 +8,7 @@
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven.errors import ErrorKind
+from tamarackhaven.fleet._suspects import SuspectPhase
 from tamarackhaven.sidecar._gate import Gate, Offer, Refuse, Start, cold_starts
 from tamarackhaven.sidecar._intake import BodyReceiver
 from tamarackhaven.sidecar._key_load import KeyLoad
@@ -48,16 +49,19 @@
         Writes headers for the target and interprets its replies.
     client : TargetClient
         Connections to the target.
+    suspects : KnownSuspects
+        Requests that may run only with a permit, or not at all.
     log : Log
         Log of the part ``gate``.
     metrics : Metrics
         Metrics of the process.
     """
 
-    def __init__(self, settings, state, view, dialect, client, log, metrics):
+    def __init__(self, settings, state, view, dialect, client, suspects, log, metrics):
         self._settings = settings
         self._state = state
         self._view = view
+        self._suspects = suspects
         self._gate = Gate(1, random.random, boot_s())
         self.intake = BodyReceiver(self._gate, metrics)
         self._results = Results(self.load, self._log_context, log, metrics)
@@ -76,6 +80,8 @@
         self._future_by_number = {}
         self._offer_numbers = itertools.count()
         self._sending = set()
+        self._has_trial = False
+        self.on_suspect_answered = lambda: None
         self._key_load = KeyLoad()
         self._keys_changed = ChangeSignal()
         self._settle_timer = None
@@ -195,16 +201,22 @@
         if gate_refusal is not None:
             return self._gate_refusal(forward, gate_refusal)
         # The target may have begun to leave, or lost the key, while the request waited.
-        refusal = self._closed_kind(forward) or self._not_held_kind(forward)
+        refusal = (
+            self._closed_kind(forward)
+            or self._not_held_kind(forward)
+            or self._suspect_kind(forward)
+        )
         if refusal is not None:
             self._apply(self._gate.finish(number, False, boot_s()))
             return self._results.not_run(forward, refusal)
         has_answered = False
         self._sending.add(id(forward))
+        self._has_trial |= forward.has_permit
         try:
             result = await self.exchange.send(forward, body, deadline_s)
             has_answered = isinstance(result, Answered)
             if has_answered:
+                self._record_answer(forward)
                 return attrs.evolve(
                     result,
                     waited_ms=round(waited_s * 1000, 1),
@@ -213,6 +225,8 @@
             return result
         finally:
             self._sending.discard(id(forward))
+            if forward.has_permit:
+                self._has_trial = False
             self._update_limits()
             self._apply(self._gate.finish(number, has_answered, boot_s()))
 
@@ -230,7 +244,7 @@
 
     async def _refusal_kind(self, forward, deadline_s):
         """Return the ``ErrorKind`` why the target must not get the request, or None."""
-        kind = self._closed_kind(forward)
+        kind = self._closed_kind(forward) or self._suspect_kind(forward)
         if kind is not None or forward.key < 0:
             return kind
         now = boot_s()
@@ -276,6 +290,34 @@
             return ErrorKind.ZONE_OUT
         return None
 
+    def _suspect_kind(self, forward):
+        """Return the ``ErrorKind`` why a suspect must not run now, else None.
+
+        If two suspects ran here at once and the target ended, it would count as an end
+        under both, also under the innocent one.
+        """
+        phase = self._suspects.phase(forward.digest, boot_s())
+        if phase is SuspectPhase.QUARANTINED:
+            return ErrorKind.REQUEST_QUARANTINED
+        if phase is SuspectPhase.SUSPECT and not forward.has_permit:
+            return ErrorKind.REQUEST_SUSPECT
+        if forward.has_permit and self._has_trial:
+            return ErrorKind.REQUEST_SUSPECT
+        return None
+
+    def _record_answer(self, forward):
+        if self._suspects.record_answer(forward.digest, boot_s()):
+            self.on_suspect_answered()
+
+    def running_suspects(self):
+        """Return the digests of suspects under which the target may yet end."""
+        now = boot_s()
+        return {
+            each
+            for each in self.ends.unresolved()
+            if self._suspects.is_confined(each, now)
+        }
+
     def _is_zone_closed(self, forward):
         """Whether the zone is out; for an owner's keys, only after a grace time.
 
--- a/tamarackhaven/sidecar/_messages.py
+++ b/tamarackhaven/sidecar/_messages.py
@@ -55,6 +55,8 @@
         answer; None without a limit.
     digest : bytes
         Of what the caller asks for, see ``request_digest``.
+    has_permit : bool
+        Whether it may run although it's a suspect.
     """
 
     number: int
@@ -76,6 +78,7 @@
     body_bytes: int = 0
     limit_per_s: float | None = None
     digest: bytes = b""
+    has_permit: bool = False
 
 
 @attrs.frozen
@@ -178,11 +181,15 @@
     ----------
     kind : str
         Name of the ``ErrorKind``.
+    ended : str
+        What ended since it was sent: the life of the target, or a run of the daemon
+        beside it; empty if neither did.
     """
 
     number: int
     kind: str
     load: GateLoad = GateLoad()
+    ended: str = ""
 
 
 @attrs.frozen
--- a/tamarackhaven/sidecar/_open_requests.py
+++ b/tamarackhaven/sidecar/_open_requests.py
@@ -53,12 +53,8 @@
         if request is not None:
             self._unanswered.append((now, request))
 
-    def running(self):
-        """Return the requests that wait for their answer."""
-        return tuple(self._running.values())
-
-    def take(self, life, now):
-        """Remove and return the requests of a life that has ended.
+    def unresolved(self, now):
+        """Return the requests under which their target may still end, as a list.
 
         ``now`` is in seconds of the boot clock.
         """
@@ -67,9 +63,14 @@
             for since_s, request in self._unanswered
             if now - since_s <= UNANSWERED_TTL_S
         ]
-        taken = [
-            each for each in (*recent, *self._running.values()) if each.life == life
-        ]
+        return [*recent, *self._running.values()]
+
+    def take(self, life, now):
+        """Remove and return the requests of a life that has ended.
+
+        ``now`` is in seconds of the boot clock.
+        """
+        taken = [each for each in self.unresolved(now) if each.life == life]
         self._running = {
             number: each for number, each in self._running.items() if each.life != life
         }
--- a/tamarackhaven/sidecar/_peers.py
+++ b/tamarackhaven/sidecar/_peers.py
@@ -115,13 +115,18 @@
             self.is_sent_whole = True
         link.send(self.part(body_ask))
 
-    def fail(self, kind):
-        """End it as ``Lost`` with ``kind`` if it may have run, else as ``NotRun``."""
+    def fail(self, kind, peer_boot=None):
+        """End it as ``Lost`` with ``kind`` if it may have run, else as ``NotRun``.
+
+        ``peer_boot`` names the run of the other daemon that counts as ended, if one
+        does.
+        """
         if self.future.done():
             return
         number = self.forward.number
         if self.is_sent_whole:
-            self.future.set_result(Lost(number, kind.name))
+            ended = f"{self.forward.life} {peer_boot}" if peer_boot else ""
+            self.future.set_result(Lost(number, kind.name, ended=ended))
         else:
             self.future.set_result(NotRun(number, ErrorKind.OWNER_UNREACHABLE.name))
 
@@ -250,7 +255,7 @@
             is_running = entry.is_sent_whole and not entry.forward.is_safe
             if can_keep_unsafe and is_running and boot_s() < entry.deadline_s:
                 continue
-            entry.fail(ErrorKind.FORWARD_LOST)
+            entry.fail(ErrorKind.FORWARD_LOST, self._peer_boot)
 
     def _on_message(self, link, message):
         if link is not self._link:
@@ -274,13 +279,13 @@
 
     def _on_welcome(self, message):
         self._restarting_until_s = float("-inf")
-        has_restarted = self._peer_boot not in (None, message.boot)
-        self._peer_boot = message.boot
+        former_boot, self._peer_boot = self._peer_boot, message.boot
+        has_restarted = former_boot not in (None, message.boot)
         self._is_welcomed = True
         for entry in tuple(self._open_by_number.values()):
             if has_restarted and entry.is_sent_whole:
                 # The process that had received it has ended, with all its state.
-                entry.fail(ErrorKind.FORWARD_LOST)
+                entry.fail(ErrorKind.FORWARD_LOST, former_boot)
             else:
                 self._send(entry)
 
--- a/tamarackhaven/sidecar/_results.py
+++ b/tamarackhaven/sidecar/_results.py
@@ -57,7 +57,7 @@
             forward.number, kind.name, retry_after_s, offered, self._load(forward.route)
         )
 
-    def lost(self, forward, kind, started_s, detail=""):
+    def lost(self, forward, kind, started_s, detail="", ended=""):
         self._metrics.count(
             "tamarackhaven_gate_lost_total", kind=kind.name, service=forward.service
         )
@@ -69,6 +69,8 @@
             route=forward.route,
             after_s=round(boot_s() - started_s, 3),
             detail=detail,
+            ended=ended,
             **self._context(),
         )
-        return Lost(forward.number, kind.name, self._load(forward.route))
+        load = self._load(forward.route)
+        return Lost(forward.number, kind.name, load, ended)
--- a/tamarackhaven/sidecar/_sender.py
+++ b/tamarackhaven/sidecar/_sender.py
@@ -39,6 +39,8 @@
         The newest answer of a target that ran it and failed.
     lost : Lost or None
         The newest result after which it's unknown whether it ran.
+    has_permit : bool
+        Whether it may be sent once although it's a suspect.
     unsent_bytes : int
         Bytes queued on this daemon's links when it was last sent to a peer.
     """
@@ -53,6 +55,7 @@
     sends: int = 0
     failed: object = None
     lost: object = None
+    has_permit: bool = False
     unsent_bytes: int = 0
 
     @property
@@ -80,11 +83,15 @@
         Learns from each result.
     notices : NoticeMemory
         Remembers what answers said of their targets.
+    suspects : KnownSuspects
+        Learns under which requests targets have ended.
     log : Log
         Log of the part ``caller``.
     """
 
-    def __init__(self, settings, state, dialect, runs, peers, chooser, notices, log):
+    def __init__(
+        self, settings, state, dialect, runs, peers, chooser, notices, suspects, log
+    ):
         self._settings = settings
         self._state = state
         self._dialect = dialect
@@ -92,6 +99,7 @@
         self._peers = peers
         self._chooser = chooser
         self._notices = notices
+        self._suspects = suspects
         self._log = log
         self._forward_numbers = itertools.count(1)
 
@@ -151,6 +159,7 @@
             waits=waits,
             limit_per_s=self._notices.known_limit_per_s(target.life, now),
             digest=request.digest,
+            has_permit=pending.has_permit,
         )
 
     def _record_result(self, pending, target, result):
@@ -172,6 +181,9 @@
             pending.sends += 1
         if isinstance(result, Lost):
             pending.lost = result
+            if result.ended:
+                is_unreachable = True
+                self._suspects.record_end(result.ended, (pending.request.digest,), now)
         elif isinstance(result, Answered) and result.status >= 500:
             pending.failed = result
         # A result that this daemon created itself, for example after a broken link,
@@ -187,6 +199,7 @@
         worked_s = getattr(result, "worked_ms", 0.0) / 1000
         self._log.say(
             "ended",
+            permit=pending.has_permit,
             request_id=pending.request.attempt_id,
             request=pending.request.digest.hex(),
             route=pending.route.name,
--- a/tamarackhaven/sidecar/_target_ends.py
+++ b/tamarackhaven/sidecar/_target_ends.py
@@ -50,9 +50,9 @@
         """Record that nothing waits for the answer to a request any more."""
         self._requests.unanswered(number, boot_s())
 
-    def running(self):
-        """Return the requests that wait for the target's answer."""
-        return self._requests.running()
+    def unresolved(self):
+        """Return the digests of the requests under which the target may yet end."""
+        return {each.digest for each in self._requests.unresolved(boot_s())}
 
     async def has_ended(self, life):
         """Whether a life that has closed a connection without an answer has ended.
--- a/tamarackhaven/sidecar/_target_exchange.py
+++ b/tamarackhaven/sidecar/_target_exchange.py
@@ -110,9 +110,14 @@
             )
         self._count_sent(forward)
         if sent.end is SendEnd.UNANSWERED:
-            await self._ends.has_ended(forward.life)
+            has_ended = await self._ends.has_ended(forward.life)
+            ended = forward.life if has_ended else ""
             return self._results.lost(
-                forward, ErrorKind.TARGET_SENT_NOTHING, started_s, sent.detail
+                forward,
+                ErrorKind.TARGET_SENT_NOTHING,
+                started_s,
+                sent.detail,
+                ended,
             )
         return self._result_from_reply(forward, sent.reply, started_s)
 
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -13,12 +13,14 @@
     ConfigurationView,
     KeysView,
     PartVersion,
+    SuspectsView,
     TargetsView,
     ZonesView,
     keys_part,
 )
 from tamarackhaven.fleet._model import TargetPhase
 from tamarackhaven.fleet._ranges import RangeIndex, assigned
+from tamarackhaven.fleet._suspects import suspects_digest
 from tamarackhaven.routing import Configuration, RouteTable, edited
 from tamarackhaven.sidecar._known_targets import KnownTargets
 from tamarackhaven.sidecar._pulse import ChangeSignal
@@ -62,7 +64,7 @@
 
 
 class View:
-    """Configuration, zones, owners of keys and targets."""
+    """Configuration, zones, owners of keys, targets, and requests that end targets."""
 
     def __init__(self):
         # None until a version with routes has arrived.
@@ -73,6 +75,7 @@
         self._has_received_zones = False
         self._targets = KnownTargets()
         self._keys_by_service = {}
+        self.suspect_by_request = {}
         self._version_by_part = {}
         self._change_signal = ChangeSignal()
         self._confirmed_s = float("-inf")
@@ -185,6 +188,23 @@
         self._keys_by_service[message.service] = keys
         return self._record_version(version)
 
+    @apply_update.register
+    def _(self, message: SuspectsView):
+        suspects = {}
+        if message.base != NO_INDEX:
+            outcome = self._check_base(message)
+            if outcome is not None:
+                return outcome
+            suspects = dict(self.suspect_by_request)
+        for request in message.gone:
+            suspects.pop(request, None)
+        suspects.update((each.request, each) for each in message.suspects)
+        version = PartVersion(message.part, message.index, suspects_digest(suspects))
+        if not self._is_newer(version):
+            return UpdateOutcome.OUTDATED
+        self.suspect_by_request = suspects
+        return self._record_version(version)
+
     @apply_update.register
     def _(self, message: TargetsView):
         if not self._targets.apply_view(message, boot_s()):
--- a/tests/fleet/test_poison_requests.py
+++ b/tests/fleet/test_poison_requests.py
@@ -7,10 +7,11 @@
 import asyncio
 import copy
 import itertools
+import json
 
 import pytest
 
-from standin.fleet import CONFIGURATION, Fleet
+from standin.fleet import CONFIGURATION, PORTS, Fleet, call
 from standin.poison import MAX_ENDS, Poison, PoisonWatch
 from tests.fleet import real_fleet
 
@@ -79,6 +80,15 @@
         pytest.param(
             Poison(path="/shared/poison"), "/shared/poison", None, b"b", id="path"
         ),
+        pytest.param(Poison(body=b"poison"), "/shared/", None, b"poison", id="body"),
+        pytest.param(Poison(key=KEY), "/owned/", KEY, b"b", id="key"),
+        pytest.param(
+            Poison(path="/shared/poison", after_s=0.3),
+            "/shared/poison",
+            None,
+            b"b",
+            id="later",
+        ),
     ],
 )
 def test_a_request_that_ends_its_targets_ends_three_at_most(
@@ -90,10 +100,107 @@
         await declare_safe_routes(fleet)
         watch = PoisonWatch(poison, fleet.targets)
         answers = await ask_again(fleet, prefix, key, body)
-        assert len(watch.ends) <= MAX_ENDS, watch
+        assert 1 <= len(watch.ends) <= MAX_ENDS, watch
         assert not watch.late_arrivals(), watch
         sends = watch.sends_by_attempt()
         assert max(sends.values()) <= MAX_ATTEMPTS, sends
         assert {answer.status for answer in answers} <= {502, 503, 504}
 
     run(test, tmp_path)
+
+
+def test_many_callers_of_one_such_request_end_no_more_targets_once_three_have_ended(
+    tmp_path,
+):
+    # Guards against: daemons that each count for themselves try the same request.
+    poison = Poison(path="/shared/poison")
+
+    async def test(fleet):
+        await declare_safe_routes(fleet)
+        watch = PoisonWatch(poison, fleet.targets)
+        await asyncio.gather(
+            *(ask_again(fleet, "/shared/poison", None, b"b", at, 20) for at in range(6))
+        )
+        assert watch.ends
+        assert not watch.late_arrivals(), watch
+
+    run(test, tmp_path)
+
+
+def test_innocent_requests_beside_such_a_request_are_served(tmp_path):
+    # Guards against: one caller's request takes all targets of a service away from the
+    # others, or theirs are refused with it.
+    poison = Poison(path="/shared/poison")
+
+    async def test(fleet):
+        await declare_safe_routes(fleet)
+        watch = PoisonWatch(poison, fleet.targets)
+        tasks = []
+        again = asyncio.create_task(
+            ask_again(fleet, "/shared/poison", None, b"b", tries=30)
+        )
+        for number in itertools.count():
+            if again.done():
+                break
+            at = number % len(fleet.daemons)
+            tasks.append(asyncio.create_task(fleet.ask("/shared/", None, at)))
+            await asyncio.sleep(INNOCENT_INTERVAL_S)
+        statuses = [answer.status for answer in await asyncio.gather(*tasks)]
+        served = statuses.count(200) / len(statuses)
+        assert 1 <= len(watch.ends) <= MAX_ENDS, watch
+        assert served >= 0.97, f"{served:.3f} served; {watch}"
+
+    run(test, tmp_path)
+
+
+async def suspects(fleet):
+    """Return what the leader says of suspects, by request."""
+    leader = fleet.control_hosts[await fleet.leader()]
+    answer = await call(
+        leader, PORTS["operators"], "GET", "/api/suspects", [("Host", "x")]
+    )
+    rows = json.loads(answer.body)["suspects"]
+    return {row["request"]: row for row in rows}
+
+
+def test_a_quarantine_outlives_the_leader_all_control_vms_and_daemons(tmp_path):
+    # Guards against: whoever remembers a request under which targets ended is gone, and
+    # the next process starts from nothing.
+    poison = Poison(path="/shared/poison")
+
+    async def test(fleet):
+        await declare_safe_routes(fleet)
+        watch = PoisonWatch(poison, fleet.targets)
+
+        async def send_all_over():
+            await asyncio.gather(
+                *(
+                    fleet.ask("/shared/poison", None, at)
+                    for at in range(len(fleet.daemons))
+                )
+            )
+
+        await ask_again(fleet, "/shared/poison", None, b"b")
+        assert len(watch.ends) == MAX_ENDS, watch
+        ((request, row),) = (await suspects(fleet)).items()
+        assert row["phase"] == "quarantined"
+        arrivals = len(watch.arrivals)
+        fleet.controls[await fleet.leader()].kill()
+        await send_all_over()
+        for process in (*fleet.controls, *fleet.daemons):
+            process.kill()
+        for process in (*fleet.controls, *fleet.daemons):
+            process.start()
+        await fleet.until(fleet._serves, 20.0)
+        await send_all_over()
+        assert len(watch.arrivals) == arrivals, watch
+        # Operators say that it may run again.
+        await fleet.order(f"/api/suspects/{request}/forget")
+
+        async def runs_again():
+            await fleet.ask("/shared/poison", None, 0)
+            return len(watch.arrivals) > arrivals
+
+        await fleet.until(runs_again)
+
+    run(test, tmp_path)
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -31,6 +31,8 @@
             "_ranges",
             "_sessions",
             "_state",
+            "_suspects",
+            "_trials",
         )
     ),
     *(
@@ -51,6 +53,7 @@
             "_open_requests",
             "_rate_limit",
             "_request_digest",
+            "_suspects",
             "_target_state",
             "_view_reports",
         )
--- a/tests/net/test_wire.py
+++ b/tests/net/test_wire.py
@@ -17,6 +17,7 @@
     LeaseGrant,
     MemberHello,
     Report,
+    SuspectsView,
     TargetsView,
 )
 from tamarackhaven.fleet._model import (
@@ -27,6 +28,13 @@
     Target,
     TargetPhase,
 )
+from tamarackhaven.fleet._suspects import (
+    OpenRun,
+    RequestAnswers,
+    SuspectPhase,
+    SuspectRequest,
+    TargetEnd,
+)
 from tamarackhaven.net import Codec, Packed
 from tamarackhaven.routing import (
     Configuration,
@@ -56,6 +64,17 @@
     ConfigurationView(
         3, Configuration(2, (ServiceSpec("s", source={"name": "s"}),), (ROUTE,))
     ),
+    Report(
+        3,
+        ends=(TargetEnd("i@1", (OpenRun(b"\xff", 2),)),),
+        answers=(RequestAnswers(b"\x00", 3),),
+        trials=(b"a",),
+        wanted_trials=(b"b",),
+    ),
+    LeaseGrant(2, GrantId(1, 2), 1.0, trials=(b"\xfe",)),
+    SuspectsView(
+        5, (SuspectRequest(b"\xff", SuspectPhase.SUSPECT, (7,), 1, 1),), (b"x",), 4
+    ),
     LeaderHint(True, 3, ("10.0.0.1", 7), (("10.0.0.1", 7),)),
     LeaderHint(False, 0, None, ()),
 ]
@@ -81,6 +100,7 @@
     Answered(1, 200, ((b"A", b"b"),), b"\xff\x00"),
     NotRun(1, "X", 0.5, True),
     Lost(1, "X"),
+    Lost(1, "X", ended="i@1"),
 ]
 
 
--- a/tests/sidecar/test_callers.py
+++ b/tests/sidecar/test_callers.py
@@ -23,6 +23,8 @@
 from tamarackhaven.sidecar import CallerRequest, TargetNotice
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._messages import Answered, Lost, NotRun
+from tamarackhaven.sidecar._permits import Permits
+from tamarackhaven.sidecar._suspects import KnownSuspects
 from tamarackhaven.sidecar._view import CONFIRMATION_TTL_S, View
 
 ADDRESS = "10.0.0.1:80"
@@ -92,6 +94,23 @@
         return None
 
 
+def make_callers(view, dialect, runs, peers, settings=SETTINGS):
+    suspects = KnownSuspects()
+    permits = Permits(suspects, view, Log(), Metrics())
+    return Callers(
+        settings,
+        view,
+        State(),
+        dialect,
+        runs,
+        peers,
+        suspects,
+        permits,
+        Log(),
+        Metrics(),
+    )
+
+
 def send_request(view, deadline_ms, *events):
     """Return the response to a request, and how long it took in seconds.
 
@@ -99,16 +118,7 @@
     """
 
     async def main():
-        callers = Callers(
-            SETTINGS,
-            view,
-            State(),
-            Dialect(deadline_ms),
-            Runs(),
-            Peers(),
-            Log(),
-            Metrics(),
-        )
+        callers = make_callers(view, Dialect(deadline_ms), Runs(), Peers())
         for delay_s, action in events:
             asyncio.get_running_loop().call_later(delay_s, action)
         began_s = boot_s()
@@ -196,16 +206,8 @@
         apply_view(view)
         other = Target("j@1@g:1", "j", 1, "s", "b", "g", 1, 4)
         view.apply_update(TargetsView(1, (other,)))
-        callers = Callers(
-            SETTINGS,
-            view,
-            State(),
-            LeavingDialect(2000.0),
-            runs,
-            RecordingPeers(runs),
-            Log(),
-            Metrics(),
-        )
+        peers = RecordingPeers(runs)
+        callers = make_callers(view, LeavingDialect(2000.0), runs, peers)
         for _ in range(20):
             apply_view(view)
             request = HttpRequest("GET", "/x", (), b"", boot_s())
@@ -239,9 +241,7 @@
         dialect.key = key
         settings = attrs.evolve(SETTINGS, budget=BudgetSettings(slack=100))
         peers = RecordingPeers(runs)
-        callers = Callers(
-            settings, view, State(), dialect, runs, peers, Log(), Metrics()
-        )
+        callers = make_callers(view, dialect, runs, peers, settings)
         callers._retries._started_s -= settings.budget.window_s
         return await callers.handle(HttpRequest("GET", "/x", (), b"", boot_s()))
 
--- a/tests/sidecar/test_narrow_links.py
+++ b/tests/sidecar/test_narrow_links.py
@@ -14,6 +14,7 @@
 from tamarackhaven.sidecar._named_limit import NamedLimit
 from tamarackhaven.sidecar._peers import Peers, PeerServer
 from tamarackhaven.sidecar._runs import Runs
+from tamarackhaven.sidecar._suspects import KnownSuspects
 from tamarackhaven.sidecar._target_client import SendEnd, SendResult
 from tests.sidecar.test_callers import SETTINGS, Log
 from tests.sidecar.test_peers import FORWARD
@@ -84,7 +85,14 @@
         self.link = NarrowLink(LINK_BYTES_PER_S)
         self.target = FakeTarget()
         inbound = Inbound(
-            SETTINGS, State(), View(), Dialect(), self.target, Log(), Metrics()
+            SETTINGS,
+            State(),
+            View(),
+            Dialect(),
+            self.target,
+            KnownSuspects(),
+            Log(),
+            Metrics(),
         )
         inbound._gate.slots = 6
         server = PeerServer("one", Runs(inbound), inbound.intake)
--- a/tests/sidecar/test_open_requests.py
+++ b/tests/sidecar/test_open_requests.py
@@ -39,4 +39,4 @@
 def test_requests_of_another_life_stay():
     requests = begun(LIFE, OTHER_LIFE)
     assert taken(requests, LIFE, 0.0) == ["a0"]
-    assert [each.attempt_id for each in requests.running()] == ["a1"]
+    assert [each.attempt_id for each in requests.unresolved(0.0)] == ["a1"]
--- a/tests/sidecar/test_view_model.py
+++ b/tests/sidecar/test_view_model.py
@@ -26,6 +26,12 @@
     ReplaceConfiguration,
     SetZoneOut,
 )
+from tamarackhaven.fleet._suspects import (
+    OpenRun,
+    RequestAnswers,
+    TargetEnd,
+    UpdateSuspects,
+)
 from tamarackhaven.routing import (
     Configuration,
     Edit,
@@ -39,7 +45,7 @@
 
 SERVICES = ("one", "two")
 ROUTE_COUNT = 4
-STEPS = 120
+STEPS = 140
 SEEDS = range(150)
 
 
@@ -131,6 +137,18 @@
         zone = f"z{self._rng.randrange(2)}"
         self._commit(SetZoneOut(zone, self._rng.random() < 0.5))
 
+    def change_suspects(self):
+        request = bytes([self._rng.randrange(5)])
+        life = f"i{self._rng.randrange(4)}@1@h:1"
+        update = self._rng.choice(
+            (
+                UpdateSuspects(ends=(TargetEnd(life, (OpenRun(request),)),)),
+                UpdateSuspects(answers=(RequestAnswers(request, 3),)),
+                UpdateSuspects(forgotten=(request,)),
+            )
+        )
+        self._commit(update)
+
     def change_leader(self):
         """Elect a member that may have its state from a snapshot."""
         state = self._leader.state
@@ -220,6 +238,7 @@
             self.change_route: 4,
             self.move_keys: 3,
             self.set_zone: 1,
+            self.change_suspects: 4,
             self.change_leader: 1,
             self.connect: 2,
             self.lose_link: 1,
@@ -241,6 +260,8 @@
         return configuration.route_by_name, configuration.service_by_name
     if part == "zones":
         return holder.zones_out
+    if part == "suspects":
+        return holder.suspect_by_request
     service = part.removeprefix("keys ")
     if isinstance(holder, View):
         return holder._keys_by_service[service].ranges
