Pause before the next session after one that the leader ended unanswered

What would be seen: a leader that fails on a daemon's report, or closes the link on it, gets the same report again at once; daemon and leader are busy with nothing else, and the daemon's target loses its keys.

A session that ends counts as a lost leader, the search finds the same leader within a millisecond, and nothing bounds the series.

**Change:** after a session without an answered report the daemon waits 0.05 s, then twice as long each time, up to 0.8 s; an answer resets that.

--- a/tamarackhaven/sidecar/_control_link.py
+++ b/tamarackhaven/sidecar/_control_link.py
@@ -31,6 +31,11 @@
 # them have answered by then.
 MAX_SEARCH_ROUND_S = 0.7
 MIN_SEARCH_ROUND_S = 0.1
+# A leader that closes the link on a daemon's report, or fails on it, would get the same
+# report again at once, a thousand times a second. After a session without an answer the
+# next one waits for the minimum, then for twice as long each time, up to the maximum.
+MIN_SESSION_PAUSE_S = 0.05
+MAX_SESSION_PAUSE_S = 0.8
 # A congested link delays a query and its answer by seconds.
 HELLO_TIMEOUT_S = 4.0
 MAX_REMEMBERED_REPORTS = 16
@@ -82,6 +87,7 @@
 
     async def run(self):
         """Keep a session with the leader until cancelled."""
+        pause_s = MIN_SESSION_PAUSE_S
         try:
             while True:
                 session = await self._find_leader()
@@ -91,10 +97,16 @@
                     host=session.host,
                     term=session.term,
                 )
+                answered_s = self.confirmed_s
                 await self._run_session(session)
                 self._log.say(
                     "leader lost", silent_s=round(boot_s() - self.confirmed_s, 3)
                 )
+                if self.confirmed_s > answered_s:
+                    pause_s = MIN_SESSION_PAUSE_S
+                    continue
+                await asyncio.sleep(pause_s)
+                pause_s = min(2 * pause_s, MAX_SESSION_PAUSE_S)
         finally:
             if self._session is not None:
                 self._session.link.abort()
--- a/tests/sidecar/test_control_link_search.py
+++ b/tests/sidecar/test_control_link_search.py
@@ -54,15 +54,34 @@
         self._server.close()
 
 
+class FailingControlVm(ControlVm):
+    """Fake control VM that closes the link, or fails, on each report."""
+
+    def __init__(self, host, is_closing):
+        super().__init__(host)
+        self._is_closing = is_closing
+
+    def _on_message(self, link, message):
+        if not isinstance(message, Report):
+            super()._on_message(link, message)
+            return
+        self.reports.append(message.number)
+        if not self._is_closing:
+            raise ValueError("a report that this control VM fails on")
+        link.abort()
+
+
 class Fleet:
     """Two control VMs that both claim to lead, and one daemon's ``ControlLink``."""
 
+    def __init__(self, vms=None):
+        self.vms = vms or [ControlVm(host) for host in HOSTS]
+
     async def __aenter__(self):
-        self.vms = [ControlVm(host) for host in HOSTS]
         port = 0
         for vm in self.vms:
             port = await vm.start(port)
-        self._start([(host, port) for host in HOSTS])
+        self._start([(vm.host, port) for vm in self.vms])
         return self
 
     def _start(self, seeds):
@@ -88,9 +107,9 @@
         return sum(len(vm.reports) for vm in self.vms)
 
 
-def run(test):
+def run(test, vms=None):
     async def main():
-        async with Fleet() as fleet:
+        async with Fleet(vms) as fleet:
             await test(fleet)
 
     asyncio.run(main())
@@ -210,3 +229,16 @@
         assert link.is_open
 
     run_slow(test)
+
+
+@pytest.mark.parametrize("is_closing", [True, False])
+def test_a_report_that_the_leader_fails_on_is_not_sent_again_without_a_pause(
+    is_closing,
+):
+    # Guards against: a daemon's report fails at the leader, its link is closed, and the
+    # daemon comes back with the same report a thousand times a second.
+    async def test(fleet):
+        await asyncio.sleep(OBSERVATION_S)
+        assert 2 <= fleet.reports <= 6
+
+    run(test, [FailingControlVm(HOSTS[0], is_closing)])
