--- a/tests/platform_adapter/test_wire_documents.py
+++ b/tests/platform_adapter/test_wire_documents.py
@@ -217,3 +217,21 @@
 )
 def test_a_leave_may_say_which_life_leaves(body, born_ms):
     assert read_born_ms(body) == born_ms
+
+
+@pytest.mark.parametrize("text", [str(documents.MAX_VERSION + 1), "9" * 5000])
+def test_a_version_that_cannot_be_stored_is_refused(text):
+    # Guards against: each control VM in turn fails on the order with an internal error.
+    with pytest.raises(TamarackhavenError) as caught:
+        documents.read_version(f"r{text}")
+    assert caught.value.kind is ErrorKind.INVALID_RESOURCE
+    assert documents.read_version(f"r{documents.MAX_VERSION}") == documents.MAX_VERSION
+
+
+def test_a_document_that_cannot_be_returned_is_refused():
+    # Guards against: a configuration is accepted, and no control VM can return it.
+    nested = "[" * 300 + "]" * 300
+    with pytest.raises(TamarackhavenError) as caught:
+        documents.read_document(b'{"version":"r1","extra":' + nested.encode() + b"}")
+    assert caught.value.kind is ErrorKind.INVALID_RESOURCE
+    documents.read_document(json.dumps(DOCUMENT).encode())
