Let a command that fails be void instead of ending each control VM

What would be seen: all control VMs end at the same entry of their log, and again at each restart; no order, no lease, no way back but by hand.

An unexpected error in the application of a committed entry ended the consensus thread and the process; each other member applies the same entry, and so does the restarted one.

An entry that can't be decoded still ends the process: it's of another release, and going on would give members different states.

**Measured:** `tests/fleet/test_state.py -k does_not_end`: red before (AttributeError out of `apply`), pass.

--- a/tamarackhaven/fleet/_state.py
+++ b/tamarackhaven/fleet/_state.py
@@ -266,11 +266,18 @@
             self._ranges_by_service_and_index.keep((service, index), ranges)
 
     def apply(self, index, command):
-        """Apply a command at log ``index``; return its ``Outcome``."""
+        """Apply a command at log ``index``; return its ``Outcome``.
+
+        If an error ended the process, it would apply the same entry again after its
+        restart, and so would every other control VM. All of them fail in the same way,
+        so the command is void for all.
+        """
         try:
             return self._apply(command, index)
         except TamarackhavenError as error:
             return Outcome(error.kind, error.detail)
+        except Exception as error:
+            return Outcome(ErrorKind.INTERNAL, repr(error))
 
     @functools.singledispatchmethod
     def _apply(self, command, index):
--- a/tests/fleet/test_state.py
+++ b/tests/fleet/test_state.py
@@ -147,3 +147,15 @@
 )
 def test_commands_survive_encoding(command):
     assert decode(encode(command)) == command
+
+
+def test_a_command_that_fails_is_void_and_does_not_end_the_control_vm(state):
+    # Guards against: each control VM ends at the same log entry, and again after each
+    # restart.
+    version = state.configuration.version
+    broken = ReplaceConfiguration(version, None, "broken")
+    assert state.apply(2, broken).kind is ErrorKind.INTERNAL
+    assert state.configuration.version == version
+    assert state.configuration_index == 1
+    after = ReplaceConfiguration(version, configuration(version + 1), "after")
+    assert state.apply(3, after).kind is None
