Keep a daemon's session when an update of its view fails

What would be seen: a daemon without a lease, whose target loses its keys, as it begins a session several times a second and each ends at the same update; then the same at all others.

**Change:** an update that fails counts as refused: the version before it stays in force, the refusal is reported once, the leader sends the part anew from what the daemon has, and the view doesn't count as confirmed until an update has been applied.

**Measured:** `tests/sidecar/test_view_updates.py -k fails`: red before, pass.

--- a/tamarackhaven/sidecar/_view_updates.py
+++ b/tamarackhaven/sidecar/_view_updates.py
@@ -1,7 +1,7 @@
 """Applies the leader's updates to a daemon's view, and logs what came of them."""
 
 from tamarackhaven._clock import boot_s
-from tamarackhaven.fleet._messages import TargetsView
+from tamarackhaven.fleet._messages import NO_INDEX, TargetsView
 from tamarackhaven.sidecar._view_reports import UpdateOutcome, ViewReports
 
 
@@ -37,7 +37,7 @@
 
     def apply(self, message):
         """Apply a message about the view; return whether the view has changed."""
-        outcome = self._view.apply_update(message)
+        outcome = self._outcome(message)
         if isinstance(message, TargetsView):
             return outcome is UpdateOutcome.APPLIED
         if outcome is UpdateOutcome.REFUSED:
@@ -45,13 +45,30 @@
             self._log.say(
                 "update refused",
                 state_part=message.part,
-                base=message.base,
+                base=getattr(message, "base", NO_INDEX),
                 index=message.index,
             )
         if self._reports.record(message.part, outcome):
             self._report_now()
         return outcome is UpdateOutcome.APPLIED
 
+    def _outcome(self, message):
+        """Apply a message; an update that fails counts as refused.
+
+        If the error closed the link, the next session would begin with the same update,
+        and the daemon would get no lease either.
+        """
+        try:
+            return self._view.apply_update(message)
+        except Exception as error:
+            self._metrics.count("tamarackhaven_internal_errors_total")
+            self._log.say(
+                "update failed",
+                state_part=getattr(message, "part", ""),
+                error=repr(error),
+            )
+            return UpdateOutcome.REFUSED
+
     def confirm(self, requested_s):
         """Apply the leader's answer to a report that was sent at ``requested_s``.
 
--- a/tests/sidecar/test_view_updates.py
+++ b/tests/sidecar/test_view_updates.py
@@ -75,3 +75,19 @@
     assert daemon.sentences == ["targets dropped"]
     assert daemon.metrics.counter("tamarackhaven_targets_dropped_total") == 1
     assert not daemon.view.target_by_life
+
+
+def test_an_update_that_fails_is_refused_and_reported_once(daemon):
+    # Guards against: the error closes the link, and each next session begins with the
+    # same update.
+    broken = ConfigurationView(2, None)
+    for _ in range(3):
+        assert not daemon.updates.apply(broken)
+    assert daemon.sentences.count("update failed") == 3
+    assert [parts for _, parts in daemon.reports] == [("configuration",)]
+    assert daemon.view.table.configuration.version == 1
+    daemon.updates.confirm(boot_s())
+    assert not daemon.view.is_confirmed(boot_s())
+    assert daemon.updates.apply(ConfigurationView(3, Configuration(3)))
+    daemon.updates.confirm(boot_s())
+    assert daemon.view.is_confirmed(boot_s())
