Soak: requests that end their targets, repeats by window, and refusals of all kinds

**Cause:** the soak could not see the fault: no stand-in ended by a request, nobody counted targets by what they had been running, repeats of a service weren't counted by window, and "not run" was checked for requests that may not be repeated only.

Checked: none reaches a target once its daemon must know of three ends, whatever is lost later; repeats in any window of 10 s; no request that ran is refused as not run, those that may be repeated included (stricter than before).

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,8 @@
     draw_faults,
     draw_link_faults,
     draw_notice_faults,
+    draw_poison_faults,
+    draw_poison_run_faults,
     draw_session_faults,
 )
 from soak._faults import inject, lose_power
@@ -31,6 +33,8 @@
 CALLER_COUNT = 24
 # One run in so many changes only daemons' sessions.
 SESSION_RUN_INTERVAL = 3
+# One run in so many is about requests that end targets, with few faults beside them.
+POISON_RUN_INTERVAL = 4
 STALL_CHECK_INTERVAL_S = 0.05
 CANCEL_RETRY_INTERVAL_S = 1.0
 # During an election each control VM answers 503.
@@ -63,11 +67,14 @@
         return draw_faults(seed, seconds)
     if is_session_run(seed):
         return draw_session_faults(seed, seconds)
+    if seed % POISON_RUN_INTERVAL == 1:
+        return draw_poison_run_faults(seed, seconds)
     faults = [
         *draw_faults(seed, seconds),
         *draw_control_faults(seed, seconds),
         *draw_link_faults(seed, seconds),
         *draw_notice_faults(seed, seconds),
+        *draw_poison_faults(seed, seconds),
     ]
     return sorted(faults, key=lambda fault: fault.at_s)
 
--- a/soak/_draws.py
+++ b/soak/_draws.py
@@ -18,6 +18,7 @@
     ReplaceControl,
     ResetConnections,
     RestartDaemon,
+    SendPoison,
     StallDisk,
     Suspend,
     SuspendLeader,
@@ -37,6 +38,10 @@
 MAX_SUSPEND_S = 1.5
 LIMIT_FAULT_COUNT = 4
 LEAVING_FAULT_COUNT = 2
+POISON_COUNT = 3
+MAX_POISON_PAUSE_S = 6.0
+MIN_POISON_DURATION_S = 4.0
+MAX_POISON_DURATION_S = 9.0
 MIN_LIMIT_DURATION_S = 2.0
 MAX_LIMIT_DURATION_S = 7.0
 
@@ -58,6 +63,18 @@
 }
 
 
+_KINDS_BESIDE_POISONS = (
+    CrashTarget,
+    DrainTarget,
+    DropAllBytes,
+    Kill,
+    KillAllControls,
+    ResetConnections,
+    RestartDaemon,
+    SuspendLeader,
+)
+
+
 def draw_faults(seed, seconds):
     """Return the faults of a run, in order of time."""
     rng = random.Random(seed)
@@ -136,3 +153,31 @@
         duration_s = rng.uniform(MIN_LIMIT_DURATION_S, MAX_LIMIT_DURATION_S)
         faults.append(kind(at_s, rng.randrange(1 << 30), round(duration_s, 3)))
     return faults
+
+
+def draw_poison_faults(seed, seconds):
+    """Return the requests that end targets; they have their own generator."""
+    rng = random.Random(f"poisons {seed}")
+    faults = []
+    for _ in range(POISON_COUNT):
+        at_s = round(rng.uniform(0.0, seconds - MIN_POISON_DURATION_S), 3)
+        duration_s = rng.uniform(MIN_POISON_DURATION_S, MAX_POISON_DURATION_S)
+        faults.append(SendPoison(at_s, rng.randrange(1 << 30), round(duration_s, 3)))
+    return faults
+
+
+def draw_poison_run_faults(seed, seconds):
+    """Return the faults of a run that is about requests that end targets.
+
+    The requests are sent all the while, beside a few faults with pauses between them.
+    """
+    rng = random.Random(f"poison run {seed}")
+    faults = [
+        SendPoison(0.0, rng.randrange(1 << 30), seconds) for _ in range(POISON_COUNT)
+    ]
+    at_s = 0.0
+    while (at_s := at_s + rng.uniform(1.0, MAX_POISON_PAUSE_S)) < seconds:
+        kind = rng.choice(_KINDS_BESIDE_POISONS)
+        duration_s = round(rng.uniform(0.1, MAX_DURATION_S), 3)
+        faults.append(kind(round(at_s, 3), rng.randrange(1 << 30), duration_s))
+    return faults
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from soak._poisons import PoisonCallers
 from soak._proxy import Direction
 from soak._routes import CONTROL_GROUP
 from standin.narrow_link import NarrowLink
@@ -123,6 +124,10 @@
     """Makes a target announce in its answers that it leaves, then stops it."""
 
 
+class SendPoison(Fault):
+    """Makes callers send a request again and again that ends its targets."""
+
+
 class EvacuateZone(Fault):
     """Evacuates an availability zone and returns it to service."""
 
@@ -370,6 +375,11 @@
         await fleet.restart_target(vm)
 
 
+@inject.register
+async def _(fault: SendPoison, fleet):
+    await PoisonCallers(fleet, fault.selector).run(fault.duration_s)
+
+
 @inject.register
 async def _(fault: EvacuateZone, fleet):
     async with fleet.taken(fleet.zones[fault.selector % len(fleet.zones)]) as zone:
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -8,11 +8,13 @@
 
 import attrs
 
+from soak._poisons import PoisonWatch
 from soak._proxy import Proxy
 from soak._records import Records
 from soak._routes import CONFIG_DEADLINE_S, CONTACT_S, CONTROL_GROUP, MOVING_PREFIXES
 from soak._target import SoakTarget
 from standin.fleet import HEARTBEAT_S, PORTS, TARGET_PORT, Fleet, call
+from standin.poison import RESTART_S
 
 # Processes listen on the usual port plus this offset; proxies take the usual ports.
 LISTEN_OFFSET = 10
@@ -56,6 +58,10 @@
 
     def __init__(self, folder, net, vms=DEFAULT_VMS):
         self.records = Records()
+        self.records.poisons = PoisonWatch(
+            self.records.routes, self.records.report_violation
+        )
+        self._restarts = set()
         self.proxies = []
         services = [SERVICES[number % len(SERVICES)] for number in range(vms)]
         super().__init__(folder, services, net)
@@ -65,7 +71,7 @@
             zip(self.target_hosts, services, strict=True)
         ):
             zone = self._zone(host)
-            target = SoakTarget(host, service, zone, self.records)
+            target = self._new_target(host, service, zone)
             self.targets[number] = target
             self.target_vms.append(TargetVM(host, service, zone, target))
         self._taken = set()
@@ -73,6 +79,11 @@
         self._last_wipe_s = float("-inf")
         self._last_emptied_control = None
 
+    def _new_target(self, host, service, zone):
+        target = SoakTarget(host, service, zone, self.records)
+        target.on_ended = self._restart_soon
+        return target
+
     def _zone(self, host):
         return ZONES[self.target_hosts.index(host) % len(ZONES)]
 
@@ -206,9 +217,23 @@
         """Return a target's VM; ``number`` is taken modulo their count."""
         return self.target_vms[number % len(self.target_vms)]
 
+    def _restart_soon(self, ended):
+        """Start a new target where one has ended under a request."""
+        task = asyncio.create_task(self._restart_ended(ended))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart_ended(self, ended):
+        vm = next(each for each in self.target_vms if each.host == ended.host)
+        await asyncio.sleep(RESTART_S)
+        async with self.taken(vm):
+            # A fault may have put another one there meanwhile.
+            if vm.target is ended:
+                await self.restart_target(vm)
+
     async def restart_target(self, vm):
         """Start a new target on a target's VM."""
-        target = SoakTarget(vm.host, vm.service, vm.zone, self.records)
+        target = self._new_target(vm.host, vm.service, vm.zone)
         await self._start_target(target)
         self.targets[self.target_vms.index(vm)] = vm.target = target
 
@@ -273,6 +298,8 @@
 
     async def stop(self):
         """Kill all processes of the fleet and stop the proxies."""
+        for task in tuple(self._restarts):
+            task.cancel()
         await super().stop()
         for proxy in self.proxies:
             await proxy.stop()
--- a/soak/_load.py
+++ b/soak/_load.py
@@ -11,7 +11,7 @@
 from soak._fleet import read_version
 from soak._records import CallerRequest
 from soak._routes import MOVING_PREFIXES, draw_change, path_routes
-from standin.fleet import CONFIGURATION, PORTS
+from standin.fleet import CONFIGURATION, PORTS, SERVICE_BY_ROUTE
 
 DEADLINE_S = 2.0
 # A caller without a response this long after its deadline closes the connection.
@@ -112,7 +112,8 @@
             request.sent = self._body(request.attempt)
         lines += [f"Content-Length: {len(request.sent)}", "", ""]
         daemon = self._daemon.name
-        self._fleet.records.sent(request.attempt, daemon)
+        service = SERVICE_BY_ROUTE.get(request.prefix)
+        self._fleet.records.sent(request.attempt, daemon, service)
         if request.prefix in MOVING_PREFIXES:
             self._fleet.records.routes.sent(request.attempt, daemon, request.prefix)
         writer.write("\r\n".join(lines).encode() + request.sent)
@@ -240,6 +241,10 @@
         "asked": len(records.requests),
         "answers": count_by_status,
         "routes_judged": records.routes.judged,
+        "ends": records.poisons.ends,
+        "ends_arrivals": records.poisons.arrivals,
+        "ends_judged": records.poisons.judged,
+        "repeats": records.repeats.most,
         "stall_s": round(records.longest_stall_s, 2),
         "busy": round(records.max_core_fraction, 2),
     }
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from soak._repeats import RepeatWatch
 from soak._routes import RouteWatch
 from standin.notice_watch import WINDOW_S
 
@@ -84,6 +85,8 @@
     zone_out_s: float = 5.0
     targets: list = attrs.field(factory=list)
     routes: RouteWatch = attrs.field(factory=RouteWatch)
+    poisons: object = None
+    repeats: RepeatWatch = attrs.field(factory=RepeatWatch)
     zone_out_since_s: dict = attrs.field(factory=dict)
     _origin_by_attempt: dict = attrs.field(factory=dict)
     _fence_by_key: dict = attrs.field(factory=dict)
@@ -161,9 +164,14 @@
 
     # Callers.
 
-    def sent(self, attempt, vm):
-        """Record that a caller sends a request to the daemon of a VM."""
+    def sent(self, attempt, vm, service=None):
+        """Record that a caller sends a request to the daemon of a VM.
+
+        ``service`` is the one that runs it, None if that may be any.
+        """
         self._origin_by_attempt[attempt] = vm, time.monotonic()
+        if service is not None:
+            self.repeats.requested(service, time.monotonic())
 
     def returned(self, vm, head, body):
         """Record that a VM's daemon returned a target's answer.
@@ -208,17 +216,15 @@
 
     def check_end(self):
         """Check the guarantees that need all requests to have ended."""
+        for detail in self.repeats.too_many():
+            self.report_violation("repeats", detail)
         for request in self.requests:
             starts = self.executions_by_attempt.get(request.attempt, ())
             if not request.is_safe and len(starts) > 1:
                 self.report_violation(
                     "at most once", f"{request.attempt} executed {len(starts)} times"
                 )
-            if (
-                not request.is_safe
-                and request.status in NOT_EXECUTED_STATUSES
-                and starts
-            ):
+            if request.status in NOT_EXECUTED_STATUSES and starts:
                 self.report_violation(
                     "not run",
                     f"{request.attempt}: status {request.status}, but executed",
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -27,6 +27,10 @@
         self.name = f"i-{host}-{self.born_ms}"
         self._records = records
         self.watch = NoticeWatch(records.drain_s)
+        self.ends_under = lambda started: records.poisons.arrived(self, started)
+        self.on_arrival = lambda attempt: records.repeats.arrived(
+            service, attempt, time.monotonic()
+        )
         self.is_up = False
         self.drain_end_s = None
 
@@ -36,6 +40,11 @@
         self.is_up = True
         self._records.targets.append(self)
 
+    async def _end(self):
+        self.is_up = False
+        self._records.poisons.ended(self)
+        await super()._end()
+
     async def crash(self):
         """Stop at once, without a leave request."""
         self.is_up = False
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -18,6 +18,7 @@
 HEARTBEAT_S = 0.3
 PORTS = {"operators": 18620, "links": 17600, "callers": 18629, "readiness": 18625}
 TARGET_PORT = 18628
+BUDGET = {"slack": 100}
 SERVICE_BY_ROUTE = {"/owned/": "owned", "/shared/": "shared"}
 CONFIGURATION = {
     "version": "r1",
@@ -120,6 +121,7 @@
         # Value of the header that names a limit, None for no header.
         self.limit_text = None
         self.is_announced = False
+        self.on_arrival = lambda attempt: None
         self.on_start = lambda attempt: None
         # Returns after how many seconds a request ends the target, None if it doesn't.
         self.ends_under = lambda started: None
@@ -146,6 +148,7 @@
         self.born_ms = next(self._next_born_ms)
         self._sequence = 0
         self._released = []
+        self._end_task = None
         await self.start()
 
     async def stop(self):
@@ -261,7 +264,8 @@
         loop.call_later(seconds, self._end_life, self.born_ms)
 
     def _end_life(self, born_ms):
-        if born_ms == self.born_ms and self._server.is_serving():
+        is_over = self._end_task is not None or not self._server.is_serving()
+        if born_ms == self.born_ms and not is_over:
             self._end_task = asyncio.create_task(self._end())
 
     async def _end(self):
@@ -271,6 +275,7 @@
     async def _answer(self, line, headers, body):
         attempt = headers.get("tamarackhaven-attempt-id", "")
         key = int(headers.get("tamarackhaven-shard-key", -1))
+        self.on_arrival(attempt)
         misdirected = headers.get("tamarackhaven-expected-instance") != self.name
         if misdirected or (self.service == "owned" and not self.holds(key)):
             return (
@@ -383,7 +388,7 @@
 [lease]
 heartbeat_s = {HEARTBEAT_S}
 [budget]
-slack = 100
+slack = {BUDGET["slack"]}
 """
         return Process("daemon", host, text, self.folder)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -56,10 +56,11 @@
     assert any("at most once" in each for each in records.violations)
 
 
-def test_refusal_of_an_executed_request_is_detected():
+@pytest.mark.parametrize("is_safe", [True, False])
+def test_refusal_of_an_executed_request_is_detected(is_safe):
     records = Records()
     records.check_start(HoldingTarget("one"), "a", None)
-    records.ended(caller_request(503))
+    records.ended(caller_request(503, is_safe))
     records.check_end()
     assert any("not run" in each for each in records.violations)
 
@@ -231,10 +232,12 @@
         signal.signal(signal.SIGHUP, before)
 
 
-def test_runs_that_once_failed_and_two_short_ones_pass():
-    # The full soak is run manually with many new seeds. Seed 12 changes sessions only.
-    assert [is_session_run(seed) for seed in (11, 12)] == [False, True]
-    assert main(seeds=2, first=11, seconds=12.0, jobs=4, regressions=True) == 0
+def test_runs_that_once_failed_and_three_short_ones_pass():
+    # The full soak is run manually with many new seeds. Seed 12 changes sessions only,
+    # seed 13 is about requests that end targets.
+    assert [is_session_run(seed) for seed in (11, 12, 13)] == [False, True, False]
+    assert 13 % soak_main.POISON_RUN_INTERVAL == 1
+    assert main(seeds=3, first=11, seconds=12.0, jobs=4, regressions=True) == 0
 
 
 def test_truncated_body_is_detected():
