Propose each end once, and keep answers that come with one

**Cause:** an end stayed due until the state showed it. With 1,024 quarantined requests there is no room for another, so that each outcome would have led to the same proposal again, a commit every 20 ms. An answer that came while its end was still being proposed was dropped, and the request stayed a suspect until the next one.

**Change:** ends leave with their committed command; daemons that miss one report it again. Answers wait for an end that is due. The digest of the suspects is worked out when they change, not for each report.

Beside it tests of what the fix promised and no test showed yet: two suspects at one target, the last target, a daemon that ended, the suspects before the configuration, an answer that is reported at once.

--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -424,7 +424,7 @@
 
     def _on_proposal_outcome(self, leadership, command, is_void):
         if isinstance(command, UpdateSuspects):
-            leadership.trials.close(command)
+            leadership.trials.close(command, is_void)
         elif is_void:
             leadership.discard_change(command)
         self._schedule_decision()
--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -96,6 +96,8 @@
     def grant(self, report, state, now, daemon=""):
         """Return the ``LeaseGrant`` that answers a report of ``daemon``.
 
+        ``daemon`` is the host and port of its links, empty if its link is closed.
+
         Call it only after a quorum has confirmed the leader, in a round that began
         after the report was received, and send the grant at once.
         """
@@ -125,7 +127,8 @@
 
         A new leader doesn't know at first which ones others run.
         """
-        if now - self._confirmed_s < DISCOVERY_TIMEOUT_S:
+        is_discovering = now - self._confirmed_s < DISCOVERY_TIMEOUT_S
+        if is_discovering or not daemon:
             return ()
         return self.trials.grant(daemon, report, state, now)
 
--- a/tamarackhaven/fleet/_state.py
+++ b/tamarackhaven/fleet/_state.py
@@ -173,6 +173,7 @@
         self.index_by_service = {}
         self.suspect_by_request = {}
         self.suspects_index = 0
+        self._suspects_digest = suspects_digest({})
         self._last_fence = 0
         self._version_by_digest = collections.OrderedDict()
         # A snapshot contains only the present values; daemons that have older ones are
@@ -208,7 +209,7 @@
             PartVersion(
                 SUSPECTS_PART,
                 self.suspects_index,
-                suspects_digest(self.suspect_by_request),
+                self._suspects_digest,
             ),
         ]
         versions += [
@@ -253,14 +254,13 @@
         state.ranges_by_service = dict(saved.ranges_by_service)
         state.index_by_service = dict(saved.index_by_service)
         state._last_fence = saved.last_fence
-        state.suspect_by_request = {each.request: each for each in saved.suspects}
-        state.suspects_index = saved.suspects_index
+        suspect_by_request = {each.request: each for each in saved.suspects}
+        state._set_suspects(suspect_by_request, saved.suspects_index)
         state._keep_present_values()
         return state
 
     def _keep_present_values(self):
         self._configuration_by_index.keep(self.configuration_index, self.configuration)
-        self._suspects_by_index.keep(self.suspects_index, self.suspect_by_request)
         for service, index in self.index_by_service.items():
             ranges = self.ranges_by_service[service]
             self._ranges_by_service_and_index.keep((service, index), ranges)
@@ -348,11 +348,15 @@
     def _(self, command: UpdateSuspects, index):
         suspect_by_request = updated(self.suspect_by_request, command)
         if suspect_by_request != self.suspect_by_request:
-            self.suspect_by_request = suspect_by_request
-            self.suspects_index = index
-            self._suspects_by_index.keep(index, suspect_by_request)
+            self._set_suspects(suspect_by_request, index)
         return Outcome()
 
+    def _set_suspects(self, suspect_by_request, index):
+        self.suspect_by_request = suspect_by_request
+        self.suspects_index = index
+        self._suspects_digest = suspects_digest(suspect_by_request)
+        self._suspects_by_index.keep(index, suspect_by_request)
+
     @_apply.register
     def _(self, command: AssignKeys, index):
         ranges = self.ranges_by_service.get(command.service)
--- a/tests/fleet/test_sessions.py
+++ b/tests/fleet/test_sessions.py
@@ -386,3 +386,14 @@
         assert view.table.configuration.digest == restored.configuration.digest
 
     run(test)
+
+
+def test_a_daemon_has_the_suspects_before_the_configuration():
+    # Guards against: a daemon that has just started serves callers by its first
+    # configuration, and sends on a request that is quarantined.
+    state = FleetState()
+    state.apply(1, ReplaceConfiguration(0, Configuration(1), "1"))
+    kinds = []
+    link = types.SimpleNamespace(send=lambda message: kinds.append(message.kind))
+    Session("d", link).send_updates(state)
+    assert kinds.index("SuspectsView") < kinds.index("ConfigurationView")
--- a/tests/sidecar/test_callers.py
+++ b/tests/sidecar/test_callers.py
@@ -307,3 +307,53 @@
     failed = Answered(0, 500, (), b"failed")
     assert send_scripted(view, None, failed).status == 500
     assert send_scripted(shared_view(), None, failed, LOST, UNREACHABLE).status == 500
+
+
+@pytest.mark.parametrize(("targets", "is_sent"), [(1, False), (2, True)])
+def test_a_request_that_ended_two_targets_spares_the_last_one(targets, is_sent):
+    # Guards against: the third target that a request ends is the last of its service.
+    async def main():
+        view, runs = View(), RecordingRuns()
+        apply_view(view)
+        if targets > 1:
+            view.apply_update(
+                TargetsView(1, (Target("j@1@g:1", "j", 1, "s", "b", "g", 1, 4),))
+            )
+        dialect = Dialect(2000.0)
+        callers = make_callers(view, dialect, runs, RecordingPeers(runs))
+        request = HttpRequest("GET", "/x", (), b"", boot_s())
+        digest = dialect.read_request(request).digest
+        for number in range(2):
+            callers._suspects.record_end(f"k{number}@1@h:1", (digest,), boot_s())
+        callers._permits.acquire = _granted
+        response = await callers.handle(request)
+        assert (response.status == 200) is is_sent
+        assert bool(runs.lives) is is_sent
+        if not is_sent:
+            assert response.headers == (
+                (b"Kind", ErrorKind.REQUEST_SUSPECT.name.encode()),
+            )
+
+    asyncio.run(main())
+
+
+async def _granted(pending):
+    return True
+
+
+def test_a_quarantined_request_is_refused_without_a_send():
+    async def main():
+        view, runs = View(), RecordingRuns()
+        apply_view(view)
+        dialect = Dialect(2000.0)
+        callers = make_callers(view, dialect, runs, RecordingPeers(runs))
+        request = HttpRequest("GET", "/x", (), b"", boot_s())
+        digest = dialect.read_request(request).digest
+        for number in range(3):
+            callers._suspects.record_end(f"k{number}@1@h:1", (digest,), boot_s())
+        response = await callers.handle(request)
+        kind = ErrorKind.REQUEST_QUARANTINED.name.encode()
+        assert response.headers == ((b"Kind", kind),)
+        assert not runs.lives
+
+    asyncio.run(main())
--- a/tests/sidecar/test_peers.py
+++ b/tests/sidecar/test_peers.py
@@ -390,3 +390,18 @@
         waiting.cancel()
 
     run(test)
+
+
+def test_a_request_under_which_its_targets_daemon_ends_names_that_run():
+    # Guards against: a request that ends daemons is sent on to the next one, since only
+    # ends of targets are counted.
+    async def test(pair):
+        lost = pair.forward()
+        await pair.until(lambda: pair.target.ran)
+        pair.links.close()
+        await pair.start(boot="two")
+        result = await lost
+        assert isinstance(result, Lost)
+        assert result.ended == f"{FORWARD.life} one"
+
+    run(test)
