--- a/tests/sidecar/test_permits.py
+++ b/tests/sidecar/test_permits.py
@@ -39,7 +39,8 @@
         self.view = View()
         self.view.confirm(boot_s() + LONG_S)
         self.reports = 0
-        self.permits = Permits(self.suspects, self.view, Log(), Metrics())
+        self.metrics = Metrics()
+        self.permits = Permits(self.suspects, self.view, Log(), self.metrics)
         self.permits.report_now = self._report
         self.suspects.record_end("i@1@h:1", (REQUEST,), boot_s())
 
@@ -160,6 +161,8 @@
             await waiting.start(0.4 if has_leader else LONG_S)
         assert caught.value.kind is ErrorKind.REQUEST_SUSPECT
         assert boot_s() - started_s < LONG_S / 2
+        counted = 'tamarackhaven_suspect_permits_total{outcome="not granted"} 1'
+        assert counted in waiting.metrics.page()
         assert waiting.permits.wanted(1) == ()
 
     run(test)
--- a/tests/sidecar/test_target_ends.py
+++ b/tests/sidecar/test_target_ends.py
@@ -68,6 +68,7 @@
         assert life == FORWARD.life
         assert [each.attempt_id for each in requests] == ["a0", "a1", "a2"]
         assert len(ends._log.lines) == 1
+        assert "tamarackhaven_target_ends_total 1" in ends._metrics.page()
 
     run(test)
 
