--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -122,6 +122,7 @@
             PORT_TAKEN, or an error of the storage.
         """
         self._loop = asyncio.get_running_loop()
+        self._metrics.add_source(self._state_log.update_gauges)
         storage = Storage.open(Path(self._settings.data_folder) / "group")
         name, membership = self._identity(storage)
         hello = MemberHello(name, self._host, self._port)
--- a/tamarackhaven/fleet/_state_log.py
+++ b/tamarackhaven/fleet/_state_log.py
@@ -24,7 +24,6 @@
         self._log = log
         self._metrics = metrics
         self._suspect_by_request = {}
-        metrics.add_source(self._update_gauges)
 
     def log_configuration(self, index, daemons):
         """Log the configuration if it was set at a log index.
@@ -68,7 +67,7 @@
             quarantines=suspect.quarantines,
         )
 
-    def _update_gauges(self):
+    def update_gauges(self):
         """Set the gauges; those of the configuration are compared with daemons'."""
         with self._machine.lock:
             configuration = self._machine.state.configuration
--- a/tests/fleet/test_state_log.py
+++ b/tests/fleet/test_state_log.py
@@ -18,6 +18,7 @@
         self.metrics = Metrics()
         self.lines = []
         self.log = StateLog(self.machine, self, self.metrics)
+        self.metrics.add_source(self.log.update_gauges)
         self._index = 0
 
     def say(self, sentence, **fields):
