Let a learner forget a leader that has fallen silent

What callers saw: after a power loss refusals without end, as the control group had no quorum.

Cause: a control VM that had lost its disk was removed as a silent learner by a new leader at 19.56 s, while it was cut off, and took a late message at 21.65 s for one of its leader. A member without a vote starts no election, so nothing ever cleared that leader; a member that has a leader doesn't ask to join. It stayed outside the group, and the next lost disk took the quorum.

A learner whose election timeout ends without a message of its leader now has no leader, and asks to join again.

test_a_learner_forgets_a_leader_that_has_fallen_silent failed before ('a' is still the leader) and passes now; so do the golden histories, unchanged.

--- a/tamarackhaven/_raft.py
+++ b/tamarackhaven/_raft.py
@@ -131,10 +131,22 @@
         if self._leadership:
             if not self._leadership.tick(now):
                 self._become_follower(leader="")
-        elif now >= self._election_due_s and self._is_voter:
-            self._campaign(is_pre_vote=True)
+        elif now >= self._election_due_s:
+            self._on_election_timeout()
         return self._take_output()
 
+    def _on_election_timeout(self):
+        """Start an election, or as a member without a vote forget the silent leader.
+
+        A learner that was removed while it was cut off gets no more messages. As long
+        as it took the sender of the last one for its leader, it wouldn't ask to join
+        again.
+        """
+        if self._is_voter:
+            self._campaign(is_pre_vote=True)
+        elif self._core.leader:
+            self._become_follower(leader="")
+
     def step(self, message, now):
         """Handle one message from another member."""
         self._now = now
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -124,6 +124,30 @@
     check(group, "raft_membership")
 
 
+def test_a_learner_forgets_a_leader_that_has_fallen_silent():
+    # Guards against: a learner is removed while it's cut off, then gets a late message of
+    # the leader, and waits for that leader for ever instead of asking to join again.
+    group = group_led_by_first("a", "b", "c")
+    group.join("d")
+    group.change("a", "add", "d")
+    group.run(1.0)
+    assert group.nodes["d"].leader == "a"
+    group.cut("d")
+    group.tick("a", 0.2)
+    late = next(each for each in group.in_flight if each.receiver == "d")
+    group.change("a", "remove", "d")
+    group.run(1.0)
+    assert group.nodes["d"].leader == ""
+    group.heal()
+    group.deliver(late)
+    assert group.nodes["d"].leader == "a"
+    group.run(1.0)
+    assert group.nodes["d"].leader == ""
+    group.change("a", "add", "d")
+    group.run(1.0)
+    assert group.nodes["d"].leader == "a"
+
+
 # Elections under failures.
 
 
