--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -125,7 +125,7 @@
 
 
 def test_a_learner_forgets_a_leader_that_has_fallen_silent():
-    # Guards against: a learner is removed while it's cut off, then gets a late message of
+    # Guards against: a learner is removed while cut off, then gets a late message of
     # the leader, and waits for that leader for ever instead of asking to join again.
     group = group_led_by_first("a", "b", "c")
     group.join("d")
