Stand-in: let nothing of a crashed target go on

A target that has crashed may go on in two ways. A connection that asyncio has accepted, but whose task hasn't started, isn't among those that are aborted, and is served afterwards. And asyncio.wait_for swallows the cancellation of the heartbeats when a heartbeat's answer arrives at the same moment; the target goes on reporting and is granted keys again. Both together give what was seen: such a target is over already, so that no request ends it any more.

Heartbeats now have a timeout that can't swallow a cancellation, and a connection whose target is over is closed.

--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -62,9 +62,9 @@
     Connection errors, a timeout and malformed responses give status 0.
     """
     try:
-        return await asyncio.wait_for(
-            _call(host, port, method, path, headers, body), timeout_s
-        )
+        # ``asyncio.wait_for`` could swallow the cancellation of the caller.
+        async with asyncio.timeout(timeout_s):
+            return await _call(host, port, method, path, headers, body)
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         return Answer(0)
 
@@ -234,6 +234,9 @@
         return bool(released)
 
     async def _serve(self, reader, writer):
+        if not self._server.is_serving():
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         try:
             while True:
