Stand-in: split the target and the client's call off the fleet

The simulated target and the ports of its VM are in fleet_target.py, a client's single call in call.py. Moved without a change but for imports; the tests of the stand-in, of the soak's checks and of configurations over real processes pass.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,7 +27,7 @@
 from soak._faults import inject, lose_power
 from soak._fleet import DEFAULT_VMS, SoakFleet
 from soak._load import STORM_FRACTION, Caller, Operator, describe
-from standin.fleet import PORTS
+from standin.fleet_target import PORTS
 
 REGRESSIONS = Path(__file__).with_name("regressions.toml")
 CALLER_COUNT = 24
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -13,7 +13,9 @@
 from soak._records import Records
 from soak._routes import CONFIG_DEADLINE_S, CONTACT_S, CONTROL_GROUP, MOVING_PREFIXES
 from soak._target import SoakTarget
-from standin.fleet import HEARTBEAT_S, PORTS, TARGET_PORT, Fleet, call
+from standin.call import call
+from standin.fleet import Fleet
+from standin.fleet_target import HEARTBEAT_S, PORTS, TARGET_PORT
 from standin.poison import RESTART_S
 
 # Processes listen on the usual port plus this offset; proxies take the usual ports.
--- a/soak/_load.py
+++ b/soak/_load.py
@@ -11,7 +11,8 @@
 from soak._fleet import read_version
 from soak._records import CallerRequest
 from soak._routes import MOVING_PREFIXES, draw_change, path_routes
-from standin.fleet import CONFIGURATION, PORTS, SERVICE_BY_ROUTE
+from standin.fleet import CONFIGURATION, SERVICE_BY_ROUTE
+from standin.fleet_target import PORTS
 
 DEADLINE_S = 2.0
 # A caller without a response this long after its deadline closes the connection.
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -4,7 +4,7 @@
 import random
 import time
 
-from standin.fleet import HEARTBEAT_S, Target
+from standin.fleet_target import HEARTBEAT_S, Target
 from standin.notice_watch import NoticeWatch, named_limit
 
 # Simulates the slowest clock allowed for a target, by which its holds last longer.
--- /dev/null
+++ b/standin/fleet_target.py
@@ -0,0 +1,232 @@
+"""A simulated target of a fleet: it sends heartbeats, holds keys and runs requests."""
+
+import asyncio
+import itertools
+import json
+import time
+
+import attrs
+
+from standin.call import call
+
+HEARTBEAT_S = 0.3
+PORTS = {"operators": 18620, "links": 17600, "callers": 18629, "readiness": 18625}
+TARGET_PORT = 18628
+
+
+@attrs.frozen
+class Started:
+    """A request that a target starts to run; ``key`` is -1 without one."""
+
+    attempt: str
+    path: str
+    key: int
+    body: bytes
+
+
+class Target:
+    """A target that sends heartbeats, holds the granted keys and records executions.
+
+    Parameters
+    ----------
+    host : str
+        Address of its VM.
+    service : str
+        ``owned`` or ``shared``.
+    """
+
+    _next_born_ms = itertools.count(1_700_000_000_000)
+
+    def __init__(self, host, service, zone="z"):
+        self.host = host
+        self.service = service
+        self.zone = zone
+        self.name = f"i-{host}"
+        self.born_ms = next(self._next_born_ms)
+        self.state = "ready"
+        self.work_s = 0.01
+        # Value of the header that names a limit, None for no header.
+        self.limit_text = None
+        self.is_announced = False
+        self.on_arrival = lambda attempt: None
+        self.on_start = lambda attempt: None
+        # Returns after how many seconds a request ends the target, None if it doesn't.
+        self.ends_under = lambda started: None
+        self.on_ended = lambda target: None
+        self.ran = []
+        self.begun = []
+        self.held_by_range = {}
+        self.fence_by_key_range = {}
+        self._held_until_s = 0.0
+        self._sequence = 0
+        self._released = []
+        self._server = None
+        self._heartbeats = None
+        self._end_task = None
+        self._writers = set()
+
+    async def start(self):
+        """Listen and start sending heartbeats."""
+        self._server = await asyncio.start_server(self._serve, self.host, TARGET_PORT)
+        self._heartbeats = asyncio.create_task(self._send_heartbeats_forever())
+
+    async def restart(self):
+        """Start again under the same name, as another life that holds nothing."""
+        self.born_ms = next(self._next_born_ms)
+        self._sequence = 0
+        self._released = []
+        self._end_task = None
+        await self.start()
+
+    async def stop(self):
+        """Simulate a crash: send no leave request and drop all holds."""
+        self.held_by_range = {}
+        if self._server is None:
+            return
+        self._heartbeats.cancel()
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def holds(self, key):
+        """Whether the target may execute requests for ``key`` now."""
+        return time.monotonic() < self._held_until_s and any(
+            first <= key <= last for first, last in self.held_by_range
+        )
+
+    async def _send_heartbeats_forever(self):
+        while True:
+            more = await self._send_heartbeat()
+            await asyncio.sleep(0.05 if more else HEARTBEAT_S)
+
+    async def _send_heartbeat(self):
+        self._sequence += 1
+        sent_s = time.monotonic()
+        if sent_s >= self._held_until_s:
+            self.held_by_range = {}
+        rows = [[*keys, fence] for keys, fence in self.held_by_range.items()]
+        document = {
+            "address": f"{self.host}:{TARGET_PORT}",
+            "born": self.born_ms,
+            "info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": self.zone,
+                "max_concurrency": 8,
+            },
+            "status": {
+                "state": self.state,
+                "sequence": self._sequence,
+                "cold_s_time": 0,
+            },
+            "active_holds": rows,
+            "released": self._released,
+        }
+        return await self._post("heartbeat", document, sent_s)
+
+    async def _post(self, action, document, sent_s):
+        """Send a heartbeat or leave request; return whether holds were released.
+
+        If so, the next heartbeat is due soon, to report the release.
+        ``sent_s`` is the ``time.monotonic()`` of sending, in seconds.
+        """
+        answer = await call(
+            self.host,
+            PORTS["operators"],
+            "POST",
+            f"/api/instances/{self.name}/{action}",
+            [("Host", "x")],
+            json.dumps(document).encode(),
+            1.0,
+        )
+        if answer.status != 200:
+            return False
+        self._released = []
+        return self._apply_grants(json.loads(answer.body), sent_s)
+
+    async def send_leave(self):
+        """Send a leave request; the target goes on serving and sending heartbeats."""
+        await self._post("leave", {}, time.monotonic())
+
+    def _apply_grants(self, response, sent_s):
+        if "active_holds" not in response:
+            return False
+        new = {
+            (first, last): fence for first, last, fence, _ in response["active_holds"]
+        }
+        released = [keys for keys in self.held_by_range if keys not in new]
+        self._released = [[*keys, f"t{keys[0]}"] for keys in released]
+        self.held_by_range = new
+        self._held_until_s = sent_s + response["hold_s"]
+        return bool(released)
+
+    async def _serve(self, reader, writer):
+        if not self._server.is_serving():
+            writer.transport.abort()
+            return
+        self._writers.add(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                lines = head.split("\r\n")
+                headers = {
+                    n.lower(): v.strip()
+                    for n, _, v in (line.partition(":") for line in lines[1:] if line)
+                }
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                writer.write(await self._answer(lines[0], headers, body))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+        except asyncio.CancelledError:
+            # The run has ended; asyncio logs a cancelled server task as an error.
+            return
+        finally:
+            self._writers.discard(writer)
+
+    def _record_start(self, attempt, key):
+        """Record that the execution of an attempt starts."""
+        self.begun.append(attempt)
+        self.on_start(attempt)
+
+    def _end_later(self, seconds):
+        """Crash after ``seconds``, unless this life has ended by then."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, self._end_life, self.born_ms)
+
+    def _end_life(self, born_ms):
+        is_over = self._end_task is not None or not self._server.is_serving()
+        if born_ms == self.born_ms and not is_over:
+            self._end_task = asyncio.create_task(self._end())
+
+    async def _end(self):
+        await self.stop()
+        self.on_ended(self)
+
+    async def _answer(self, line, headers, body):
+        attempt = headers.get("tamarackhaven-attempt-id", "")
+        key = int(headers.get("tamarackhaven-shard-key", -1))
+        self.on_arrival(attempt)
+        misdirected = headers.get("tamarackhaven-expected-instance") != self.name
+        if misdirected or (self.service == "owned" and not self.holds(key)):
+            return (
+                b"HTTP/1.1 421 Misdirected\r\nTamarackhaven-Not-Executed: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+        self._record_start(attempt, key)
+        end_s = self.ends_under(Started(attempt, line.split()[1], key, body))
+        if end_s is not None:
+            self._end_later(end_s)
+            await asyncio.sleep(end_s)
+        await asyncio.sleep(self.work_s)
+        self.ran.append((attempt, key, time.monotonic()))
+        text = f"{self.name} {line.split()[1]} ".encode() + body
+        return (
+            b"HTTP/1.1 200 OK\r\nTamarackhaven-Attempt-Id: %s\r\n"
+            b"Tamarackhaven-Response-Signature: s\r\n%sContent-Length: %d\r\n\r\n%s"
+        ) % (attempt.encode(), self._notice_headers(), len(text), text)
+
+    def _notice_headers(self):
+        """Return the headers with which it reports its limit and that it leaves."""
+        limit, leaving = self.limit_text, self.is_announced
+        lines = f"Server-Limit: {limit}\r\n" if limit is not None else ""
+        return (lines + ("Server-Leaving: 1\r\n" if leaving else "")).encode()
--- a/tests/fleet/test_configuration_differences.py
+++ b/tests/fleet/test_configuration_differences.py
@@ -7,7 +7,8 @@
 import copy
 
 from soak._proxy import Direction, Proxy
-from standin.fleet import CONFIGURATION, PORTS, Fleet
+from standin.fleet import CONFIGURATION, Fleet
+from standin.fleet_target import PORTS
 
 NET = 91
 SERVICES = ("owned", "shared")
--- a/tests/fleet/test_fleet_processes.py
+++ b/tests/fleet/test_fleet_processes.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from standin.fleet import call
+from standin.call import call
 from tests.fleet import real_fleet
 
 NETWORK_NUMBERS = itertools.count(41)
--- a/tests/fleet/test_poison_requests.py
+++ b/tests/fleet/test_poison_requests.py
@@ -11,7 +11,9 @@
 
 import pytest
 
-from standin.fleet import CONFIGURATION, PORTS, Fleet, call
+from standin.call import call
+from standin.fleet import CONFIGURATION, Fleet
+from standin.fleet_target import PORTS
 from standin.poison import MAX_ENDS, Poison, PoisonWatch
 from tests.fleet import real_fleet
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,9 +15,10 @@
 from soak._draws import draw_faults
 from soak._proxy import Direction, Proxy
 from soak._records import CallerRequest, Records
-from standin.fleet import PORTS, Process
+from standin.fleet_target import PORTS
 from standin.narrow_link import NarrowLink
 from standin.notice_watch import NoticeWatch
+from standin.process import Process
 
 
 class HoldingTarget:
--- a/tests/test_soak_poisons.py
+++ b/tests/test_soak_poisons.py
@@ -6,7 +6,8 @@
 from soak._poisons import KNOWN_AFTER_S, PoisonWatch
 from soak._repeats import RATIO, WINDOW_S, RepeatWatch
 from soak._routes import CONTACT_S, CONTROL_GROUP, RouteWatch
-from standin.fleet import BUDGET, Started
+from standin.fleet import BUDGET
+from standin.fleet_target import Started
 from standin.poison import MAX_ENDS, Poison
 
 POISON = Poison(path="/poison")
--- a/tests/test_standin_target.py
+++ b/tests/test_standin_target.py
@@ -4,7 +4,7 @@
 import contextlib
 import socket
 
-from standin.fleet import HEARTBEAT_S, PORTS, TARGET_PORT, Target
+from standin.fleet_target import HEARTBEAT_S, PORTS, TARGET_PORT, Target
 
 HOST = "127.199.2.1"
 # More than a heartbeat or a new connection takes.
