Let daemons that were told of three ends refuse the request, also without a leader

What callers saw: while all control VMs were dead, a request that ends its targets, sent again under new ids at ten daemons, ended a fourth and a fifth.

Cause: each daemon learned of ends from the log, or by its own sends. Without a leader the log stands still, and each daemon that had not sent the request itself let it end one more target. The design named this as a limit; nobody had counted it.

Change: the daemon of a target that has ended tells those that have sent it requests, along the links that there are. They make no suspect: without a leader it would be refused, and most requests that a target has are innocent.

Why it works: a sequence of tries is refused by each daemon that has a link to the three targets' daemons.

--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -129,6 +129,7 @@
         self._is_leaving = False
         self._permits.report_now = self._control.report_now
         self.inbound.ends.on_end = self._on_target_end
+        self._peers.on_target_ended = self._on_other_target_ended
         self.inbound.on_suspect_answered = self._permits.report_soon
         self.inbound.exchange.on_ended = self._control.report_now
         self.inbound.notices.on_leaving = self._on_target_leaving
@@ -375,9 +376,17 @@
     def _on_target_end(self, life, requests):
         digests = [each.digest for each in requests]
         self.suspects.record_end(life, digests, boot_s())
+        self._peer_server.tell_target_ended(life, digests)
         self._permits.notify_changed()
         self._control.report_now()
 
+    def _on_other_target_ended(self, message):
+        self.log.say(
+            "told of an end", life=message.life, requests=len(message.requests)
+        )
+        self.suspects.note_end(message.life, message.requests, boot_s())
+        self._permits.notify_changed()
+
     def _on_target_leaving(self):
         self.inbound.apply_target_state()
         self._control.report_now()
--- a/tamarackhaven/sidecar/_messages.py
+++ b/tamarackhaven/sidecar/_messages.py
@@ -242,6 +242,22 @@
     """
 
 
+@attrs.frozen
+class TargetEnded:
+    """Tells which requests the target beside the sender had when it ended.
+
+    Parameters
+    ----------
+    life : str
+        The life that ended.
+    requests : tuple of bytes
+        Digests of what these ask for.
+    """
+
+    life: str
+    requests: tuple[bytes, ...]
+
+
 PEER_CODEC = Codec(
     (
         PeerHello,
@@ -256,5 +272,6 @@
         WaitReply,
         Cancel,
         Leaving,
+        TargetEnded,
     )
 )
--- a/tamarackhaven/sidecar/_peers.py
+++ b/tamarackhaven/sidecar/_peers.py
@@ -26,6 +26,7 @@
     NotRun,
     PeerHello,
     PeerWelcome,
+    TargetEnded,
     WaitQuery,
     WaitReply,
 )
@@ -134,9 +135,10 @@
 class _Peer:
     """The link to one other daemon, and the forwards that are in flight to it."""
 
-    def __init__(self, address, boot):
+    def __init__(self, address, boot, on_target_ended):
         self._address = address
         self._boot = boot
+        self._on_target_ended = on_target_ended
         self._peer_boot = None
         self._open_by_number = {}
         self._future_by_query_number = {}
@@ -268,6 +270,8 @@
                 entry.send_part(message, link)
         elif isinstance(message, Leaving):
             self._leaving_until_s = boot_s() + LEAVING_TTL_S
+        elif isinstance(message, TargetEnded):
+            self._on_target_ended(message)
         elif isinstance(message, WaitReply):
             future = self._future_by_query_number.get(message.number)
             if future is not None and not future.done():
@@ -315,16 +319,24 @@
     ----------
     boot : str
         Random name of this daemon's run.
+
+    Attributes
+    ----------
+    on_target_ended : callable
+        Called with each ``TargetEnded`` of another daemon.
     """
 
     def __init__(self, boot):
         self._boot = boot
         self._peer_by_address = {}
+        self.on_target_ended = lambda message: None
 
     def _peer(self, address):
         peer = self._peer_by_address.get(address)
         if peer is None:
-            peer = self._peer_by_address[address] = _Peer(address, self._boot)
+            peer = self._peer_by_address[address] = _Peer(
+                address, self._boot, lambda message: self.on_target_ended(message)
+            )
         return peer
 
     async def query_wait(self, address, query):
@@ -467,6 +479,15 @@
         for link in self._link_by_boot.values():
             link.send(Leaving())
 
+    def tell_target_ended(self, life, requests):
+        """Tell all connected daemons which requests the target had when it ended.
+
+        ``requests`` are the digests of what these ask for.
+        """
+        message = PEER_CODEC.packed(TargetEnded(life, tuple(requests)))
+        for link in self._link_by_boot.values():
+            link.send(message)
+
 
 def _result_of(forward, task):
     """Return the ``Answered``, ``NotRun`` or ``Lost`` of a task that is done."""
--- a/tamarackhaven/sidecar/_sender.py
+++ b/tamarackhaven/sidecar/_sender.py
@@ -184,8 +184,10 @@
             if result.ended:
                 is_unreachable = True
                 self._suspects.record_end(result.ended, (pending.request.digest,), now)
-        elif isinstance(result, Answered) and result.status >= 500:
-            pending.failed = result
+        elif isinstance(result, Answered):
+            self._suspects.note_answer(pending.request.digest)
+            if result.status >= 500:
+                pending.failed = result
         # A result that this daemon created itself, for example after a broken link,
         # doesn't include the target's load.
         load = result.load if result.load != GateLoad() else None
--- a/tamarackhaven/sidecar/_suspects.py
+++ b/tamarackhaven/sidecar/_suspects.py
@@ -33,6 +33,8 @@
         self._suspect_by_request = {}
         # Answers by the life that ended, by request, with when that was noted.
         self._own_ends_by_request = collections.OrderedDict()
+        # When other daemons told of ends, by life, by request.
+        self._told_ends_by_request = collections.OrderedDict()
         self._answers_by_request = collections.OrderedDict()
         self._new_answers_by_request = collections.Counter()
         self._noted_s_by_request = collections.OrderedDict()
@@ -42,15 +44,8 @@
         self._suspect_by_request = suspect_by_request
         for request in self._noted_s_by_request.keys() & suspect_by_request.keys():
             del self._noted_s_by_request[request]
-        for request in list(self._own_ends_by_request):
-            known = suspect_by_request.get(request)
-            if known is None:
-                continue
-            own = self._own_ends_by_request[request]
-            for life in [each for each in own if record_digest(each) in known.ends]:
-                del own[life]
-            if not own:
-                del self._own_ends_by_request[request]
+        for ends_by_request in (self._own_ends_by_request, self._told_ends_by_request):
+            _remove_known(ends_by_request, suspect_by_request)
 
     def record_end(self, life, requests, now):
         """Record that a target has ended, and which requests it had.
@@ -84,6 +79,37 @@
         if len(self._noted_s_by_request) > MAX_OWN_ENDS:
             self._noted_s_by_request.popitem(last=False)
 
+    def note_end(self, life, requests, now):
+        """Record that another daemon tells of an end, and which requests were there.
+
+        Such ends count until the control group's suspects include them, or a target
+        answers the request. They don't make it a suspect: without a leader it would be
+        refused everywhere, and most requests that a target has are innocent.
+
+        Parameters
+        ----------
+        life : str
+            The life that ended.
+        requests : iterable of bytes
+            Digests of what the requests ask for.
+        now : float
+            Seconds of the boot clock.
+        """
+        for request in requests:
+            known = self._suspect_by_request.get(request)
+            if not request or known and record_digest(life) in known.ends:
+                continue
+            told = self._told_ends_by_request.setdefault(request, {})
+            told.setdefault(life, now)
+            if len(told) > MAX_ENDS:
+                del told[next(iter(told))]
+            if len(self._told_ends_by_request) > MAX_OWN_ENDS:
+                self._told_ends_by_request.popitem(last=False)
+
+    def note_answer(self, request):
+        """Record that a target answered a request that this daemon had sent."""
+        self._told_ends_by_request.pop(request, None)
+
     def _is_noted(self, request, now):
         noted_s = self._noted_s_by_request.get(request)
         return noted_s is not None and now - noted_s <= NOTED_TTL_S
@@ -95,18 +121,17 @@
         """
         known = self._suspect_by_request.get(request)
         own = self._recent_own_ends(request, now)
-        if not own:
-            if known is not None:
-                return known.phase
-            return SuspectPhase.SUSPECT if self._is_noted(request, now) else None
-        unanswered_ends = len(own)
+        unanswered_ends = len({*own, *self._recent_told_ends(request, now)})
         if known is not None:
             unanswered_ends += known.unanswered_ends
             if known.phase is SuspectPhase.QUARANTINED:
                 return known.phase
         if unanswered_ends >= MAX_ENDS:
             return SuspectPhase.QUARANTINED
-        return SuspectPhase.SUSPECT
+        if not own and known is not None:
+            return known.phase
+        is_suspect = own or self._is_noted(request, now)
+        return SuspectPhase.SUSPECT if is_suspect else None
 
     def end_count(self, request, now):
         """Return how many targets have ended under a request."""
@@ -120,6 +145,12 @@
             return ()
         return [life for life, end in own.items() if now - end[0] <= OWN_END_TTL_S]
 
+    def _recent_told_ends(self, request, now):
+        told = self._told_ends_by_request.get(request)
+        if not told:
+            return ()
+        return [life for life, told_s in told.items() if now - told_s <= OWN_END_TTL_S]
+
     def is_confined(self, request, now):
         """Whether a request runs at one target at a time, or at none."""
         return self.phase(request, now) not in (None, SuspectPhase.CLEARED)
@@ -162,3 +193,14 @@
         counts = self._new_answers_by_request.items()
         self._new_answers_by_request = collections.Counter()
         return tuple(RequestAnswers(request, count) for request, count in counts)
+
+
+def _remove_known(ends_by_request, suspect_by_request):
+    """Remove the ends that the control group's suspects include."""
+    for request in ends_by_request.keys() & suspect_by_request.keys():
+        known = suspect_by_request[request]
+        ends = ends_by_request[request]
+        for life in [each for each in ends if record_digest(each) in known.ends]:
+            del ends[life]
+        if not ends:
+            del ends_by_request[request]
--- a/tests/fleet/test_poison_requests.py
+++ b/tests/fleet/test_poison_requests.py
@@ -25,6 +25,10 @@
 # Between a caller's tries.
 PAUSE_S = 0.1
 INNOCENT_INTERVAL_S = 0.02
+# Twice at each daemon.
+TRIES_ALL_OVER = 20
+# By then each daemon has sent a request to each target.
+WARM_UP_ROUNDS = 60
 
 
 class RetryingFleet(Fleet):
@@ -129,6 +133,26 @@
     run(test, tmp_path)
 
 
+def test_without_a_leader_such_a_request_ends_three_targets_at_most(tmp_path):
+    # Guards against: while nobody leads, each daemon learns of ends by its own requests
+    # only, and lets the request end one more target.
+    poison = Poison(path="/shared/poison")
+
+    async def test(fleet):
+        await declare_safe_routes(fleet)
+        for _ in range(WARM_UP_ROUNDS):
+            await asyncio.gather(
+                *(fleet.ask("/shared/", None, at) for at in range(len(fleet.daemons)))
+            )
+        watch = PoisonWatch(poison, fleet.targets)
+        for control in fleet.controls:
+            control.kill()
+        await ask_again(fleet, "/shared/poison", None, b"b", tries=TRIES_ALL_OVER)
+        assert 1 <= len(watch.ends) <= MAX_ENDS, watch
+
+    run(test, tmp_path)
+
+
 def test_innocent_requests_beside_such_a_request_are_served(tmp_path):
     # Guards against: one caller's request takes all targets of a service away from the
     # others, or theirs are refused with it.
--- a/tests/sidecar/test_callers.py
+++ b/tests/sidecar/test_callers.py
@@ -357,3 +357,26 @@
         assert not runs.lives
 
     asyncio.run(main())
+
+
+def test_a_request_that_is_answered_is_not_refused_for_what_other_daemons_told():
+    # Guards against: a request that many send was at some targets that crashed while
+    # nobody led, and is refused although others answer it.
+    async def main():
+        view, runs = View(), RecordingRuns()
+        apply_view(view)
+        dialect = Dialect(2000.0)
+        callers = make_callers(view, dialect, runs, RecordingPeers(runs))
+        request = HttpRequest("GET", "/x", (), b"", boot_s())
+        digest = dialect.read_request(request).digest
+        for number in range(3):
+            callers._suspects.note_end(f"k{number}@1@h:1", (digest,), boot_s())
+            response = await callers.handle(request)
+            assert response.status == 200
+        for number in range(3, 6):
+            callers._suspects.note_end(f"k{number}@1@h:1", (digest,), boot_s())
+        response = await callers.handle(request)
+        kind = ErrorKind.REQUEST_QUARANTINED.name.encode()
+        assert response.headers == ((b"Kind", kind),)
+
+    asyncio.run(main())
--- a/tests/sidecar/test_known_suspects.py
+++ b/tests/sidecar/test_known_suspects.py
@@ -56,6 +56,43 @@
     assert suspects.phase(REQUEST, 0.0) is SuspectPhase.CLEARED
 
 
+def test_ends_that_other_daemons_tell_of_count_but_make_no_suspect():
+    # Guards against: without a leader each daemon lets a request end one more target.
+    suspects = KnownSuspects()
+    for life in (LIVES[0], LIVES[0], LIVES[1]):
+        suspects.note_end(life, (REQUEST,), 0.0)
+        assert suspects.phase(REQUEST, 0.0) is None
+    assert suspects.own_ends(0.0) == ()
+    suspects.record_end(LIVES[1], (REQUEST,), 0.0)
+    assert suspects.phase(REQUEST, 0.0) is SuspectPhase.SUSPECT
+    suspects.note_end(LIVES[2], (REQUEST,), 0.0)
+    assert suspects.phase(REQUEST, 0.0) is SuspectPhase.QUARANTINED
+    assert suspects.phase(REQUEST, OWN_END_TTL_S + 1.0) is None
+
+
+def test_an_answer_ends_what_other_daemons_told():
+    # Guards against: a request that many send is refused without a leader, since it was
+    # at some targets that crashed.
+    suspects = KnownSuspects()
+    for life in LIVES[:2]:
+        suspects.note_end(life, (REQUEST,), 0.0)
+    suspects.note_answer(REQUEST)
+    suspects.note_end(LIVES[2], (REQUEST,), 0.0)
+    assert suspects.phase(REQUEST, 0.0) is None
+
+
+def test_told_ends_that_the_control_group_knows_are_not_counted_twice():
+    suspects = KnownSuspects()
+    for life in LIVES[:2]:
+        suspects.note_end(life, (REQUEST,), 0.0)
+    suspects.apply(suspect(SuspectPhase.SUSPECT, *LIVES[:2]))
+    assert suspects.phase(REQUEST, 0.0) is SuspectPhase.SUSPECT
+    suspects.note_end(LIVES[0], (REQUEST,), 0.0)
+    assert suspects.phase(REQUEST, 0.0) is SuspectPhase.SUSPECT
+    suspects.note_end(LIVES[2], (REQUEST,), 0.0)
+    assert suspects.phase(REQUEST, 0.0) is SuspectPhase.QUARANTINED
+
+
 def test_own_ends_are_reported_until_they_are_known():
     suspects = known_after(LIVES[0])
     for _ in range(2):
--- a/tests/sidecar/test_peers.py
+++ b/tests/sidecar/test_peers.py
@@ -16,6 +16,7 @@
     Forward,
     Lost,
     NotRun,
+    TargetEnded,
     WaitQuery,
 )
 from tamarackhaven.sidecar._peers import MAX_INLINE_BODY_BYTES, Peers, PeerServer
@@ -392,6 +393,20 @@
     run(test)
 
 
+def test_a_daemon_tells_those_that_sent_it_requests_that_its_target_has_ended():
+    async def test(pair):
+        told = []
+        pair.peers.on_target_ended = told.append
+        answered = pair.forward()
+        pair.target.may_end.set()
+        await answered
+        pair.server.tell_target_ended(FORWARD.life, [b"digest"])
+        await pair.until(lambda: told)
+        assert told == [TargetEnded(FORWARD.life, (b"digest",))]
+
+    run(test)
+
+
 def test_a_request_under_which_its_targets_daemon_ends_names_that_run():
     # Guards against: a request that ends daemons is sent on to the next one, since only
     # ends of targets are counted.
