--- a/benches/bench_suspects.py
+++ b/benches/bench_suspects.py
@@ -27,6 +27,8 @@
 )
 from tamarackhaven.fleet._trials import Trials
 from tamarackhaven.sidecar import CallerRequest
+from tamarackhaven.sidecar._messages import PEER_CODEC, TargetEnded
+from tamarackhaven.sidecar._peers import PeerServer
 from tamarackhaven.sidecar._request_digest import DIGEST_BYTES, request_digest
 from tamarackhaven.sidecar._suspects import KnownSuspects
 from tamarackhaven.sidecar._view import View
@@ -91,6 +93,20 @@
     )
 
 
+def _measure_notice():
+    """Print what it costs to tell the daemons that send to a target of its end."""
+    end = _end(random.Random(3), 1)
+    requests = [run.request for run in end.runs]
+    server = PeerServer("boot", None, None)
+    links = [CountingLink() for _ in range(DAEMONS)]
+    server._link_by_boot = dict(enumerate(links))
+    started_s = time.process_time()
+    server.tell_target_ended(end.life, requests)
+    used_s = time.process_time() - started_s
+    size = len(PEER_CODEC.pack(TargetEnded(end.life, tuple(requests))))
+    print(f"{size} bytes to each, {1000 * used_s:.1f} ms for {DAEMONS} links")
+
+
 def _measure_digest(body_bytes):
     head = (b"Host", b"h.example")
     count = max(5, min(20_000, 50_000_000 // (body_bytes + 2_000)))
@@ -126,6 +142,8 @@
     )
     for count in (0, 120, MAX_SUSPECTS):
         _measure_end(count)
+    print("\nTelling the daemons that send to a target of its end:")
+    _measure_notice()
     print("\nThe digest of a request:\nbody, bytes   microseconds")
     for body_bytes in BODY_BYTES:
         _measure_digest(body_bytes)
