--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -17,6 +17,7 @@
 from tamarackhaven.fleet._daemon_sessions import DaemonSessions
 from tamarackhaven.fleet._group_keeper import MembershipManager
 from tamarackhaven.fleet._group_links import GroupLinks
+from tamarackhaven.fleet._group_log import GroupLog
 from tamarackhaven.fleet._leadership import Leadership
 from tamarackhaven.fleet._machine import FleetMachine
 from tamarackhaven.fleet._messages import (
@@ -100,6 +101,7 @@
         self.consensus = None
         self.machine = FleetMachine(self._on_applied)
         self._state_log = StateLog(self.machine, log, metrics)
+        self._group_log = GroupLog(self._required_voters, log, metrics)
         self._answers = ReportAnswers(
             self._read,
             self._leadership_in_force,
@@ -334,6 +336,9 @@
         status = self.consensus.status()
         self._update_role(status)
         now = boot_s()
+        self._group_log.record(
+            status, self._membership_manager.silent_voters(status, now)
+        )
         for member in status.membership.members:
             self._links.set_address(member.name, member.host, member.port)
         if status.role is not Role.LEADER:
--- a/tamarackhaven/fleet/_group_keeper.py
+++ b/tamarackhaven/fleet/_group_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from tamarackhaven._raft import Role
 from tamarackhaven.errors import TamarackhavenError
 from tamarackhaven.fleet import _growth
 from tamarackhaven.fleet._joining import JOIN_REQUEST_INTERVAL_S, GroupSearch
@@ -102,6 +103,17 @@
             return
         await self._make_change(due)
 
+    def silent_voters(self, status, now):
+        """Return the names of the voters that this VM, as the leader, doesn't hear."""
+        if status.role is not Role.LEADER:
+            return ()
+        silent_s_by_name = self._silent_s_by_name(status, now)
+        return tuple(
+            name
+            for name in status.membership.voters
+            if silent_s_by_name[name] > _growth.SILENT_VOTER_TIMEOUT_S
+        )
+
     def _silent_s_by_name(self, status, now):
         last_received_s_by_name = self._links.last_received_s_by_name
         return {
