--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -58,10 +58,13 @@
         at the same time.
     controls : int
         Number of control VMs.
+    tolerated_losses : int
+        How many of them may be lost at once.
     """
 
-    def __init__(self, folder, services, net, controls=3):
+    def __init__(self, folder, services, net, controls=3, tolerated_losses=1):
         self.folder = folder
+        self._tolerated_losses = tolerated_losses
         self.net = net
         self.control_hosts = [f"127.{net}.1.{n + 1}" for n in range(controls)]
         self.target_hosts = [f"127.{net}.2.{n + 1}" for n in range(len(services))]
@@ -83,7 +86,7 @@
 data_folder = "{self.folder / host}"
 seeds = {json.dumps(seeds)}
 is_first_start = {json.dumps(is_first)}
-tolerated_losses = 1
+tolerated_losses = {self._tolerated_losses}
 [lease]
 heartbeat_s = {HEARTBEAT_S}
 """
--- a/tests/fleet/test_configuration_differences.py
+++ b/tests/fleet/test_configuration_differences.py
@@ -6,42 +6,22 @@
 import asyncio
 import copy
 
-from soak._proxy import Direction, Proxy
-from standin.fleet import CONFIGURATION, Fleet
-from standin.fleet_target import PORTS
+from soak._proxy import Direction
+from standin.fleet import CONFIGURATION
+from tests.fleet.real_fleet import ProxiedFleet
 
 NET = 91
 SERVICES = ("owned", "shared")
-LISTEN_OFFSET = 10
 KEY = 7
 HELLO = b"DaemonHello"
 
 
-class ProxiedFleet(Fleet):
-    """A fleet with a proxy in front of each control VM's links."""
+class DeclaringFleet(ProxiedFleet):
+    """A fleet whose configuration gets further routes."""
 
     def __init__(self, folder):
-        self.proxies = []
         super().__init__(folder, SERVICES, NET)
 
-    def _control(self, host, seeds, is_first=True):
-        process = super()._control(host, seeds, is_first)
-        port = PORTS["links"]
-        self.proxies.append(Proxy((host, port), (host, port + LISTEN_OFFSET)))
-        listen = f'links_listen = "{host}:{port + LISTEN_OFFSET}"\n'
-        process.write(listen + process.settings)
-        return process
-
-    async def start(self):
-        for proxy in self.proxies:
-            await proxy.start()
-        await super().start()
-
-    async def stop(self):
-        await super().stop()
-        for proxy in self.proxies:
-            await proxy.stop()
-
     async def declare(self, version, service_by_prefix):
         """Put a configuration with further routes in force."""
         document = copy.deepcopy(CONFIGURATION)
@@ -69,7 +49,7 @@
 
 def run(test, tmp_path):
     async def main():
-        fleet = ProxiedFleet(tmp_path)
+        fleet = DeclaringFleet(tmp_path)
         try:
             await fleet.start()
             await test(fleet)
