Count a member's silence from when its leader began to listen

**Cause:** followers don't hear each other, and a leader counted the silence of a member it hadn't heard from the start of its own process. A new leader took voters for lost whose first message was on its way, and removed them if there was a learner; a learner that it had just added was removed before its first message, and added again. After a pause of the leader itself all members seemed silent.

--- a/tamarackhaven/fleet/_group_keeper.py
+++ b/tamarackhaven/fleet/_group_keeper.py
@@ -6,6 +6,7 @@
 from tamarackhaven.errors import TamarackhavenError
 from tamarackhaven.fleet import _growth
 from tamarackhaven.fleet._joining import JOIN_REQUEST_INTERVAL_S, GroupSearch
+from tamarackhaven.fleet._member_silence import MemberSilence
 from tamarackhaven.fleet._messages import GroupHint
 from tamarackhaven.fleet._settings import split
 
@@ -41,9 +42,9 @@
         self._links = links
         self._log = log
         self._request_by_address = {}
-        self._started_s = now
         self._port = split(settings.links)[1]
-        self._search = GroupSearch(split(settings.links), self._started_s)
+        self._search = GroupSearch(split(settings.links), now)
+        self._silence = MemberSilence()
 
     @property
     def addresses(self):
@@ -115,13 +116,9 @@
         )
 
     def _silent_s_by_name(self, status, now):
-        last_received_s_by_name = self._links.last_received_s_by_name
-        return {
-            name: 0.0
-            if name == status.name
-            else now - max(last_received_s_by_name.get(name, 0.0), self._started_s)
-            for name in status.membership.by_name
-        }
+        return self._silence.silent_s_by_name(
+            status, self._links.last_received_s_by_name, now
+        )
 
     async def _make_change(self, due):
         step = due.step
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -21,6 +21,7 @@
             "_directory",
             "_feed",
             "_growth",
+            "_member_silence",
             "_joining",
             "_lasting_limits",
             "_leadership",
