Keep the control group apart from the leader's other duties

**Cause:** one turn of a control VM decided on keys first and on members last. A decision that raises each turn is logged as `duty failed`, and the group was never repaired again, without a line about members; the next lost disks would have ended it. Found by reading, while looking for what could leave a group short of voters for ten seconds; not seen in a run. **Change:** two duties, each repeated on its own: what the leader decides, and who is in the group. **Measured:** `test_control_leader.py -k fails_each_time`; on the code before, `_tick` raises before it comes to the members, by reading.

--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -153,7 +153,8 @@
         address = split(self._settings.links_listen or self._settings.links)
         await listen(self._server, "links", *address)
         self.consensus.start()
-        self._tasks.append(self._loop.create_task(self._run_ticks()))
+        for duty in (self._tick, self._keep_group):
+            self._tasks.append(self._loop.create_task(self._repeat(duty)))
         self._log.say(
             "started",
             member=name,
@@ -323,11 +324,12 @@
 
     # Periodic work.
 
-    async def _run_ticks(self):
+    async def _repeat(self, duty):
+        """Perform a duty at each interval; a failure of one doesn't stop others."""
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             try:
-                await self._tick()
+                await duty()
             except Exception as error:
                 # A bug in one task must not stop the others permanently.
                 self._log.say("duty failed", error=repr(error))
@@ -335,20 +337,24 @@
     async def _tick(self):
         status = self.consensus.status()
         self._update_role(status)
-        now = boot_s()
-        self._group_log.record(
-            status, self._membership_manager.silent_voters(status, now)
-        )
-        for member in status.membership.members:
-            self._links.set_address(member.name, member.host, member.port)
         if status.role is not Role.LEADER:
-            self._membership_manager.ask_to_join(status, now)
             return
         if self._leadership is None:
             self._start_confirming(status.term)
             return
         self._decide()
-        await self._membership_manager.make_due_change(status, now)
+
+    async def _keep_group(self):
+        status = self.consensus.status()
+        now = boot_s()
+        manager = self._membership_manager
+        self._group_log.record(status, manager.silent_voters(status, now))
+        for member in status.membership.members:
+            self._links.set_address(member.name, member.host, member.port)
+        if status.role is not Role.LEADER:
+            manager.ask_to_join(status, now)
+        elif self.leads:
+            await manager.make_due_change(status, now)
 
     def _update_role(self, status):
         role = (status.role, status.leader)
--- a/tests/fleet/test_control_leader.py
+++ b/tests/fleet/test_control_leader.py
@@ -150,3 +150,38 @@
 
     assert asyncio.run(main()) > 20
     assert 1 <= len(decisions) <= 11
+
+
+class RecordingManager:
+    """Membership manager that counts the checks for due changes."""
+
+    def __init__(self):
+        self.checks = 0
+
+    def silent_voters(self, status, now):
+        return ()
+
+    async def make_due_change(self, status, now):
+        self.checks += 1
+
+
+def test_a_decision_that_fails_each_time_keeps_no_lost_control_vm_in_the_group(
+    control, monkeypatch
+):
+    # Guards against a group that isn't repaired any more because of a fault elsewhere.
+    def fail():
+        raise ValueError("a fault of the program")
+
+    async def run():
+        control._membership_manager = RecordingManager()
+        monkeypatch.setattr(control, "_decide", fail)
+        duties = [
+            control._repeat(each) for each in (control._tick, control._keep_group)
+        ]
+        tasks = [asyncio.create_task(each) for each in duties]
+        while not control._membership_manager.checks:
+            await asyncio.sleep(0.01)
+        for task in tasks:
+            task.cancel()
+
+    asyncio.run(asyncio.wait_for(run(), 10.0))
