Replace a voter by a learner in one change of the control group

What callers saw: a control group that answered nothing any more: no order, no read, no request that needs the owner of a key.

**Cause:** a repair of the group made it smaller first. The leader removed a voter as soon as it heard any learner, and promoted the learner in a later change, once it had caught up. In between the removed one, which may only be cut off, has no voice, and the next losses find a group that bears fewer; after two lost disks at once there were three voters for a moment, so that an accepted change was on two disks. A learner that lagged kept all others back. Only learners that have the log and are heard are taken, none because it is first.

--- a/tamarackhaven/_consensus.py
+++ b/tamarackhaven/_consensus.py
@@ -40,7 +40,11 @@
 
 @attrs.frozen
 class Status:
-    """State of one member, and of the group as this member sees it."""
+    """State of one member, and of the group as this member sees it.
+
+    ``caught_up`` has the names of the other members whose logs a leader knows to be
+    nearly complete; it is empty if this member doesn't lead.
+    """
 
     name: str
     role: Role
@@ -49,6 +53,7 @@
     commit: int
     applied: int
     membership: Membership
+    caught_up: frozenset[str] = frozenset()
 
 
 @attrs.frozen
@@ -250,6 +255,7 @@
             commit=raft.commit,
             applied=self._applied,
             membership=raft.membership,
+            caught_up=raft.caught_up,
         )
 
     # Called on the member's thread.
--- a/tamarackhaven/_raft.py
+++ b/tamarackhaven/_raft.py
@@ -113,6 +113,11 @@
         """Membership in effect, committed or not."""
         return self._core.log.membership
 
+    @property
+    def caught_up(self):
+        """Names of the members that may be promoted; empty if this one doesn't lead."""
+        return self._leadership.caught_up if self._leadership else frozenset()
+
     @property
     def snapshot_index(self):
         """Index of the newest snapshot."""
@@ -231,7 +236,7 @@
 
     @property
     def _is_voter(self):
-        return self._core.name in self._core.voters
+        return self._core.name in self._core.electors
 
     def _has_leader_contact(self):
         is_recent = self._now - self._leader_contact_at_s < self._core.election_s
--- a/tamarackhaven/_raft_core.py
+++ b/tamarackhaven/_raft_core.py
@@ -49,14 +49,9 @@
         return HardState(self.term, self.vote)
 
     @property
-    def voters(self):
-        """Names of the voters in the membership in effect."""
-        return self.log.membership.voters
-
-    @property
-    def quorum(self):
-        """Number of voters in a majority."""
-        return self.log.membership.quorum
+    def electors(self):
+        """Names of all that have a vote in the membership in effect."""
+        return self.log.membership.electors
 
     def send(self, message):
         """Queue a message, which is sent after the writes of this output are synced."""
--- a/tamarackhaven/_raft_election.py
+++ b/tamarackhaven/_raft_election.py
@@ -27,14 +27,13 @@
     @property
     def is_won(self):
         """Whether a majority of the current voters has granted its vote."""
-        votes = self._granted.intersection(self._core.voters)
-        return len(votes) >= self._core.quorum
+        return self._core.log.membership.has_majority(self._granted)
 
     def request_votes(self):
         """Send a vote request to all other voters."""
         core = self._core
         kind = PreVote if self.is_pre_vote else Vote
-        for voter in core.voters:
+        for voter in core.electors:
             if voter == core.name:
                 continue
             core.send(
--- a/tamarackhaven/_raft_leader.py
+++ b/tamarackhaven/_raft_leader.py
@@ -1,7 +1,7 @@
 """Leader side of one term: replication, commit, and proof that it still leads."""
 
 from tamarackhaven import _codec, _raft_membership
-from tamarackhaven._members import Membership
+from tamarackhaven._members import Membership, majority
 from tamarackhaven._raft_messages import (
     Append,
     Entry,
@@ -74,13 +74,18 @@
         return self._now - contact_at_s <= self._core.election_s
 
     def _quorum_value(self, own_value, value_of):
-        """Return the largest value that a quorum of voters has reached."""
+        """Return the largest value that a quorum of each electorate has reached."""
         core = self._core
-        values = [
-            own_value if name == core.name else value_of(self._progress[name])
-            for name in core.voters
-        ]
-        return quorum_value(values, core.quorum)
+        return min(
+            quorum_value(
+                [
+                    own_value if name == core.name else value_of(self._progress[name])
+                    for name in electorate
+                ],
+                majority(electorate),
+            )
+            for electorate in core.log.membership.electorates
+        )
 
     # Log entries.
 
@@ -100,18 +105,24 @@
         """Append a membership change and return its index."""
         core = self._core
         self._check_no_open_change()
-        progress = self._progress.get(step.member.name)
-        max_lag = MAX_PROMOTION_LAG_BATCHES * core.settings.batch_entries
-        has_caught_up = (
-            progress is not None
-            and progress.match_index > 0
-            and progress.match_index + max_lag >= core.log.last_index
-        )
+        has_caught_up = step.member.name in self.caught_up
         membership = _raft_membership.changed(
             core.log.membership, step, core.log.last_index + 1, has_caught_up
         )
         return self._append(EntryKind.MEMBERSHIP, _codec.dumps(membership, Membership))
 
+    @property
+    def caught_up(self):
+        """Names of the members whose last index lags by no more than allowed."""
+        core = self._core
+        max_lag = MAX_PROMOTION_LAG_BATCHES * core.settings.batch_entries
+        return frozenset(
+            name
+            for name, progress in self._progress.items()
+            if progress.match_index > 0
+            and progress.match_index + max_lag >= core.log.last_index
+        )
+
     def _check_no_open_change(self):
         # If two membership changes are uncommitted at once, or one of an earlier term
         # may be, two majorities can exist without a common voter, and so two leaders.
--- a/tamarackhaven/_raft_membership.py
+++ b/tamarackhaven/_raft_membership.py
@@ -31,42 +31,79 @@
         raise TamarackhavenError(
             ErrorKind.INVALID_RESOURCE, f"unknown membership action {step.action!r}"
         )
+    is_replacing = bool(membership.former_voters)
+    if is_replacing is not (step.action == "finish"):
+        raise TamarackhavenError(
+            ErrorKind.MEMBERSHIP_BUSY,
+            f"can't {step.action}: a voter is {'' if is_replacing else 'not '}replaced",
+            1.0,
+        )
     by_name = dict(membership.by_name)
-    apply_step(by_name, step.member, has_caught_up)
+    former_voters = apply_step(by_name, step, has_caught_up) or ()
     if not any(member.voter for member in by_name.values()):
         raise TamarackhavenError(
             ErrorKind.INVALID_RESOURCE, "the change would leave no voter"
         )
-    return Membership(tuple(by_name.values()), version=index)
+    return Membership(tuple(by_name.values()), index, tuple(former_voters))
 
 
-def _add(by_name, member, _has_caught_up):
+def _add(by_name, step, _has_caught_up):
+    member = step.member
     if member.name in by_name:
         raise TamarackhavenError(ErrorKind.ALREADY_EXISTS, f"member {member.name!r}")
     by_name[member.name] = attrs.evolve(member, voter=False)
 
 
-def _promote(by_name, member, has_caught_up):
+def _promote(by_name, step, has_caught_up):
     # If a learner with an empty log became the third voter and another member were
     # lost, no entry would commit until the learner had the whole state. A learner that
     # is within one batch acknowledges new entries after a round or two.
-    existing = _require_member(by_name, member)
+    name = step.member.name
+    existing = _require_member(by_name, name)
     if not has_caught_up:
         raise TamarackhavenError(
-            ErrorKind.MEMBERSHIP_BUSY, f"member {member.name!r} has not caught up", 1.0
+            ErrorKind.MEMBERSHIP_BUSY, f"member {name!r} has not caught up", 1.0
+        )
+    by_name[name] = attrs.evolve(existing, voter=True)
+
+
+def _remove(by_name, step, _has_caught_up):
+    _require_member(by_name, step.member.name)
+    del by_name[step.member.name]
+
+
+def _replace(by_name, step, has_caught_up):
+    """Give a learner the vote of a voter; return the voters before that.
+
+    Majorities of the voters before and after have no voter in common, if the one that
+    is replaced still votes. So majorities of both are needed until it is finished.
+    """
+    former_voters = sorted(each.name for each in by_name.values() if each.voter)
+    replaced = _require_member(by_name, step.replaced)
+    if not replaced.voter:
+        raise TamarackhavenError(
+            ErrorKind.INVALID_RESOURCE, f"member {step.replaced!r} is not a voter"
         )
-    by_name[member.name] = attrs.evolve(existing, voter=True)
+    _promote(by_name, step, has_caught_up)
+    by_name[step.replaced] = attrs.evolve(replaced, voter=False)
+    return former_voters
 
 
-def _remove(by_name, member, _has_caught_up):
-    _require_member(by_name, member)
-    del by_name[member.name]
+def _finish(by_name, step, _has_caught_up):
+    """Remove the voter that was replaced."""
+    by_name.pop(step.replaced, None)
 
 
-def _require_member(by_name, member):
-    if member.name not in by_name:
-        raise TamarackhavenError(ErrorKind.NOT_FOUND, f"member {member.name!r}")
-    return by_name[member.name]
+def _require_member(by_name, name):
+    if name not in by_name:
+        raise TamarackhavenError(ErrorKind.NOT_FOUND, f"member {name!r}")
+    return by_name[name]
 
 
-_FUNCTION_BY_ACTION = {"add": _add, "promote": _promote, "remove": _remove}
+_FUNCTION_BY_ACTION = {
+    "add": _add,
+    "promote": _promote,
+    "remove": _remove,
+    "replace": _replace,
+    "finish": _finish,
+}
--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -354,7 +354,7 @@
         if status.role is not Role.LEADER:
             manager.ask_to_join(status, now)
         elif self.leads:
-            await manager.make_due_change(status, now)
+            await manager.make_due_changes(now)
 
     def _update_role(self, status):
         role = (status.role, status.leader)
--- a/tamarackhaven/fleet/_group_keeper.py
+++ b/tamarackhaven/fleet/_group_keeper.py
@@ -14,6 +14,11 @@
 JOIN_REQUEST_TTL_S = 4 * JOIN_REQUEST_INTERVAL_S
 # A membership change is a single commit; one that takes longer has lost its quorum.
 MEMBERSHIP_CHANGE_TIMEOUT_S = 1.0
+# The replacement of all voters that may be lost at once takes fewer.
+MAX_CHANGES_IN_ONE_GO = 12
+# The status is set at the end of the batch of inputs that committed the change.
+STATUS_POLL_INTERVAL_S = 0.002
+STATUS_POLLS = 10
 
 
 class MembershipManager:
@@ -87,44 +92,55 @@
             if now - requested_s < JOIN_REQUEST_TTL_S
         }
 
-    async def make_due_change(self, status, now):
-        """Make the membership change that is due, if any; for the leader only."""
+    async def make_due_changes(self, now):
+        """Make the membership changes that are due; for the leader only.
+
+        A replacement is finished in one go: meanwhile each commit needs a majority of
+        the voters before it and of those after it.
+        """
         self._search.record_leader(now)
         self._remove_expired_newcomers(now)
-        due = _growth.next_change(
+        for _ in range(MAX_CHANGES_IN_ONE_GO):
+            status = self._consensus.status()
+            due = _growth.next_change(self._view(status, now))
+            if due is None or not await self._make_change(due):
+                return
+            if not await self._has_changed(status):
+                return
+
+    async def _has_changed(self, status):
+        """Whether the consensus member's status soon shows another membership."""
+        for _ in range(STATUS_POLLS):
+            if self._consensus.status().membership != status.membership:
+                return True
+            await asyncio.sleep(STATUS_POLL_INTERVAL_S)
+        return False
+
+    def _view(self, status, now):
+        return _growth.GroupView(
             status.membership,
-            [newcomer for newcomer, _ in self._request_by_address.values()],
-            self._silent_s_by_name(status, now),
+            tuple(newcomer for newcomer, _ in self._request_by_address.values()),
+            self._silence.silent_s_by_name(
+                status, self._links.last_received_s_by_name, now
+            ),
+            status.caught_up,
             self._required_voters,
         )
-        if due is None:
-            return
-        is_own_removal = due.step.member.name == status.name
-        if due.step.action == "remove" and is_own_removal:
-            return
-        await self._make_change(due)
 
     def silent_voters(self, status, now):
         """Return the names of the voters that this VM, as the leader, doesn't hear."""
         if status.role is not Role.LEADER:
             return ()
-        silent_s_by_name = self._silent_s_by_name(status, now)
-        return tuple(
-            name
-            for name in status.membership.voters
-            if silent_s_by_name[name] > _growth.SILENT_VOTER_TIMEOUT_S
-        )
-
-    def _silent_s_by_name(self, status, now):
-        return self._silence.silent_s_by_name(
-            status, self._links.last_received_s_by_name, now
-        )
+        view = self._view(status, now)
+        return tuple(sorted([*view.lost_voters, *view.silent_voters]))
 
     async def _make_change(self, due):
+        """Make one change; return whether it was committed in time."""
         step = due.step
         log_fields = {
             "action": step.action,
             "member": step.member.name,
+            "replaced": step.replaced,
             "cause": due.cause,
         }
         future = asyncio.wrap_future(self._consensus.change_membership(step))
@@ -134,8 +150,9 @@
             self._log.say(
                 "membership change not confirmed", error=str(error), **log_fields
             )
-            return
+            return False
         self._log.say("membership changed", **log_fields)
+        return True
 
     # Outside the group.
 
--- a/tamarackhaven/fleet/_group_log.py
+++ b/tamarackhaven/fleet/_group_log.py
@@ -43,12 +43,12 @@
         gauge("tamarackhaven_group_voters", len(membership.voters))
         gauge("tamarackhaven_group_required_voters", self._required_voters)
         gauge("tamarackhaven_group_silent_voters", len(silent_voters))
-        gauge("tamarackhaven_group_learners", len(_learners(membership)))
+        gauge("tamarackhaven_group_learners", len(membership.learners))
         gauge("tamarackhaven_group_term", status.term)
         gauge("tamarackhaven_group_commit", status.commit)
         gauge("tamarackhaven_group_leads", int(status.role is Role.LEADER))
         gauge("tamarackhaven_group_has_leader", int(bool(status.leader)))
-        gauge("tamarackhaven_group_votes", int(status.name in membership.voters))
+        gauge("tamarackhaven_group_votes", int(status.name in membership.electors))
 
     def _log_change(self, membership, commit, silent_voters):
         is_committed = membership.version <= commit
@@ -59,13 +59,10 @@
         self._log.say(
             "members",
             voters=membership.voters,
-            learners=_learners(membership),
+            former_voters=list(membership.former_voters),
+            learners=membership.learners,
             silent=list(silent_voters),
             required=self._required_voters,
             index=membership.version,
             committed=is_committed,
         )
-
-
-def _learners(membership):
-    return sorted(set(membership.by_name) - set(membership.voters))
--- a/tests/fleet/test_control_leader.py
+++ b/tests/fleet/test_control_leader.py
@@ -161,7 +161,7 @@
     def silent_voters(self, status, now):
         return ()
 
-    async def make_due_change(self, status, now):
+    async def make_due_changes(self, now):
         self.checks += 1
 
 
--- a/tests/fleet/test_group_keeper.py
+++ b/tests/fleet/test_group_keeper.py
@@ -132,7 +132,7 @@
     manager = make_manager(leader)
     manager.handle_join_request(JoinGroup(f"{OWN}:7/older", OWN, 7), 1e9)
     manager.handle_join_request(NEWCOMER, 1e9 + 0.1)
-    asyncio.run(manager.make_due_change(leader.status(), 1e9 + 0.2))
+    asyncio.run(manager.make_due_changes(1e9 + 0.2))
     assert [step.member.name for step in leader.steps] == [NEWCOMER.name]
 
 
@@ -142,7 +142,7 @@
     leader = FakeConsensus("10.0.0.1:7", GROUP, "10.0.0.1:7", Role.LEADER)
     links = FakeLinks()
     manager = make_manager(leader, links)
-    asyncio.run(manager.make_due_change(leader.status(), 100.0))
+    asyncio.run(manager.make_due_changes(100.0))
     deposed = attrs.evolve(leader.status(), role=Role.FOLLOWER, leader="")
     manager.ask_to_join(deposed, 100.0 + LEADERLESS_TIMEOUT_S / 2)
     assert not links.asked
--- a/tests/fleet/test_group_repair_random.py
+++ b/tests/fleet/test_group_repair_random.py
@@ -74,7 +74,14 @@
     def status(self):
         node = self.node
         return Status(
-            self.name, node.role, node.leader, node.term, 0, 0, node.membership
+            self.name,
+            node.role,
+            node.leader,
+            node.term,
+            0,
+            0,
+            node.membership,
+            node.caught_up,
         )
 
     def change_membership(self, step):
@@ -105,7 +112,7 @@
         now = self.world.group.now
         if status.role is Role.LEADER:
             self._send_address(status)
-            loop.run_until_complete(self.manager.make_due_change(status, now))
+            loop.run_until_complete(self.manager.make_due_changes(now))
         else:
             self.manager.ask_to_join(status, now)
 
--- a/tests/raft_group.py
+++ b/tests/raft_group.py
@@ -194,8 +194,8 @@
         self.take(name, output)
         return index
 
-    def change(self, name, action, subject):
-        step = Step(action, member(subject))
+    def change(self, name, action, subject, replaced=""):
+        step = Step(action, member(subject), replaced)
         index, _term, output = self.nodes[name].change_membership(step, self.now)
         self.take(name, output)
         return index
--- a/tests/test_raft_random.py
+++ b/tests/test_raft_random.py
@@ -154,3 +154,35 @@
     committed before it.
     """
     Session(seed).run(1500)
+
+
+class ReplacingSession(Session):
+    """As ``Session``, but learners take over the votes of voters."""
+
+    def _member(self, _number):
+        """Finish a replacement, begin one, or add a learner for one."""
+        leader = self.group.leader()
+        if leader is None:
+            return
+        membership = self.group.nodes[leader].membership
+        try:
+            if membership.former_voters:
+                (gone,) = set(membership.former_voters) - set(membership.voters)
+                self.group.change(leader, "finish", gone, gone)
+            elif membership.learners:
+                replaced = self.rng.choice(membership.voters)
+                learner = membership.learners[0]
+                self.group.change(leader, "replace", learner, replaced)
+            else:
+                self.joined += 1
+                self.group.change(leader, "add", f"n{self.joined}")
+                self.group.join(f"n{self.joined}")
+        except TamarackhavenError:
+            return
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_random_faults_lose_no_committed_entry_while_voters_are_replaced(seed):
+    # Guards against two leaders, or a lost entry, while the voters before and after a
+    # replacement both count.
+    ReplacingSession(seed).run(1500)
