Bound what a target's endless answers take of its daemon

What callers saw: one target that sends fast and without end (a body without a length, chunks) makes the daemon beside it grow until it is killed for its memory, with all its requests; one that sends tiny chunks or interim responses keeps it busy, so that callers are answered seconds after their deadline.

**Cause:** each answer was bounded, at 70 MiB, and all of them together by nothing; a block of bytes was parsed to its end in one turn of the event loop, however many parts it held; interim responses counted for nothing. **Change:** the answers that a daemon is receiving share 48 MiB. If they reach it, the largest is given up, one without a length first: the request is lost with ANSWER_TOO_LARGE, also for a single answer above 70 MiB, which was TARGET_SENT_NOTHING. After 64 parts other connections get their turn.

--- a/tamarackhaven/net/__init__.py
+++ b/tamarackhaven/net/__init__.py
@@ -1,5 +1,6 @@
 """Asyncio connections: framed links between processes, and HTTP/1.1."""
 
+from tamarackhaven.net._body_budget import AnswerBudget
 from tamarackhaven.net._http_client import (
     ClientConnection,
     Reply,
@@ -12,6 +13,7 @@
 from tamarackhaven.net._wire import Codec, Packed
 
 __all__ = [
+    "AnswerBudget",
     "ClientConnection",
     "Codec",
     "HttpRequest",
--- a/tamarackhaven/net/_http_client.py
+++ b/tamarackhaven/net/_http_client.py
@@ -15,6 +15,11 @@
 
 MAX_REPLY_HEAD_BYTES = 64 << 10
 MAX_REPLY_BYTES = 70 << 20
+# A server that sends more of these before its response never gets to it.
+MAX_INTERIM_RESPONSES = 16
+# A block of bytes can hold thousands of tiny chunks. Other connections get their turn
+# after so many parts.
+MAX_EVENTS_PER_TURN = 64
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
@@ -23,7 +28,19 @@
 
 
 class RequestUnansweredError(Exception):
-    """The request was sent but no complete reply arrived; it may have run."""
+    """The request was sent but no complete reply arrived; it may have run.
+
+    Parameters
+    ----------
+    reason : str
+        What happened instead.
+    is_too_large : bool
+        Whether the reply was given up because of its size.
+    """
+
+    def __init__(self, reason, is_too_large=False):
+        super().__init__(reason)
+        self.is_too_large = is_too_large
 
 
 @attrs.frozen
@@ -50,9 +67,16 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """A connection that is created by ``open`` and reused for many requests."""
+    """A connection that is created by ``open`` and reused for many requests.
+
+    Parameters
+    ----------
+    budget : AnswerBudget
+        Counts the bytes of replies that are being received.
+    """
 
-    def __init__(self):
+    def __init__(self, budget):
+        self._budget = budget
         self._transport = None
         self._parser = None
         self._request_event = None
@@ -60,15 +84,16 @@
         self._is_expected_reply = None
         self._reply_future = None
         self._response_head = None
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._has_length = False
+        self._interim_count = 0
         self.opened_s = boot_s()
         self.idle_since_s = self.opened_s
         self.idle_limit_s = None
         self.is_reusable = True
 
     @classmethod
-    async def open(cls, host, port, timeout_s):
+    async def open(cls, host, port, timeout_s, budget):
         """Return a connected ``ClientConnection``.
 
         Raises
@@ -79,7 +104,7 @@
         """
         loop = asyncio.get_running_loop()
         _, connection = await asyncio.wait_for(
-            loop.create_connection(cls, host, port), timeout_s
+            loop.create_connection(lambda: cls(budget), host, port), timeout_s
         )
         return connection
 
@@ -126,6 +151,7 @@
         )
         self._is_expected_reply = is_expected_reply
         self._request_body = body
+        self._interim_count = 0
         data = self._start_parser()
         self._reply_future = asyncio.get_running_loop().create_future()
         self._transport.write(data)
@@ -136,6 +162,7 @@
             self.close()
             raise
         finally:
+            self._budget.remove(self)
             self._reply_future = None
             self.idle_since_s = boot_s()
 
@@ -149,9 +176,16 @@
 
     def data_received(self, data):
         """Parse received bytes; close the connection if no request is in flight."""
-        if self._reply_future is None or self._reply_future.done():
+        if not self._awaits_reply:
             self.close()
             return
+        self._receive(data)
+
+    @property
+    def _awaits_reply(self):
+        return self._reply_future is not None and not self._reply_future.done()
+
+    def _receive(self, data):
         try:
             self._parser.receive_data(data)
             self._parse()
@@ -159,19 +193,19 @@
             self._abort_request(f"response is not valid HTTP/1.1: {error}")
 
     def _parse(self):
-        while True:
+        for _ in range(MAX_EVENTS_PER_TURN):
             event = self._parser.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
-            if isinstance(event, h11.Response):
-                self._response_head = event
-                self._body = []
-                self._body_bytes = 0
+            if isinstance(event, h11.InformationalResponse):
+                self._interim_count += 1
+                if self._interim_count > MAX_INTERIM_RESPONSES:
+                    self._abort_request("too many interim responses")
+                    return
+            elif isinstance(event, h11.Response):
+                self._begin_reply(event)
             elif isinstance(event, h11.Data):
-                self._body.append(bytes(event.data))
-                self._body_bytes += len(event.data)
-                if self._body_bytes > MAX_REPLY_BYTES:
-                    self._abort_request("response body exceeds the size limit")
+                if not self._add_to_body(event.data):
                     return
             elif isinstance(event, h11.EndOfMessage):
                 if self._complete_reply():
@@ -179,15 +213,49 @@
             elif isinstance(event, h11.ConnectionClosed):
                 self._abort_request("connection closed before the response")
                 return
+        self._transport.pause_reading()
+        asyncio.get_running_loop().call_soon(self._continue_parsing)
+
+    def _continue_parsing(self):
+        if not self._awaits_reply or self._transport.is_closing():
+            return
+        self._transport.resume_reading()
+        try:
+            self._parse()
+        except h11.RemoteProtocolError as error:
+            self._abort_request(f"response is not valid HTTP/1.1: {error}")
+
+    def _begin_reply(self, head):
+        self._response_head = head
+        self._body = bytearray()
+        self._has_length = any(name == b"content-length" for name, _ in head.headers)
+
+    def _add_to_body(self, data):
+        """Add to the reply's body; return false if the reply was given up."""
+        self._body += data
+        if len(self._body) > MAX_REPLY_BYTES:
+            self.give_up_reply()
+            return False
+        largest = self._budget.add(self, len(data), self._has_length)
+        if largest is not None:
+            largest.give_up_reply()
+        return largest is not self
+
+    def give_up_reply(self):
+        """Close the connection because of the size of the reply that it receives."""
+        self._budget.remove(self)
+        self._body = bytearray()
+        self._abort_request("response is too large", is_too_large=True)
 
     def _complete_reply(self):
         """Complete the request; return false if the reply is to an earlier request."""
         headers = tuple(
             (bytes(n), bytes(v)) for n, v in self._response_head.headers.raw_items()
         )
-        reply = Reply(self._response_head.status_code, headers, b"".join(self._body))
+        reply = Reply(self._response_head.status_code, headers, bytes(self._body))
         trailing_data = self._parser.trailing_data[0]
         ends_connection = self._parser.their_state is h11.MUST_CLOSE
+        self._budget.remove(self)
         if not self._is_expected_reply(reply):
             if ends_connection:
                 self._abort_request(
@@ -216,28 +284,24 @@
         if match:
             self.idle_limit_s = float(match.group(1))
 
-    def _abort_request(self, reason):
+    def _abort_request(self, reason, is_too_large=False):
         self.is_reusable = False
-        if self._reply_future is not None and not self._reply_future.done():
-            self._reply_future.set_exception(RequestUnansweredError(reason))
+        if self._awaits_reply:
+            error = RequestUnansweredError(reason, is_too_large)
+            self._reply_future.set_exception(error)
         self._transport.abort()
 
     def eof_received(self):
         """Complete a reply that is delimited by the end of the connection, or fail."""
         self.is_reusable = False
-        if self._reply_future is None or self._reply_future.done():
-            return False
-        try:
-            self._parser.receive_data(b"")
-            self._parse()
-        except h11.RemoteProtocolError as error:
-            self._abort_request(f"response is incomplete: {error}")
+        if self._awaits_reply:
+            self._receive(b"")
         return False
 
     def connection_lost(self, error):
         """Fail the request in flight."""
         self.is_reusable = False
-        if self._reply_future is not None and not self._reply_future.done():
+        if self._awaits_reply:
             self._reply_future.set_exception(
                 RequestUnansweredError(f"connection lost: {error}")
             )
--- a/tamarackhaven/sidecar/_target_client.py
+++ b/tamarackhaven/sidecar/_target_client.py
@@ -7,6 +7,7 @@
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven.net import (
+    AnswerBudget,
     ClientConnection,
     Reply,
     RequestNotSentError,
@@ -29,6 +30,9 @@
 # A target that crashes right after a heartbeat can't be running again within this time.
 MIN_RESTART_S = 0.1
 ANY_TIME = float("inf")
+# Answers that are being received. With the bodies of requests they leave room for the
+# rest of a daemon in 200 MB.
+MAX_RECEIVED_ANSWER_BYTES = 48 << 20
 
 
 class _NoConnectionToLifeError(Exception):
@@ -62,12 +66,15 @@
         The error, if there was one.
     is_refused : bool
         Whether the target refused the connection.
+    is_too_large : bool
+        Whether the answer was given up because of its size.
     """
 
     end: SendEnd
     reply: Reply | None = None
     detail: str = ""
     is_refused: bool = False
+    is_too_large: bool = False
 
 
 class TargetClient:
@@ -84,6 +91,7 @@
         self._port = port
         self._idle = []
         self._used_count = 0
+        self._budget = AnswerBudget(MAX_RECEIVED_ANSWER_BYTES)
         self.opened_count = 0
 
     async def send(self, method, target, headers, body, is_reply):
@@ -133,7 +141,11 @@
             except RequestNotSentError:
                 continue
             except RequestUnansweredError as error:
-                return SendResult(SendEnd.UNANSWERED, None, str(error))
+                return SendResult(
+                    SendEnd.UNANSWERED,
+                    detail=str(error),
+                    is_too_large=error.is_too_large,
+                )
             finally:
                 self._used_count -= 1
             self._return_to_idle(connection)
@@ -142,7 +154,11 @@
 
     async def _open(self):
         self.opened_count += 1
-        return await ClientConnection.open(self._host, self._port, OPEN_TIMEOUT_S)
+        return await self._connect(OPEN_TIMEOUT_S)
+
+    async def _connect(self, timeout_s):
+        address = self._host, self._port
+        return await ClientConnection.open(*address, timeout_s, self._budget)
 
     async def is_listening(self):
         """Whether the target accepts a connection now.
@@ -150,9 +166,7 @@
         One that can't be reached in time counts as gone.
         """
         try:
-            connection = await ClientConnection.open(
-                self._host, self._port, PROBE_TIMEOUT_S
-            )
+            connection = await self._connect(PROBE_TIMEOUT_S)
         except OSError:
             return False
         # A listening socket that is being closed may accept one more connection.
--- a/tamarackhaven/sidecar/_target_exchange.py
+++ b/tamarackhaven/sidecar/_target_exchange.py
@@ -109,6 +109,10 @@
                 forward, ErrorKind.TARGET_UNREACHABLE, detail=sent.detail
             )
         self._count_sent(forward)
+        if sent.is_too_large:
+            return self._results.lost(
+                forward, ErrorKind.ANSWER_TOO_LARGE, started_s, sent.detail
+            )
         if sent.end is SendEnd.UNANSWERED:
             has_ended = await self._ends.has_ended(forward.life)
             ended = forward.life if has_ended else ""
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -5,11 +5,14 @@
 import pytest
 
 from tamarackhaven.net import (
+    AnswerBudget,
     ClientConnection,
     RequestNotSentError,
     RequestUnansweredError,
 )
 
+BUDGET = AnswerBudget(1 << 20)
+
 
 def send_requests(*responses, requests=1, pause_between_s=0.0):
     """Send requests on one connection to a server that replies with ``responses``.
@@ -28,7 +31,7 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
-        connection = await ClientConnection.open("127.0.0.1", port, 1.0)
+        connection = await ClientConnection.open("127.0.0.1", port, 1.0, BUDGET)
         outcomes = []
         for number in range(requests):
             name = f"id-{number}".encode()
@@ -120,7 +123,7 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
-        connection = await ClientConnection.open("127.0.0.1", port, 1.0)
+        connection = await ClientConnection.open("127.0.0.1", port, 1.0, BUDGET)
         headers = [(b"Host", b"h")]
         await connection.request("GET", "/", headers, b"", lambda reply: True)
         await asyncio.sleep(0.1)
@@ -135,3 +138,41 @@
     response = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=7\r\nContent-Length: 0\r\n\r\n"
     _, connection = send_requests(response)
     assert connection.idle_limit_s == 7.0
+
+
+def test_a_reply_after_endless_interim_responses_is_given_up():
+    # Guards against a server that keeps its client busy until the request's deadline.
+    interim = b"HTTP/1.1 102 Processing\r\n\r\n"
+    outcomes, connection = send_requests(interim * 16 + answer(b"id-0"))
+    assert outcomes[0].body == b"body"
+    outcomes, connection = send_requests(interim * 17 + answer(b"id-0"))
+    assert outcomes == [RequestUnansweredError]
+    assert not connection.is_open
+
+
+def test_a_reply_in_many_tiny_chunks_is_complete():
+    # Parsed over many turns of the event loop, the last of them after the end.
+    head = b"HTTP/1.1 200 OK\r\nId: id-0\r\nTransfer-Encoding: chunked\r\n\r\n"
+    body = b"1\r\nx\r\n" * 1000
+    outcomes, connection = send_requests(head + body + b"0\r\n\r\n")
+    assert outcomes[0].body == b"x" * 1000
+    head = head.replace(b"Transfer-Encoding: chunked", b"Connection: close")
+    outcomes, connection = send_requests(head + b"x" * 1000)
+    assert outcomes[0].body == b"x" * 1000
+
+
+def test_the_largest_answer_without_a_length_is_given_up_first():
+    # Guards against an endless answer that costs others theirs.
+    budget = AnswerBudget(100)
+    assert budget.add("long", 90, has_length=True) is None
+    assert budget.add("endless", 8, has_length=False) is None
+    assert budget.add("other", 4, has_length=False) == "endless"
+    budget.remove("endless")
+    assert budget.add("other", 5, has_length=False) is None
+    assert budget.received_bytes == 99
+
+
+def test_a_single_answer_may_be_larger_than_all_together():
+    budget = AnswerBudget(100)
+    assert budget.add("only", 1000, has_length=True) is None
+    assert budget.add("other", 1, has_length=True) == "only"
