Let other connections have their turn while a caller sends tiny chunks

What callers saw: eight connections that send tiny chunks as fast as they can, at the port for callers, the operators' or that for readiness, and no other request at that daemon is answered meanwhile.

**Cause:** the same as for a target's answers: a block of bytes was parsed to its end in one turn of the event loop, up to 43,000 chunks of it. And each chunk of a body was kept as an object of its own, so that a body of 64 MiB in tiny chunks takes many times that. **Change:** after 64 parts other connections get their turn, and reading pauses until this one's next.

--- a/tamarackhaven/net/_http_client.py
+++ b/tamarackhaven/net/_http_client.py
@@ -11,15 +11,12 @@
 import h11
 
 from tamarackhaven._clock import boot_s
-from tamarackhaven.net._http_head import find_header
+from tamarackhaven.net._http_head import MAX_EVENTS_PER_TURN, find_header
 
 MAX_REPLY_HEAD_BYTES = 64 << 10
 MAX_REPLY_BYTES = 70 << 20
 # A server that sends more of these before its response never gets to it.
 MAX_INTERIM_RESPONSES = 16
-# A block of bytes can hold thousands of tiny chunks. Other connections get their turn
-# after so many parts.
-MAX_EVENTS_PER_TURN = 64
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
--- a/tamarackhaven/net/_http_head.py
+++ b/tamarackhaven/net/_http_head.py
@@ -1,8 +1,11 @@
-"""Rejects HTTP message heads that two parsers could interpret differently."""
+"""What the parsers of both sides of HTTP share, and the heads that they reject."""
 
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 HEAD_END = b"\r\n\r\n"
+# A block of bytes can hold thousands of tiny chunks. Other connections get their turn
+# after so many parts.
+MAX_EVENTS_PER_TURN = 64
 _VERSIONS = (b"HTTP/1.1", b"HTTP/1.0")
 
 
--- a/tamarackhaven/net/_http_server.py
+++ b/tamarackhaven/net/_http_server.py
@@ -15,7 +15,7 @@
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.net import _http_head
 from tamarackhaven.net._body_budget import BodyBudget
-from tamarackhaven.net._http_head import find_header
+from tamarackhaven.net._http_head import MAX_EVENTS_PER_TURN, find_header
 from tamarackhaven.routing import Limits
 
 # A caller that sends requests without reading the responses would exhaust the memory.
@@ -88,8 +88,7 @@
         self.parser = parser
         self.request = None
         self.arrived_s = None
-        self.body = []
-        self.body_bytes = 0
+        self.body = bytearray()
         self.reserved_bytes = 0
         self.task = None
         self.response = None
@@ -191,9 +190,11 @@
         self._buffer += data
         self._process_buffer()
 
-    def _process_buffer(self):
+    def _process_buffer(self, has_unparsed=False):
+        """Parse the buffer, and what the parser holds if ``has_unparsed``."""
         try:
-            while self._buffer and not self._has_stopped_reading:
+            while (self._buffer or has_unparsed) and not self._has_stopped_reading:
+                has_unparsed = False
                 if len(self._pending_exchanges) >= MAX_PIPELINED:
                     self._transport.pause_reading()
                     return
@@ -213,9 +214,10 @@
                 return False
             self._reading_exchange = _Exchange(h11.Connection(h11.SERVER, limit + 1024))
         exchange = self._reading_exchange
-        exchange.parser.receive_data(self._buffer)
-        self._buffer = b""
-        while True:
+        if self._buffer:
+            exchange.parser.receive_data(self._buffer)
+            self._buffer = b""
+        for _ in range(MAX_EVENTS_PER_TURN):
             event = exchange.parser.next_event()
             if event is h11.NEED_DATA:
                 return False
@@ -228,6 +230,16 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._on_request_end(exchange)
                 return True
+        self._transport.pause_reading()
+        asyncio.get_running_loop().call_soon(self._continue_parsing)
+        return False
+
+    def _continue_parsing(self):
+        if self._has_stopped_reading or self._transport.is_closing():
+            return
+        self._transport.resume_reading()
+        if self._reading_exchange is not None:
+            self._process_buffer(has_unparsed=True)
 
     def _on_request_head(self, exchange, event):
         _http_head.check_framing(event.headers)
@@ -255,13 +267,13 @@
         )
 
     def _on_body_data(self, exchange, data):
-        exchange.body.append(bytes(data))
-        exchange.body_bytes += len(data)
+        exchange.body += data
+        body_bytes = len(exchange.body)
         self.active_at_s = boot_s()
-        if exchange.body_bytes > self._max_body_bytes:
+        if body_bytes > self._max_body_bytes:
             raise self._body_too_large()
-        if exchange.body_bytes > exchange.reserved_bytes:
-            self._reserve(exchange, exchange.body_bytes - exchange.reserved_bytes)
+        if body_bytes > exchange.reserved_bytes:
+            self._reserve(exchange, body_bytes - exchange.reserved_bytes)
 
     def _reserve(self, exchange, count):
         """Reserve budget for ``count`` bytes of a body, or raise BODIES_FULL."""
@@ -300,10 +312,10 @@
             event.method.decode("ascii"),
             event.target.decode("latin-1"),
             headers,
-            b"".join(exchange.body),
+            bytes(exchange.body),
             exchange.arrived_s,
         )
-        exchange.body = []
+        exchange.body = bytearray()
         self._pending_exchanges.append(exchange)
         exchange.task = asyncio.get_running_loop().create_task(
             self._handle(exchange, request)
--- a/tests/fleet/test_endless_bytes.py
+++ b/tests/fleet/test_endless_bytes.py
@@ -23,6 +23,8 @@
 MIN_SERVED_FRACTION = 0.95
 # The smallest memory of a daemon's VM in use, less what bodies of requests may take.
 MAX_DAEMON_MB = 200 - 67
+SENT_BLOCK_BYTES = 256 << 10
+SENT_BLOCK_INTERVAL_S = 0.01
 
 
 class EndlessFleet(Fleet):
@@ -83,3 +85,60 @@
         assert not fleet.daemons[0].has_ended
 
     real_fleet.run(test, (tmp_path, next(NETWORK_NUMBERS)), fleet_class=EndlessFleet)
+
+
+CALLER_HEAD = b"POST /owned/x HTTP/1.1\r\nHost: h.example\r\n"
+CALLER_CHUNKED = CALLER_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# What a caller starts with, and what it repeats until the daemon closes.
+CALLER_PARTS_BY_KIND = {
+    "line": (b"GET /", b"x"),
+    "headers": (CALLER_HEAD, b"Y: x\r\n"),
+    "tiny-chunks": (CALLER_CHUNKED, b"1\r\nx\r\n"),
+    "chunk-size": (CALLER_CHUNKED, b"0"),
+    "trailers": (CALLER_CHUNKED + b"0\r\n", b"Y: x\r\n"),
+    "pipelined": (b"", b"GET /none HTTP/1.1\r\nHost: h.example\r\n\r\n"),
+}
+
+
+async def send_without_end(host, port, start, repeated, until_s):
+    """Send bytes until a time, or until the other end closes the connection."""
+    try:
+        reader, writer = await asyncio.open_connection(host, port)
+        block = repeated * (SENT_BLOCK_BYTES // len(repeated))
+        writer.write(start)
+        while time.monotonic() < until_s and not reader.at_eof():
+            writer.write(block)
+            async with asyncio.timeout(until_s - time.monotonic()):
+                await writer.drain()
+            await asyncio.sleep(SENT_BLOCK_INTERVAL_S)
+        writer.transport.abort()
+    except (OSError, TimeoutError):
+        return
+
+
+@pytest.mark.parametrize(
+    ("kind", "port"),
+    [
+        *((kind, "callers") for kind in CALLER_PARTS_BY_KIND),
+        ("tiny-chunks", "operators"),
+        ("tiny-chunks", "readiness"),
+    ],
+)
+def test_a_caller_that_sends_without_end_harms_no_other_request(tmp_path, kind, port):
+    # Guards against a daemon that one caller's bytes fill or keep busy.
+    async def test(fleet):
+        until_s = time.monotonic() + 2 * DEADLINE_S
+        start, repeated = CALLER_PARTS_BY_KIND[kind]
+        senders = [
+            send_without_end(
+                fleet.target_hosts[0], PORTS[port], start, repeated, until_s
+            )
+            for _ in range(ENDLESS_COUNT)
+        ]
+        answers, *_ = await asyncio.gather(ask_innocently(fleet, until_s), *senders)
+        served = sum(answer.status == 200 for answer in answers)
+        assert served >= MIN_SERVED_FRACTION * len(answers)
+        assert fleet.peak_mb(0) < MAX_DAEMON_MB
+        assert not fleet.daemons[0].has_ended
+
+    real_fleet.run(test, (tmp_path, next(NETWORK_NUMBERS)), fleet_class=EndlessFleet)
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -247,3 +247,19 @@
         assert received.endswith(b"GET /last ")
 
     run(test)
+
+
+def test_a_body_in_many_tiny_chunks_is_read_whole_and_so_is_the_next_request():
+    # Parsed over many turns of the event loop.
+    async def main():
+        async with ServerHarness() as harness:
+            chunked = (
+                b"POST /a HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
+            )
+            next_request = b"GET /b HTTP/1.1\r\n" + HOST + b"Connection: close\r\n\r\n"
+            tiny = b"1\r\nx\r\n" * 1000 + b"0\r\n\r\n"
+            received = await harness.send_and_read_all(chunked + tiny + next_request)
+            assert [request.body for request in harness.requests] == [1000 * b"x", b""]
+            assert received.index(b"POST /a") < received.index(b"GET /b")
+
+    asyncio.run(main())
