Soak: five control VMs that bear two losses, cuts, splits, pairs of lost disks

**Cause:** the soak's group had three control VMs and bore one loss; a repair of three has no state in which a voter that was removed too early is missed, and no link between control VMs was cut on its own. **Change:** runs have five control VMs and bear two losses; regressions keep theirs. New faults: two disks lost at once, the leader's among them, right after an accepted change; a control VM cut off from the others in one direction or both; two cut off from three. One run in five is about the control group. The loss of all power at the end takes two disks. At rest each control VM has to vote.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,8 @@
 from soak._draws import (
     draw_control_faults,
     draw_faults,
+    draw_group_faults,
+    draw_group_run_faults,
     draw_link_faults,
     draw_notice_faults,
     draw_poison_faults,
@@ -35,6 +37,11 @@
 SESSION_RUN_INTERVAL = 3
 # One run in so many is about requests that end targets, with few faults beside them.
 POISON_RUN_INTERVAL = 4
+# One run in so many is about the control group.
+GROUP_RUN_INTERVAL = 5
+# Regressions keep the control VMs with which they failed.
+REGRESSION_CONTROLS = 3
+REGRESSION_TOLERATED_LOSSES = 1
 STALL_CHECK_INTERVAL_S = 0.05
 CANCEL_RETRY_INTERVAL_S = 1.0
 # During an election each control VM answers 503.
@@ -69,9 +76,12 @@
         return draw_session_faults(seed, seconds)
     if seed % POISON_RUN_INTERVAL == 1:
         return draw_poison_run_faults(seed, seconds)
+    if seed % GROUP_RUN_INTERVAL == 2:
+        return draw_group_run_faults(seed, seconds)
     faults = [
         *draw_faults(seed, seconds),
         *draw_control_faults(seed, seconds),
+        *draw_group_faults(seed, seconds),
         *draw_link_faults(seed, seconds),
         *draw_notice_faults(seed, seconds),
         *draw_poison_faults(seed, seconds),
@@ -85,7 +95,10 @@
 
 
 async def _play(seed, seconds, folder, net, vms):
-    fleet = SoakFleet(folder, net, vms)
+    group = ()
+    if seed in regression_seeds():
+        group = REGRESSION_CONTROLS, REGRESSION_TOLERATED_LOSSES
+    fleet = SoakFleet(folder, net, vms, *group)
     monitors = [
         asyncio.create_task(_measure_stalls(fleet.records)),
         asyncio.create_task(_check_busy_processes(fleet)),
--- a/soak/_draws.py
+++ b/soak/_draws.py
@@ -4,6 +4,7 @@
 
 from soak._faults import (
     CrashTarget,
+    CutControl,
     Delay,
     DrainTarget,
     DropAllBytes,
@@ -19,12 +20,14 @@
     ResetConnections,
     RestartDaemon,
     SendPoison,
+    SplitControls,
     StallDisk,
     Suspend,
     SuspendLeader,
     SwitchConnections,
     TornWrite,
     WipeDisk,
+    WipePair,
 )
 
 # Faults may last longer than the interval between them, so that they overlap.
@@ -36,6 +39,8 @@
 # Fraction of switches during which a process is suspended, and for how long.
 SUSPEND_FRACTION = 0.4
 MAX_SUSPEND_S = 1.5
+# Longer than the time after which a silent control VM is replaced.
+MAX_CUT_S = 4.0
 LIMIT_FAULT_COUNT = 4
 LEAVING_FAULT_COUNT = 2
 POISON_COUNT = 3
@@ -109,6 +114,27 @@
     return faults
 
 
+def draw_group_faults(seed, seconds):
+    """Return lost disks and cuts of control VMs; they have their own generator."""
+    rng = random.Random(f"group {seed}")
+    faults = []
+    for kind in (WipePair, WipeDisk, CutControl, CutControl, SplitControls):
+        at_s = round(rng.uniform(0.0, seconds), 3)
+        duration_s = round(rng.uniform(0.5, MAX_CUT_S), 3)
+        faults.append(kind(at_s, rng.randrange(1 << 30), duration_s))
+    return faults
+
+
+def draw_group_run_faults(seed, seconds):
+    """Return the faults of a run that is about the control group."""
+    faults = [
+        *draw_control_faults(seed, seconds),
+        *draw_group_faults(seed, seconds),
+        *draw_group_faults(f"more {seed}", seconds),
+    ]
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
 def draw_link_faults(seed, seconds):
     """Return the bandwidth faults of a run; they also have their own generator."""
     rng = random.Random(f"narrow {seed}")
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -64,6 +64,18 @@
     """Replaces a control VM by one without data at another address."""
 
 
+class WipePair(Fault):
+    """Empties the disks of two control VMs at once, the leader's among them."""
+
+
+class CutControl(Fault):
+    """Cuts a control VM off from the others, in one direction or both."""
+
+
+class SplitControls(Fault):
+    """Cuts two control VMs off from the others, which may reach each other."""
+
+
 class TornWrite(Fault):
     """Kills a control VM during a write, which leaves a partial record in its log."""
 
@@ -208,9 +220,8 @@
 
 @inject.register
 async def _(fault: WipeDisk, fleet):
-    # The group tolerates the loss of one disk: before the next one is lost, the control
-    # VM with the previous loss must have rejoined.
-    if not fleet.try_start_wipe():
+    # Before a disk more is lost than tolerated, an emptied control VM must vote again.
+    if not fleet.group.may_lose(1):
         return
     control = fleet.controls[fault.selector % len(fleet.controls)]
     async with fleet.taken(control):
@@ -219,13 +230,59 @@
 
 @inject.register
 async def _(fault: ReplaceControl, fleet):
-    if not fleet.try_start_wipe():
+    if not fleet.group.may_lose(1):
         return
     control = fleet.controls[fault.selector % len(fleet.controls)]
     async with fleet.taken(control):
         await fleet.replace_with_seeds(control, fault.selector // len(fleet.controls))
 
 
+@inject.register
+async def _(fault: WipePair, fleet):
+    leader = fleet.leading_control()
+    if leader is None or not fleet.group.may_lose(2):
+        return
+    others = [each for each in fleet.controls if each is not leader]
+    async with contextlib.AsyncExitStack() as stack:
+        pair = [leader, others[fault.selector % len(others)]]
+        for each in pair:
+            await stack.enter_async_context(fleet.taken(each))
+        await fleet.records.next_accepted(ACCEPTED_TIMEOUT_S)
+        for each in pair:
+            each.send(signal.SIGKILL)
+        await asyncio.sleep(fault.duration_s / 3)
+        await asyncio.gather(
+            *(asyncio.to_thread(fleet.wipe_control, each) for each in pair)
+        )
+
+
+@inject.register
+async def _(fault: CutControl, fleet):
+    leader = fleet.leading_control()
+    hosts = fleet.control_hosts
+    host = hosts[fault.selector % len(hosts)]
+    if leader is not None and fault.selector % 2:
+        host = leader.name
+    others = [each for each in hosts if each != host]
+    outgoing = {(host, other) for other in others}
+    incoming = {(other, host) for other in others}
+    pairs = (outgoing, incoming, outgoing | incoming)[fault.selector // 2 % 3]
+    await _cut(fleet, pairs, fault.duration_s)
+
+
+@inject.register
+async def _(fault: SplitControls, fleet):
+    hosts = list(fleet.control_hosts)
+    few = set(random.Random(fault.selector).sample(hosts, 2))
+    pairs = {(a, b) for a in hosts for b in hosts if (a in few) is not (b in few)}
+    await _cut(fleet, pairs, fault.duration_s)
+
+
+async def _cut(fleet, pairs, seconds):
+    with fleet.records.routes.disturbed(CONTROL_GROUP), fleet.group.cut(pairs):
+        await asyncio.sleep(seconds)
+
+
 @inject.register
 async def _(fault: TornWrite, fleet):
     control = fleet.controls[fault.selector % len(fleet.controls)]
@@ -328,12 +385,13 @@
                 Direction.BACK: rng.uniform(*NEW_BACK_DELAYS_S),
             }
 
+    former_hooks = [proxy.on_flow for proxy in proxies]
     with fleet.records.routes.disturbed(CONTROL_GROUP):
         for proxy in proxies:
             proxy.on_flow = delay_new
         await asyncio.sleep(fault.duration_s)
-        for proxy in proxies:
-            proxy.on_flow = lambda flow: None
+        for proxy, former_hook in zip(proxies, former_hooks, strict=True):
+            proxy.on_flow = former_hook
             for flow in proxy.flows:
                 flow.delay_s_by_direction.clear()
         # What they sent meanwhile is lost, and so is all later.
@@ -387,13 +445,14 @@
 
 
 async def lose_power(seed, fleet):
-    """Kill all processes at once, wipe one control VM's disk and restart them.
+    """Kill all processes at once, wipe control VMs' disks and restart them.
 
     This happens right after a change was accepted, when no other disk loss is being
     repaired: the group loses as many disks as it tolerates, and no process keeps the
     change in memory.
     """
-    control = fleet.controls[seed % len(fleet.controls)]
+    rng = random.Random(f"power {seed}")
+    emptied = rng.sample(fleet.controls, fleet.group.tolerated_losses)
     processes = [*fleet.controls, *fleet.daemons]
     async with contextlib.AsyncExitStack() as stack:
         for each in processes:
@@ -402,6 +461,10 @@
         for each in processes:
             each.send(signal.SIGKILL)
         await asyncio.gather(*(asyncio.to_thread(each.kill) for each in processes))
-        await asyncio.to_thread(fleet.wipe_control, control)
-        others = [each for each in processes if each is not control]
-        await asyncio.gather(*(asyncio.to_thread(each.start) for each in others))
+        starts = [
+            functools.partial(fleet.wipe_control, each)
+            if each in emptied
+            else each.start
+            for each in processes
+        ]
+        await asyncio.gather(*(asyncio.to_thread(start) for start in starts))
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -4,10 +4,12 @@
 import collections
 import contextlib
 import errno
+import functools
 import time
 
 import attrs
 
+from soak._controls import ControlGroup
 from soak._poisons import PoisonWatch
 from soak._proxy import Proxy
 from soak._records import Records
@@ -27,8 +29,9 @@
 # A request on a changing route is repeated while its daemon refuses it, for so long.
 PROBE_TIMEOUT_S = 5.0
 PROBE_KEY = 7
-# Minimum time between two lost disks; the VM of the first must vote again as well.
-MIN_WIPE_INTERVAL_S = 8.0
+# As many as the users have, and as many losses as they bear.
+CONTROLS = 5
+TOLERATED_LOSSES = 2
 # The whole fleet must serve within this time after the last fault.
 RECOVERY_TIMEOUT_S = 15.0
 # The port of a stopped target is free within this time, even under high CPU load.
@@ -56,9 +59,19 @@
         Second octet of the loopback addresses.
     vms : int
         Number of VMs with a target.
+    controls, tolerated_losses : int
+        Number of control VMs, and how many of them may be lost at once.
     """
 
-    def __init__(self, folder, net, vms=DEFAULT_VMS):
+    def __init__(
+        self,
+        folder,
+        net,
+        vms=DEFAULT_VMS,
+        controls=CONTROLS,
+        tolerated_losses=TOLERATED_LOSSES,
+    ):
+        self.group = ControlGroup(self, tolerated_losses)
         self.records = Records()
         self.records.poisons = PoisonWatch(
             self.records.routes, self.records.report_violation
@@ -66,7 +79,7 @@
         self._restarts = set()
         self.proxies = []
         services = [SERVICES[number % len(SERVICES)] for number in range(vms)]
-        super().__init__(folder, services, net)
+        super().__init__(folder, services, net, controls, tolerated_losses)
         self.zones = ZONES
         self.target_vms = []
         for number, (host, service) in enumerate(
@@ -78,8 +91,6 @@
             self.target_vms.append(TargetVM(host, service, zone, target))
         self._taken = set()
         self._disturbances = collections.Counter()
-        self._last_wipe_s = float("-inf")
-        self._last_emptied_control = None
 
     def _new_target(self, host, service, zone):
         target = SoakTarget(host, service, zone, self.records)
@@ -97,6 +108,8 @@
     def _control(self, host, seeds, is_first=True):
         process = super()._control(host, seeds, is_first)
         listen = self._add_proxy(host, PORTS["links"])
+        proxy = self.proxies[-1]
+        proxy.on_flow = functools.partial(self.group.silence_if_cut, proxy)
         process.write(self._with_links_listen(process, listen))
         process.may_stall()
         return process
@@ -167,35 +180,11 @@
         """Return a counter that rises when a fault reserves or releases the part."""
         return 2 * self._disturbances[part] - self.is_taken(part)
 
-    def try_start_wipe(self):
-        """Return whether the group tolerates a disk loss now; if so, note its time."""
-        now = time.monotonic()
-        if now - self._last_wipe_s < MIN_WIPE_INTERVAL_S or self._taken & set(
-            self.controls
-        ):
-            return False
-        if not self._has_emptied_control_joined():
-            return False
-        self._last_wipe_s = now
-        return True
-
     def wipe_control(self, control):
         """Kill a control VM, delete its data and restart it."""
-        self._last_emptied_control = control
+        self.group.emptied(control)
         super().wipe_control(control)
 
-    def _has_emptied_control_joined(self):
-        """Whether the control VM that last started with an empty disk votes."""
-        if self._last_emptied_control is None:
-            return True
-        has_joined = False
-        for line in self._last_emptied_control.lines:
-            if line.get("sentence") == "control: started":
-                has_joined = False
-            elif line.get("sentence") == "control: role changed":
-                has_joined = line["role"] != "learner"
-        return has_joined
-
     async def replace_with_seeds(self, control, seed_selector):
         """Replace ``control`` by a control VM without data at another address.
 
@@ -211,7 +200,7 @@
         proxies = len(self.proxies)
         seeds = [control.name, others[seed_selector % len(others)]]
         await asyncio.to_thread(self.replace_control, number, seeds)
-        self._last_emptied_control = self.controls[number]
+        self.group.emptied(self.controls[number], control)
         for proxy in self.proxies[proxies:]:
             await proxy.start()
 
@@ -314,10 +303,7 @@
             self.records.report_violation(
                 "recovery", f"not recovered after {RECOVERY_TIMEOUT_S} s"
             )
-        if not self._has_emptied_control_joined():
-            self.records.report_violation(
-                "recovery", f"{self._last_emptied_control.name} hasn't joined the group"
-            )
+        await self._check_group()
         for process in (*self.controls, *self.daemons):
             if process.has_ended:
                 code = process.wait(0.0)
@@ -330,6 +316,19 @@
                         "no faults", f"{process.name}: {line}"
                     )
 
+    async def _check_group(self):
+        """Check that each control VM votes, so that the group bears the next losses."""
+
+        async def all_vote():
+            return not self.group.without_vote()
+
+        try:
+            await self.until(all_vote, RECOVERY_TIMEOUT_S)
+        except AssertionError:
+            self.records.report_violation(
+                "recovery", f"without a vote: {self.group.without_vote()}"
+            )
+
     async def check_routes(self):
         """Check on each daemon that each changing route is the newest version's."""
         await asyncio.sleep(CONFIG_DEADLINE_S + CONTACT_S)
