--- a/tests/fleet/test_group_histories.py
+++ b/tests/fleet/test_group_histories.py
@@ -231,7 +231,8 @@
         assert len(names) == REQUIRED_VOTERS
 
 
-@pytest.mark.parametrize("seed", range(6))
+# With removals before promotions, 240, 464 and 703 end the group.
+@pytest.mark.parametrize("seed", [0, 1, 2, 240, 464, 703])
 def test_after_any_history_a_leader_commits_and_every_control_vm_votes(seed):
     # Guards against a repair that leaves a group less able to bear the next losses.
     history = History(seed)
