--- a/tests/raft_group.py
+++ b/tests/raft_group.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from tamarackhaven._members import Member, Membership, Step
 from tamarackhaven._raft import Raft, Role
 from tamarackhaven._raft_messages import (
@@ -12,6 +14,7 @@
     WriteHardState,
 )
 from tamarackhaven._settings import RaftSettings
+from tamarackhaven.errors import TamarackhavenError
 
 SETTINGS = RaftSettings(batch_entries=4, snapshot_entries=16, chunk_bytes=1024)
 
@@ -217,6 +220,20 @@
         self.blocked.clear()
 
 
+def group_led_by_first(*names):
+    """Return a group whose first member leads and has committed its first entry."""
+    group = Group(*names)
+    group.elect(names[0])
+    group.run(0.1)
+    return group
+
+
+def raised_kind(call, *args):
+    with pytest.raises(TamarackhavenError) as caught:
+        call(*args)
+    return caught.value.kind
+
+
 def render(item):
     """Return a readable line: the class name, then all fields except the sender."""
     if isinstance(item, tuple):
