--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -106,7 +106,7 @@
             self._read,
             self._leadership_in_force,
             self.machine,
-            self._sessions.daemon,
+            self._sessions,
             metrics,
         )
         self._links = None
--- a/tamarackhaven/fleet/_daemon_sessions.py
+++ b/tamarackhaven/fleet/_daemon_sessions.py
@@ -99,6 +99,12 @@
         for session in self._session_by_link.values():
             session.send_updates(state)
 
+    def send_updates_on(self, link, state):
+        """Send the daemon at the other end of a link the newer parts of ``state``."""
+        session = self._session_by_link.get(link)
+        if session is not None:
+            session.send_updates(state)
+
     def send_to_all(self, message):
         """Send one message to all daemons."""
         packed = CONTROL_CODEC.packed(message)
--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -106,7 +106,13 @@
         target = report.target
         trials = self._grant_trials(daemon, report, state, now)
         if target is None or self.leases.has_ended(target.life):
-            return LeaseGrant(report.number, grant, self.leases.lease_s, trials=trials)
+            return LeaseGrant(
+                report.number,
+                grant,
+                self.leases.lease_s,
+                trials=trials,
+                view=state.view_version(),
+            )
         ranges = state.ranges_by_service.get(target.service, ())
         owned = tuple(each for each in ranges if each.owner == target.life)
         owned = self._without_moving(owned, target.life)
@@ -120,6 +126,7 @@
             owned,
             state.index_by_service.get(target.service, -1),
             trials,
+            state.view_version(),
         )
 
     def _grant_trials(self, daemon, report, state, now):
--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from tamarackhaven._digests import record_digest, set_digest
 from tamarackhaven.fleet._model import GrantId, Hold, KeyRange, Release, Target
 from tamarackhaven.fleet._suspects import RequestAnswers, SuspectRequest, TargetEnd
 from tamarackhaven.net import Codec
@@ -88,6 +89,37 @@
     digest: int
 
 
+# Parts whose changes a daemon is sent at once. It tells callers by them what doesn't
+# exist or may not run. Owners of keys may be held back, see ``Session``.
+CONFIRMED_PARTS = (CONFIGURATION_PART, ZONES_PART, SUSPECTS_PART)
+
+
+@attrs.frozen
+class ViewVersion:
+    """What a process has of all ``CONFIRMED_PARTS``.
+
+    Parameters
+    ----------
+    index : int
+        Log index of the newest change of any of them.
+    digest : int
+        Of the index and content of each.
+    """
+
+    index: int = NO_INDEX
+    digest: int = 0
+
+
+def view_version(version_by_part):
+    """Return the ``ViewVersion`` of parts, each a ``PartVersion`` by name."""
+    versions = [
+        version_by_part.get(part, PartVersion(part, NO_INDEX, 0))
+        for part in CONFIRMED_PARTS
+    ]
+    digests = (record_digest(each.part, each.index, each.digest) for each in versions)
+    return ViewVersion(max(each.index for each in versions), set_digest(digests))
+
+
 @attrs.frozen
 class DaemonHello:
     """Identifies a daemon and asks which control VM leads.
@@ -211,6 +243,9 @@
         Log index of the service's owners that the grant is based on, -1 for none.
     trials : tuple of bytes
         Digests of the suspects that the daemon may run once.
+    view : ViewVersion
+        What the leader had when it answered. All changes up to it were sent on the
+        same link before.
     """
 
     number: int
@@ -220,6 +255,7 @@
     ranges: tuple[KeyRange, ...] = ()
     keys_index: int = -1
     trials: tuple[bytes, ...] = ()
+    view: ViewVersion = ViewVersion()
 
 
 @attrs.frozen
--- a/tamarackhaven/fleet/_report_answers.py
+++ b/tamarackhaven/fleet/_report_answers.py
@@ -25,17 +25,17 @@
         Returns the ``Leadership`` in force, None if there is none.
     machine : FleetMachine
         Of the member.
-    daemon_of : callable
-        ``daemon_of(link)`` returns the host and port of the daemon at its other end.
+    sessions : DaemonSessions
+        Of the daemons that report.
     metrics : Metrics
         Of the process.
     """
 
-    def __init__(self, read, leadership, machine, daemon_of, metrics):
+    def __init__(self, read, leadership, machine, sessions, metrics):
         self._read = read
         self._leadership = leadership
         self._machine = machine
-        self._daemon_of = daemon_of
+        self._sessions = sessions
         self._metrics = metrics
         self._report_by_link = {}
         self._confirm_task = None
@@ -71,7 +71,10 @@
         with self._machine.lock:
             state = self._machine.state
             for link, report in report_by_link.items():
-                daemon = self._daemon_of(link)
+                # A change may have been applied that waits to be sent. The daemon would
+                # take the answer, which names it, for a sign that it was lost.
+                self._sessions.send_updates_on(link, state)
+                daemon = self._sessions.daemon(link)
                 link.send(leadership.grant(report, state, boot_s(), daemon))
         self._metrics.count(
             "tamarackhaven_fleet_reports_answered_total", len(report_by_link)
--- a/tamarackhaven/fleet/_state.py
+++ b/tamarackhaven/fleet/_state.py
@@ -23,6 +23,7 @@
     ZONES_PART,
     PartVersion,
     keys_part,
+    view_version,
 )
 from tamarackhaven.fleet._model import KeyRange
 from tamarackhaven.fleet._suspects import (
@@ -182,6 +183,8 @@
         self._ranges_by_service_and_index = _FormerValues()
         self._suspects_by_index = _FormerValues()
         self._keys_digest_by_service = {}
+        self._view_version_indices = None
+        self._view_version = None
 
     def configuration_at(self, index):
         """Return the configuration applied at log ``index``, None if not kept."""
@@ -218,6 +221,14 @@
         ]
         return {each.part: each for each in versions}
 
+    def view_version(self):
+        """Return the ``ViewVersion`` of a daemon that has all changes."""
+        indices = self.configuration_index, self.zones_index, self.suspects_index
+        if self._view_version_indices != indices:
+            self._view_version_indices = indices
+            self._view_version = view_version(self.versions())
+        return self._view_version
+
     def _keys_digest(self, service):
         digest = self._keys_digest_by_service.get(service)
         if digest is None:
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -239,6 +239,10 @@
             float("inf") if stamp.age_s is None else stamp.age_s,
         )
 
+        self.metrics.gauge(
+            "tamarackhaven_view_behind_seconds", self._view_updates.behind_s()
+        )
+
     # Control group.
 
     def _seeds(self):
@@ -331,7 +335,7 @@
         )
 
     def _apply_grant(self, grant, requested_s):
-        self._view_updates.confirm(requested_s)
+        self._view_updates.confirm(requested_s, grant.view)
         self.state.apply_grant(grant, requested_s)
         self._permits.apply_grant(grant, requested_s)
         self.inbound.wake_key_waiters()
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -17,6 +17,7 @@
     TargetsView,
     ZonesView,
     keys_part,
+    view_version,
 )
 from tamarackhaven.fleet._model import TargetPhase
 from tamarackhaven.fleet._ranges import RangeIndex, assigned
@@ -112,6 +113,10 @@
         """Highest log index of any part."""
         return max((each.index for each in self.known()), default=0)
 
+    def version(self):
+        """Return the ``ViewVersion`` in force, to be compared with the leader's."""
+        return view_version(self._version_by_part)
+
     def known(self):
         """Return the versions of the parts in force, as a tuple of ``PartVersion``."""
         return tuple(self._version_by_part.values())
--- a/tamarackhaven/sidecar/_view_updates.py
+++ b/tamarackhaven/sidecar/_view_updates.py
@@ -1,7 +1,9 @@
 """Applies the leader's updates to a daemon's view, and logs what came of them."""
 
 from tamarackhaven._clock import boot_s
+from tamarackhaven._digests import digest_text
 from tamarackhaven.fleet._messages import NO_INDEX, TargetsView
+from tamarackhaven.sidecar._view_lag import LagChange, ViewLag
 from tamarackhaven.sidecar._view_reports import UpdateOutcome, ViewReports
 
 
@@ -26,6 +28,7 @@
         self._log = log
         self._metrics = metrics
         self._reports = ViewReports()
+        self._lag = ViewLag()
 
     def begin_session(self):
         """Begin a session, whose first report says what the view has then."""
@@ -69,13 +72,38 @@
             )
             return UpdateOutcome.REFUSED
 
-    def confirm(self, requested_s):
+    def behind_s(self):
+        """Return for how many seconds the view has lacked what the leader had."""
+        return self._lag.behind_s(boot_s())
+
+    def _record_lag(self, leader_version):
+        own = self._view.version()
+        behind_s = self.behind_s()
+        change = self._lag.record(own, leader_version, boot_s())
+        if change is None:
+            return
+        if change is LagChange.BEHIND:
+            self._metrics.count("tamarackhaven_view_behind_total")
+        self._log.say(
+            f"view {change.value}",
+            index=own.index,
+            digest=digest_text(own.digest),
+            leader_index=leader_version.index,
+            leader_digest=digest_text(leader_version.digest),
+            behind_s=round(behind_s, 3),
+            known={each.part: each.index for each in self._view.known()},
+        )
+
+    def confirm(self, requested_s, leader_version):
         """Apply the leader's answer to a report that was sent at ``requested_s``.
 
+        ``leader_version`` is the ``ViewVersion`` that the leader had then.
+
         It confirms all that the leader has sent before. If the view lacks a refused
         update, an unknown route may be in that update, and callers must not be told
         that it doesn't exist.
         """
+        self._record_lag(leader_version)
         if not self._reports.is_waiting:
             self._view.confirm(requested_s)
         lives = self._view.drop_unlisted_targets(boot_s())
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -56,6 +56,7 @@
             "_request_digest",
             "_suspects",
             "_target_state",
+            "_view_lag",
             "_view_reports",
         )
     ),
--- a/tests/sidecar/test_view_updates.py
+++ b/tests/sidecar/test_view_updates.py
@@ -2,6 +2,7 @@
 
 import types
 
+import attrs
 import pytest
 
 from tamarackhaven._clock import boot_s
@@ -36,6 +37,10 @@
             self.metrics,
         )
 
+    def confirm(self, requested_s):
+        """Apply an answer of a leader that has what the view has."""
+        self.updates.confirm(requested_s, self.view.version())
+
 
 @pytest.fixture
 def daemon():
@@ -58,20 +63,32 @@
     # Guards against: 404 for a route that the refused update adds.
     now = boot_s()
     daemon.updates.apply(ConfigurationChange(2, 3, Edit(3)))
-    daemon.updates.confirm(now)
+    daemon.confirm(now)
     assert not daemon.view.is_confirmed(now)
     daemon.updates.apply(ConfigurationChange(1, 3, Edit(3)))
-    daemon.updates.confirm(now)
+    daemon.confirm(now)
     assert daemon.view.is_confirmed(now)
 
 
+def test_a_view_that_is_behind_its_leader_is_logged_and_counted_once(daemon):
+    leader = attrs.evolve(daemon.view.version(), index=2)
+    for _ in range(3):
+        daemon.updates.confirm(boot_s(), leader)
+    assert daemon.sentences == ["view behind"]
+    assert daemon.metrics.counter("tamarackhaven_view_behind_total") == 1
+    assert daemon.updates.behind_s() > 0
+    daemon.confirm(boot_s())
+    assert daemon.sentences == ["view behind", "view caught up"]
+    assert daemon.updates.behind_s() == 0
+
+
 def test_dropped_targets_are_logged_and_counted(daemon, monkeypatch):
     target = Target(life_of("i", 1, "h:1"), "i", 1, "s", "z", "h", 1, 4)
     daemon.updates.apply(TargetsView(1, (target,), is_whole=True))
     daemon.updates.apply(TargetsView(2, (), is_whole=True))
     later_s = boot_s() + SILENT_TARGET_TTL_S + 1.0
     monkeypatch.setattr(_view_updates, "boot_s", lambda: later_s)
-    daemon.updates.confirm(later_s)
+    daemon.confirm(later_s)
     assert daemon.sentences == ["targets dropped"]
     assert daemon.metrics.counter("tamarackhaven_targets_dropped_total") == 1
     assert not daemon.view.target_by_life
@@ -86,8 +103,8 @@
     assert daemon.sentences.count("update failed") == 3
     assert [parts for _, parts in daemon.reports] == [("configuration",)]
     assert daemon.view.table.configuration.version == 1
-    daemon.updates.confirm(boot_s())
+    daemon.confirm(boot_s())
     assert not daemon.view.is_confirmed(boot_s())
     assert daemon.updates.apply(ConfigurationView(3, Configuration(3)))
-    daemon.updates.confirm(boot_s())
+    daemon.confirm(boot_s())
     assert daemon.view.is_confirmed(boot_s())
