--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -29,11 +29,17 @@
     silenced_directions : frozenset of Direction
         Directions in which no bytes are forwarded. Bytes that have arrived meanwhile
         are forwarded once the direction is no longer silenced.
+    link_by_direction : dict
+        ``NarrowLink`` that limits the bandwidth, by ``Direction``.
+    filter_by_direction : dict
+        Function from received bytes to those that are forwarded, by ``Direction``.
     """
 
     first_bytes: bytes = b""
     delay_s_by_direction: dict = attrs.field(factory=dict)
     silenced_directions: frozenset = frozenset()
+    link_by_direction: dict = attrs.field(factory=dict)
+    filter_by_direction: dict = attrs.field(factory=dict)
     writers: tuple = ()
 
     def reset(self):
@@ -131,7 +137,8 @@
                     flow.first_bytes = data
                     self.on_flow(flow)
                 await self._hold_up(flow, reader, direction, len(data))
-                writer.write(data)
+                kept = flow.filter_by_direction.get(direction)
+                writer.write(kept(data) if kept is not None else data)
                 await writer.drain()
             writer.write_eof()
         except OSError:
@@ -144,6 +151,8 @@
             await asyncio.sleep(delay_s)
         if self.link is not None and direction is Direction.THERE:
             await self.link.carry(size)
+        if direction in flow.link_by_direction:
+            await flow.link_by_direction[direction].carry(size)
         # Bytes in a silenced direction are lost, and so are all later ones: TCP never
         # delivers a stream with a gap.
         while direction in self.silenced_directions | flow.silenced_directions:
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -194,7 +194,7 @@
             assert time.monotonic() < deadline_s, "condition not met in time"
             await asyncio.sleep(0.1)
 
-    async def ask(self, prefix, key, at, attempt=None, body=b"b"):
+    async def ask(self, prefix, key, at, attempt=None, body=b"b", timeout_s=3.0):
         """Send a caller's request to the daemon at index ``at``."""
         attempt = attempt or f"a{next(self._attempts)}"
         headers = [
@@ -205,7 +205,10 @@
         if key is not None:
             headers.append(("Tamarackhaven-Shard-Key", str(key)))
         host = self.target_hosts[at]
-        return await call(host, PORTS["callers"], "POST", f"{prefix}x", headers, body)
+        path = f"{prefix}x"
+        return await call(
+            host, PORTS["callers"], "POST", path, headers, body, timeout_s
+        )
 
     async def order(self, path, document=None, base=None, timeout_s=20.0):
         """Send an operator's request to the control VMs in turn until one accepts it.
