Let a daemon deny a route only if it has what its leader has

**What callers saw:** a daemon that has lost a change answers 404 for the route that it adds, until the next change. In the users' record one daemon does so 6.9 and 10.5 s after the acknowledgement; whether it came about in this way isn't known. **Cause:** any answer of the leader confirmed the daemon's view, since messages on a link keep their order. Nothing compared the two, so whatever skips or loses one change goes unnoticed for good. **Change:** an answer confirms a view only if the leader's configuration, zones and suspects are the same by index and digest. Else the daemon says of unknown routes that it can't be sure, reports at once what it has, and the leader sends what was lost again (`view behind`, `update lost`). **Evidence, why it suffices:** test_a_daemon_that_lost_a_change_denies_no_added_route was red (404 10 of 10) and passes: the change is there after a round trip. In 60 random histories that lose 0.3 of all messages, only a view with all changes is confirmed, and it is whole two reports after the last loss; without the comparison these tests fail.

--- a/tamarackhaven/fleet/_daemon_sessions.py
+++ b/tamarackhaven/fleet/_daemon_sessions.py
@@ -68,6 +68,8 @@
         if report.refused_parts:
             self._log_refused_parts(session, report)
             session.resend(report.refused_parts, report.known)
+        if report.is_behind:
+            self._log_lost_parts(session, session.resend_lost(report.known))
         for version in session.replace_differing(report.known, state):
             self._log_difference(session, version)
         session.send_updates(state)
@@ -84,6 +86,11 @@
             self._metrics.count("tamarackhaven_fleet_updates_refused_total")
             self._log.say("update refused", daemon=session.daemon, state_part=part)
 
+    def _log_lost_parts(self, session, parts):
+        for part in parts:
+            self._metrics.count("tamarackhaven_fleet_updates_lost_total")
+            self._log.say("update lost", daemon=session.daemon, state_part=part)
+
     def _log_difference(self, session, version):
         self._metrics.count("tamarackhaven_fleet_daemons_differing_total")
         self._log.say(
--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -202,6 +202,9 @@
         be running.
     wanted_trials : tuple of bytes
         Digests of the suspects that the daemon's callers wait to run.
+    is_behind : bool
+        Whether the view differed from the leader's at its newest answer. Then ``known``
+        has all ``CONFIRMED_PARTS``.
     """
 
     number: int
@@ -221,6 +224,7 @@
     answers: tuple[RequestAnswers, ...] = ()
     trials: tuple[bytes, ...] = ()
     wanted_trials: tuple[bytes, ...] = ()
+    is_behind: bool = False
 
 
 @attrs.frozen
--- a/tamarackhaven/fleet/_sessions.py
+++ b/tamarackhaven/fleet/_sessions.py
@@ -7,6 +7,7 @@
 from tamarackhaven.fleet._feed import UpdateCache
 from tamarackhaven.fleet._messages import (
     CONFIGURATION_PART,
+    CONFIRMED_PARTS,
     NO_INDEX,
     SUSPECTS_PART,
     ZONES_PART,
@@ -88,6 +89,29 @@
         for part in refused_parts:
             self._index_by_part[part] = index_by_part.get(part, NO_INDEX)
 
+    def resend_lost(self, known):
+        """Send the parts of which an update was sent and hasn't come, from now on.
+
+        Parameters
+        ----------
+        known : tuple of PartVersion
+            What the daemon has of all ``CONFIRMED_PARTS``.
+
+        Returns
+        -------
+        list of str
+            The names of these parts. An update that is still in flight counts, too: the
+            daemon then ignores the second one.
+        """
+        index_by_part = {each.part: each.index for each in known}
+        lost = [
+            part
+            for part in CONFIRMED_PARTS
+            if index_by_part.get(part, NO_INDEX) < self._sent_index(part)
+        ]
+        self.resend(lost, known)
+        return lost
+
     def replace_differing(self, known, state):
         """Send the whole parts whose content differs from ``state`` at the same index.
 
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -277,6 +277,7 @@
             answers=self.suspects.take_answers(),
             trials=tuple(trials),
             wanted_trials=self._permits.wanted(number),
+            is_behind=self._view_updates.is_behind,
         )
 
     def _apply_view_message(self, message):
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -82,10 +82,10 @@
         self._confirmed_s = float("-inf")
 
     def confirm(self, requested_s):
-        """Record that the leader has answered a report sent at ``requested_s``.
+        """Record that the leader has what this view has.
 
-        The leader sends the answer on the same link after all changes that it had
-        accepted before the report. ``requested_s`` is in seconds of the boot clock.
+        It answered a report that was sent at ``requested_s``, in seconds of the boot
+        clock.
         """
         self._confirmed_s = max(self._confirmed_s, requested_s)
 
--- a/tamarackhaven/sidecar/_view_reports.py
+++ b/tamarackhaven/sidecar/_view_reports.py
@@ -2,6 +2,8 @@
 
 import enum
 
+from tamarackhaven.fleet._messages import CONFIRMED_PARTS
+
 
 class UpdateOutcome(enum.Enum):
     """What became of an update of the view."""
@@ -48,13 +50,16 @@
         """Whether the view lacks an update that the leader takes for applied."""
         return bool(self._pending)
 
-    def take(self, known):
+    def take(self, known, is_behind=False):
         """Return what the next report contains; each version and part only once.
 
         Parameters
         ----------
         known : tuple of PartVersion
             The versions in force.
+        is_behind : bool
+            Whether the view has been found to lack a change, so that the report
+            contains all ``CONFIRMED_PARTS``.
 
         Returns
         -------
@@ -68,6 +73,7 @@
             version
             for version in known
             if version.part in refused
+            or (is_behind and version.part in CONFIRMED_PARTS)
             or self._reported_by_part.get(version.part) != version
         )
         self._reported_by_part.update((version.part, version) for version in new)
--- a/tamarackhaven/sidecar/_view_updates.py
+++ b/tamarackhaven/sidecar/_view_updates.py
@@ -36,7 +36,7 @@
 
     def take_report(self):
         """Return versions and refused parts for the next report."""
-        return self._reports.take(self._view.known())
+        return self._reports.take(self._view.known(), self.is_behind)
 
     def apply(self, message):
         """Apply a message about the view; return whether the view has changed."""
@@ -72,6 +72,11 @@
             )
             return UpdateOutcome.REFUSED
 
+    @property
+    def is_behind(self):
+        """Whether the view differed from the leader's at its newest answer."""
+        return self._lag.is_behind
+
     def behind_s(self):
         """Return for how many seconds the view has lacked what the leader had."""
         return self._lag.behind_s(boot_s())
@@ -84,6 +89,7 @@
             return
         if change is LagChange.BEHIND:
             self._metrics.count("tamarackhaven_view_behind_total")
+            self._report_now()
         self._log.say(
             f"view {change.value}",
             index=own.index,
@@ -97,14 +103,12 @@
     def confirm(self, requested_s, leader_version):
         """Apply the leader's answer to a report that was sent at ``requested_s``.
 
-        ``leader_version`` is the ``ViewVersion`` that the leader had then.
-
-        It confirms all that the leader has sent before. If the view lacks a refused
-        update, an unknown route may be in that update, and callers must not be told
-        that it doesn't exist.
+        ``leader_version`` is the ``ViewVersion`` that the leader had then. Only a view
+        that is the same counts as confirmed: if a change is lost, whatever loses it,
+        callers must not be told that its route doesn't exist.
         """
         self._record_lag(leader_version)
-        if not self._reports.is_waiting:
+        if not self.is_behind and not self._reports.is_waiting:
             self._view.confirm(requested_s)
         lives = self._view.drop_unlisted_targets(boot_s())
         if lives:
