Refuse for good by limits and keys only if the configuration is confirmed

**What callers saw:** nothing in a record; found by looking for the same cause elsewhere. A daemon without word of its leader, or without any configuration, answers 413 and 431 by limits and 400 by a service's kind that may be older than the newest version, and callers don't come back. **Cause:** only the missing route was held against the age of the view. **Change:** one list of refusals that follow from the configuration and are final; each is STATE_STALE (503, Retry-After 0.3 s) unless the view is confirmed, at the callers' server, too.

--- a/tamarackhaven/net/__init__.py
+++ b/tamarackhaven/net/__init__.py
@@ -7,7 +7,8 @@
     RequestNotSentError,
     RequestUnansweredError,
 )
-from tamarackhaven.net._http_server import HttpRequest, HttpResponse, HttpServer
+from tamarackhaven.net._http_messages import HttpRequest, HttpResponse
+from tamarackhaven.net._http_server import HttpServer
 from tamarackhaven.net._link import Link, LinkServer, dial
 from tamarackhaven.net._listen import listen
 from tamarackhaven.net._wire import Codec, Packed
--- a/tamarackhaven/net/_http_server.py
+++ b/tamarackhaven/net/_http_server.py
@@ -8,14 +8,14 @@
 import asyncio
 import collections
 
-import attrs
 import h11
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.net import _http_head
 from tamarackhaven.net._body_budget import BodyBudget
-from tamarackhaven.net._http_head import MAX_EVENTS_PER_TURN, find_header
+from tamarackhaven.net._http_head import MAX_EVENTS_PER_TURN
+from tamarackhaven.net._http_messages import HttpRequest, HttpResponse
 from tamarackhaven.routing import Limits
 
 # A caller that sends requests without reading the responses would exhaust the memory.
@@ -40,47 +40,6 @@
 )
 
 
-@attrs.frozen
-class HttpRequest:
-    """A complete request.
-
-    Parameters
-    ----------
-    method, target : str
-        As in the request line.
-    headers : tuple of (bytes, bytes)
-        Names with the case that the caller sent, without hop-by-hop headers.
-    body : bytes
-        Complete body, with any chunked encoding removed.
-    arrived_s : float
-        Time at which the head was read, in seconds of the boot clock.
-    """
-
-    method: str
-    target: str
-    headers: tuple
-    body: bytes
-    arrived_s: float
-
-    def header(self, name):
-        """Return the value of the header ``name`` (lower case) or None."""
-        return find_header(self.headers, name)
-
-    @property
-    def path(self):
-        """The request target without its query string."""
-        return self.target.partition("?")[0]
-
-
-@attrs.frozen
-class HttpResponse:
-    """A complete response; ``Content-Length`` is added when it is sent."""
-
-    status: int
-    headers: tuple = ()
-    body: bytes = b""
-
-
 class _Exchange:
     """A request and its response, in the order of arrival on a connection."""
 
@@ -342,6 +301,7 @@
         self._buffer = b""
         self._release(exchange)
         exchange.closes_connection = True
+        error = self._server.checked_refusal(error)
         exchange.response = _error_response(error)
         self._server.on_bad_request(error)
         self._pending_exchanges.append(exchange)
@@ -438,6 +398,14 @@
         with None as the request for a response that can't be serialized.
     on_bad_request : callable
         ``on_bad_request(error)`` is called for each request that the server rejects.
+
+    Attributes
+    ----------
+    limits : Limits
+        In force.
+    checked_refusal : callable
+        ``checked_refusal(error)`` returns the error to send for a request that the
+        server rejects.
     """
 
     def __init__(self, handler, on_error, on_bad_request=lambda error: None):
@@ -445,6 +413,7 @@
         self.on_error = on_error
         self.on_bad_request = on_bad_request
         self.limits = Limits()
+        self.checked_refusal = lambda error: error
         self.body_budget = BodyBudget(MAX_BUFFERED_BODY_BYTES)
         self.connections = set()
         self.is_closing = False
--- a/tamarackhaven/sidecar/_callers.py
+++ b/tamarackhaven/sidecar/_callers.py
@@ -11,6 +11,10 @@
 from tamarackhaven.net import HttpResponse
 from tamarackhaven.routing import Splitter
 from tamarackhaven.sidecar._choice import Chooser
+from tamarackhaven.sidecar._final_refusals import (
+    UNKNOWN_STATE_RETRY_S,
+    confirmed_refusal,
+)
 from tamarackhaven.sidecar._messages import Answered, NotRun, WaitQuery
 from tamarackhaven.sidecar._notice_memory import NoticeMemory
 from tamarackhaven.sidecar._offers import Ask, Offers
@@ -20,9 +24,6 @@
 
 # The answer to a caller is sent this long before the caller's deadline.
 ANSWER_MARGIN_S = 0.015
-# A daemon without a configuration, or without a target of a service, usually receives
-# one within this time. Also the retry time in DRAINING and STATE_STALE refusals.
-UNKNOWN_STATE_RETRY_S = 0.3
 # Keys whose owner is lost have no owner until its lease expires, and callers would wait
 # for an answer that can't come. They wait for this fraction of the time left: a move of
 # keys takes about a heartbeat, which fits; replacing a lost VM doesn't.
@@ -129,7 +130,8 @@
         try:
             pending = await self._parse(request)
             answer = await self._serve(pending)
-        except TamarackhavenError as error:
+        except TamarackhavenError as found:
+            error = self.confirmed_refusal(found)
             self._record_refusal(request, pending, error)
             return self._dialect.refusal(error)
         self._metrics.count("tamarackhaven_answers_total", status=answer.status)
@@ -138,6 +140,10 @@
         )
         return HttpResponse(answer.status, answer.headers, answer.body)
 
+    def confirmed_refusal(self, error):
+        """Return the error to send for one found by the configuration in force."""
+        return confirmed_refusal(error, self._view.is_confirmed(boot_s()))
+
     def _record_refusal(self, request, pending, error):
         """Count and log a refusal; ``pending`` is None if no route was chosen."""
         self._metrics.count("tamarackhaven_refusals_total", kind=error.kind.name)
@@ -169,7 +175,7 @@
         table = await self._wait_for_table(request, caller_request)
         route = table.find(caller_request.host, request.path)
         if route is None:
-            raise self._no_route_error(request.path)
+            raise TamarackhavenError(ErrorKind.UNKNOWN_SERVICE, request.path)
         spec = table.service_by_name[self._splitter.pick(route)]
         if spec.sharded and caller_request.key is None:
             raise TamarackhavenError(ErrorKind.MISSING_KEY, spec.name)
@@ -188,21 +194,6 @@
             self._view.configuration_stamp(boot_s()),
         )
 
-    def _no_route_error(self, path):
-        """Return the error for a path without a route.
-
-        If a new route is accepted while this daemon's link to the leader is congested,
-        UNKNOWN_SERVICE would make the caller stop trying. A daemon whose view isn't
-        confirmed returns STATE_STALE instead, after which the caller retries.
-        """
-        if self._view.is_confirmed(boot_s()):
-            return TamarackhavenError(ErrorKind.UNKNOWN_SERVICE, path)
-        return TamarackhavenError(
-            ErrorKind.STATE_STALE,
-            f"no route to {path}, and the leader has not answered recently",
-            UNKNOWN_STATE_RETRY_S,
-        )
-
     async def _wait_for_table(self, request, caller_request):
         """Return the ``RouteTable``; wait for the first one.
 
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -109,6 +109,7 @@
         self._caller_server = HttpServer(
             self._caller_requests.handle, self._on_error, self._on_bad_request
         )
+        self._caller_server.checked_refusal = self._caller_requests.confirmed_refusal
         self._readiness_server = HttpServer(self._handle_readiness, self._on_error)
         self._registry_server = HttpServer(
             registry(self), self._on_error, self._on_bad_request
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -44,6 +44,7 @@
             "_called_holds",
             "_choice",
             "_draining",
+            "_final_refusals",
             "_gate",
             "_key_holds",
             "_key_load",
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.net import HttpResponse, HttpServer
 from tamarackhaven.net._body_budget import BodyBudget
 from tamarackhaven.routing import Limits
@@ -263,3 +264,30 @@
             assert received.index(b"POST /a") < received.index(b"GET /b")
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("head", "found"),
+    [
+        (b"Content-Length: 4000\r\n\r\n", ErrorKind.BODY_TOO_LARGE),
+        (b"X: " + b"x" * 4000 + b"\r\n\r\n", ErrorKind.HEADERS_TOO_LARGE),
+    ],
+)
+def test_a_rejection_by_limits_is_checked_before_it_is_sent(head, found):
+    # Guards against a 413 or 431 by the limits of an older configuration.
+    checked = []
+
+    def checked_refusal(error):
+        checked.append(error.kind)
+        return TamarackhavenError(ErrorKind.STATE_STALE, "", 0.3)
+
+    async def test(harness):
+        harness.server.limits = Limits(max_header_bytes=1000, max_body_bytes=1000)
+        harness.server.checked_refusal = checked_refusal
+        received = await harness.send_and_read_all(b"POST / HTTP/1.1\r\n" + HOST + head)
+        assert received.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After: 0.300" in received
+        assert checked == [found]
+        assert not harness.requests
+
+    run(test)
--- a/tests/sidecar/test_callers.py
+++ b/tests/sidecar/test_callers.py
@@ -167,6 +167,23 @@
     assert took_s < 1.0
 
 
+@pytest.mark.parametrize(
+    ("age_s", "kind"),
+    [
+        (0.1, ErrorKind.MISSING_KEY),
+        (CONFIRMATION_TTL_S + 0.5, ErrorKind.STATE_STALE),
+    ],
+)
+def test_a_missing_key_is_final_only_if_the_view_is_confirmed(age_s, kind):
+    # Guards against a 400 by a version in which the service was still divided by keys.
+    view = View()
+    sharded = attrs.evolve(CONFIGURATION, services=(ServiceSpec("s", sharded=True),))
+    view.apply_update(ConfigurationView(1, sharded))
+    view.confirm(boot_s() - age_s)
+    response, _ = send_request(view, 2000.0)
+    assert response.headers == ((b"Kind", kind.name.encode()),)
+
+
 class RecordingRuns:
     """Answers each forward, with the life that it is for, and remembers those lives."""
 
