--- a/standin/added_routes.py
+++ b/standin/added_routes.py
@@ -73,6 +73,8 @@
         Its configuration must be that of its start.
     service : str
         Service of the routes.
+    key : int or None
+        Of the requests, None if the service isn't divided by keys.
     ask_timeout_s : float
         A request without an answer for so long counts as not answered.
 
@@ -84,9 +86,10 @@
         Oldest first.
     """
 
-    def __init__(self, fleet, service, ask_timeout_s=2.5):
+    def __init__(self, fleet, service, key=None, ask_timeout_s=2.5):
         self._fleet = fleet
         self._service = service
+        self._key = key
         self._ask_timeout_s = ask_timeout_s
         self.answers_by_daemon = [RouteAnswers() for _ in fleet.targets]
         self.routes = []
@@ -144,7 +147,7 @@
         """Ask a daemon for a route once, and count what it answers."""
         sent_s = time.monotonic()
         answer = await self._fleet.ask(
-            route.prefix, None, at, timeout_s=self._ask_timeout_s
+            route.prefix, self._key, at, timeout_s=self._ask_timeout_s
         )
         after_s = sent_s - route.accepted_s
         if answer.status == 200:
--- a/standin/endless_target.py
+++ b/standin/endless_target.py
@@ -43,7 +43,7 @@
         path = line.split()[1]
         if ENDLESS_PATH not in path or b" 421 " in answer:
             return answer
-        kind = path.partition(ENDLESS_PATH)[2]
+        kind = path.partition(ENDLESS_PATH)[2].partition("?")[0]
         start, repeated = _PARTS_BY_KIND[kind]
         attempt = headers["tamarackhaven-attempt-id"].encode()
         writer = self._writer_by_task[asyncio.current_task()]
--- a/tests/fleet/test_added_routes.py
+++ b/tests/fleet/test_added_routes.py
@@ -8,11 +8,18 @@
 from standin.fleet_target import PORTS
 from standin.message_filter import MessageFilter
 from tests.fleet import real_fleet
+from tests.fleet.overloaded_fleet import (
+    SERVICES as OVERLOADED_SERVICES,
+    OverloadedFleet,
+)
 
 NETWORK_NUMBERS = itertools.count(90)
 SERVICES = ("owned", "shared")
 # Index of the daemon that doesn't get some of its leader's messages.
 DEPRIVED = 1
+KEY = 7
+OVERLOADED_S = 20.0
+MIN_SERVED_FRACTION = 0.95
 CONFIGURATION_MESSAGES = frozenset(("ConfigurationChange", "ConfigurationView"))
 
 
@@ -69,3 +76,27 @@
 
     settings = tmp_path, SERVICES, next(NETWORK_NUMBERS)
     real_fleet.run(test, settings, fleet_class=DeprivedFleet)
+
+
+def test_daemons_whose_vms_are_overloaded_serve_added_routes(tmp_path):
+    # Guards against a daemon that denies or leaves unanswered what was added long ago.
+    async def test(fleet):
+        routes = AddedRoutes(fleet, "owned", KEY)
+        async with fleet.overloaded():
+            await routes.run(OVERLOADED_S)
+        seen = f"{routes.describe()}\n{fleet.describe()}"
+        print(seen)
+        for answers in routes.answers_by_daemon:
+            assert answers.asked
+            assert not answers.denied, seen
+            assert answers.served >= MIN_SERVED_FRACTION * answers.asked, seen
+        for lags_s in fleet.news_lags_s().values():
+            assert lags_s
+            assert max(lags_s) < CONFIG_DEADLINE_S, seen
+        for checks in fleet.ready_by_host.values():
+            assert not any(a is b is False for a, b in itertools.pairwise(checks)), seen
+        answered = [status in (200, 503) for status in fleet.upload_statuses]
+        assert sum(answered) >= MIN_SERVED_FRACTION * len(answered), seen
+
+    settings = tmp_path, OVERLOADED_SERVICES, next(NETWORK_NUMBERS)
+    real_fleet.run(test, settings, fleet_class=OverloadedFleet)
