Soak: lose updates on their way to daemons, and starve daemons

**Cause:** links of the soak break or are delayed; no message is lost on a link that stays open, and each later change shows a daemon what it lacks. So a view that lacks a change unnoticed was not provoked. **Change:** faults that lose every other configuration on its way to a daemon, which isn't excused, and that let a daemon run for 0.43 of each tenth of a second; each run ends with one more change that a daemon doesn't get, before the routes are checked at every daemon.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,7 @@
     draw_poison_faults,
     draw_poison_run_faults,
     draw_session_faults,
+    draw_update_faults,
 )
 from soak._faults import inject, lose_power
 from soak._fleet import DEFAULT_VMS, SoakFleet
@@ -73,7 +74,8 @@
     if seed in regression_seeds():
         return draw_faults(seed, seconds)
     if is_session_run(seed):
-        return draw_session_faults(seed, seconds)
+        faults = draw_session_faults(seed, seconds) + draw_update_faults(seed, seconds)
+        return sorted(faults, key=lambda fault: fault.at_s)
     if seed % POISON_RUN_INTERVAL == 1:
         return draw_poison_run_faults(seed, seconds)
     if seed % GROUP_RUN_INTERVAL == 2:
@@ -83,6 +85,7 @@
         *draw_control_faults(seed, seconds),
         *draw_group_faults(seed, seconds),
         *draw_link_faults(seed, seconds),
+        *draw_update_faults(seed, seconds),
         *draw_notice_faults(seed, seconds),
         *draw_poison_faults(seed, seconds),
     ]
@@ -117,6 +120,9 @@
             await lose_power(seed, fleet)
         await end(tasks)
         await fleet.check_recovered()
+        if seed not in regression_seeds():
+            # No later change follows that would show the daemon what it lacks.
+            await operator.change_unseen_by(fleet.target_hosts[seed % vms])
         await _check_config_readable(fleet, operator)
         await fleet.check_routes()
         await fleet.wait_for_targets()
@@ -125,6 +131,7 @@
         for task in monitors:
             task.cancel()
         await fleet.stop()
+    fleet.records.lost_updates = fleet.lost_updates.lost_by_host.total()
     return Outcome(seed, tuple(fleet.records.violations), describe(fleet.records))
 
 
--- a/soak/_draws.py
+++ b/soak/_draws.py
@@ -14,6 +14,7 @@
     KillAllControls,
     LeaveByAnswers,
     LimitBandwidth,
+    LoseUpdates,
     NameLimits,
     ReloadSettings,
     ReplaceControl,
@@ -22,6 +23,7 @@
     SendPoison,
     SplitControls,
     StallDisk,
+    Starve,
     Suspend,
     SuspendLeader,
     SwitchConnections,
@@ -41,6 +43,8 @@
 MAX_SUSPEND_S = 1.5
 # Longer than the time after which a silent control VM is replaced.
 MAX_CUT_S = 4.0
+LOST_UPDATE_FAULT_COUNT = 3
+MAX_LOST_UPDATES_S = 5.0
 LIMIT_FAULT_COUNT = 4
 LEAVING_FAULT_COUNT = 2
 POISON_COUNT = 3
@@ -169,6 +173,21 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def draw_update_faults(seed, seconds):
+    """Return the losses of updates and the starved daemons of a run.
+
+    They have their own generator.
+    """
+    rng = random.Random(f"updates {seed}")
+    kinds = [LoseUpdates] * LOST_UPDATE_FAULT_COUNT + [Starve]
+    faults = []
+    for kind in kinds:
+        at_s = round(rng.uniform(0.0, seconds), 3)
+        duration_s = round(rng.uniform(1.0, MAX_LOST_UPDATES_S), 3)
+        faults.append(kind(at_s, rng.randrange(1 << 30), duration_s))
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
 def draw_notice_faults(seed, seconds):
     """Return the limits and leavings of targets; they have their own generator."""
     rng = random.Random(f"notices {seed}")
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -19,6 +19,9 @@
 NEW_BACK_DELAYS_S = (0.0, 0.3)
 DAEMON_HELLO = b"DaemonHello"
 LIMITED_BYTES_PER_S = 400_000.0
+# The smallest VMs have this part of a core.
+STARVED_CORE_FRACTION = 0.43
+STARVED_SLICE_S = 0.1
 # What targets name as their limit, one after the other; some of it is no number.
 LIMIT_TEXTS = ("0", "0.5", "1.7", "2.4", "5", "12", "many", "-1", "nan")
 MAX_LIMIT_CHANGES = 3
@@ -140,6 +143,14 @@
     """Makes callers send a request again and again that ends its targets."""
 
 
+class LoseUpdates(Fault):
+    """Loses every other configuration that leaders send to a daemon."""
+
+
+class Starve(Fault):
+    """Lets a daemon run for a part of each tenth of a second only."""
+
+
 class EvacuateZone(Fault):
     """Evacuates an availability zone and returns it to service."""
 
@@ -438,6 +449,25 @@
     await PoisonCallers(fleet, fault.selector).run(fault.duration_s)
 
 
+@inject.register
+async def _(fault: LoseUpdates, fleet):
+    # The daemon isn't excused: it must notice each loss and get the update again.
+    host = fleet.target_hosts[fault.selector % len(fleet.target_hosts)]
+    with fleet.lost_updates.losing(host):
+        await asyncio.sleep(fault.duration_s)
+
+
+@inject.register
+async def _(fault: Starve, fleet):
+    daemon = fleet.daemons[fault.selector % len(fleet.daemons)]
+    async with fleet.taken(daemon):
+        for _ in range(round(fault.duration_s / STARVED_SLICE_S)):
+            daemon.send(signal.SIGSTOP)
+            await asyncio.sleep(STARVED_SLICE_S * (1 - STARVED_CORE_FRACTION))
+            daemon.send(signal.SIGCONT)
+            await asyncio.sleep(STARVED_SLICE_S * STARVED_CORE_FRACTION)
+
+
 @inject.register
 async def _(fault: EvacuateZone, fleet):
     async with fleet.taken(fleet.zones[fault.selector % len(fleet.zones)]) as zone:
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -10,6 +10,7 @@
 import attrs
 
 from soak._controls import ControlGroup
+from soak._lost_updates import LostUpdates
 from soak._poisons import PoisonWatch
 from soak._proxy import Proxy
 from soak._records import Records
@@ -72,6 +73,7 @@
         tolerated_losses=TOLERATED_LOSSES,
     ):
         self.group = ControlGroup(self, tolerated_losses)
+        self.lost_updates = LostUpdates()
         self.records = Records()
         self.records.poisons = PoisonWatch(
             self.records.routes, self.records.report_violation
@@ -109,11 +111,15 @@
         process = super()._control(host, seeds, is_first)
         listen = self._add_proxy(host, PORTS["links"])
         proxy = self.proxies[-1]
-        proxy.on_flow = functools.partial(self.group.silence_if_cut, proxy)
+        proxy.on_flow = functools.partial(self._on_control_flow, proxy)
         process.write(self._with_links_listen(process, listen))
         process.may_stall()
         return process
 
+    def _on_control_flow(self, proxy, flow):
+        self.group.silence_if_cut(proxy, flow)
+        self.lost_updates.filter_flow(self.target_hosts, flow)
+
     def _daemon(self, target, seeds):
         process = super()._daemon(target, seeds)
         host = target.host
@@ -304,6 +310,7 @@
                 "recovery", f"not recovered after {RECOVERY_TIMEOUT_S} s"
             )
         await self._check_group()
+        self._check_views()
         for process in (*self.controls, *self.daemons):
             if process.has_ended:
                 code = process.wait(0.0)
@@ -316,6 +323,17 @@
                         "no faults", f"{process.name}: {line}"
                     )
 
+    def _check_views(self):
+        """Check that daemons were behind their leaders only where updates were lost."""
+        for daemon in self.daemons:
+            is_behind = any(
+                line.get("sentence") == "daemon: view behind" for line in daemon.lines
+            )
+            if is_behind and not self.lost_updates.lost_by_host[daemon.name]:
+                self.records.report_violation(
+                    "updates", f"{daemon.name} was behind its leader"
+                )
+
     async def _check_group(self):
         """Check that each control VM votes, so that the group bears the next losses."""
 
--- a/soak/_load.py
+++ b/soak/_load.py
@@ -25,6 +25,8 @@
 STORM_FRACTION = 0.2
 MAX_STORM_CHANGES = 8
 MAX_STORM_PAUSE_S = 0.3
+# The update of a change is on its way to a daemon for less than this.
+UNSEEN_S = 0.3
 # Fraction of lookups that go to a route that moves between services, comes and goes.
 MOVING_FRACTION = 0.4
 # Fraction of bookings with a large body, and how often it repeats the attempt id.
@@ -167,6 +169,13 @@
                 await self._storm()
             await self.read(self._random.choice(self._fleet.control_hosts))
 
+    async def change_unseen_by(self, host):
+        """Send one change whose update is lost on its way to a daemon."""
+        await self._refresh_version()
+        with self._fleet.lost_updates.losing(host):
+            await self._change(self._next_version())
+            await asyncio.sleep(UNSEEN_S)
+
     async def _storm(self):
         """Send changes in quick succession."""
         for _ in range(self._route_random.randint(2, MAX_STORM_CHANGES)):
@@ -242,6 +251,7 @@
         "asked": len(records.requests),
         "answers": count_by_status,
         "routes_judged": records.routes.judged,
+        "lost_updates": records.lost_updates,
         "ends": records.poisons.ends,
         "ends_arrivals": records.poisons.arrivals,
         "ends_judged": records.poisons.judged,
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -78,6 +78,7 @@
         factory=lambda: collections.defaultdict(list)
     )
     newest_accepted: int = 0
+    lost_updates: int = 0
     stalls: list = attrs.field(factory=list)
     next_loop_check_s: float = float("inf")
     max_core_fraction: float = 0.0
--- a/standin/message_filter.py
+++ b/standin/message_filter.py
@@ -16,26 +16,21 @@
     ----------
     is_lost : callable
         ``is_lost(kind)`` returns whether a message of the class of this name is lost.
-
-    Attributes
-    ----------
-    lost : int
-        Number of messages that were lost.
+    is_active : callable
+        ``is_active()`` returns whether any message may be lost now.
     """
 
-    def __init__(self, is_lost):
+    def __init__(self, is_lost, is_active=lambda: True):
         self._is_lost = is_lost
+        self._is_active = is_active
         self._buffer = b""
-        self.lost = 0
 
     def __call__(self, data):
         """Return the bytes of all whole messages received that aren't lost."""
         self._buffer += data
         kept = b""
         while (frame := self._next_frame()) is not None:
-            if self._is_lost(_kind(frame)):
-                self.lost += 1
-            else:
+            if not (self._is_active() and self._is_lost(_kind(frame))):
                 kept += frame
         return kept
 
