--- a/soak/_lost_updates.py
+++ b/soak/_lost_updates.py
@@ -21,7 +21,8 @@
 
     def __init__(self):
         self._chosen_hosts = collections.Counter()
-        self._passed_hosts = set()
+        # Daemons that have lost a configuration and get the next one.
+        self._spared_hosts = set()
         self.lost_by_host = collections.Counter()
 
     def filter_flow(self, hosts, flow):
@@ -36,17 +37,17 @@
     def _is_lost(self, host, kind):
         if kind not in _LOST_KINDS:
             return False
-        if host not in self._passed_hosts:
-            self._passed_hosts.add(host)
+        if host not in self._spared_hosts:
+            self._spared_hosts.add(host)
             self.lost_by_host[host] += 1
             return True
-        self._passed_hosts.discard(host)
+        self._spared_hosts.discard(host)
         return False
 
     @contextlib.contextmanager
     def losing(self, host):
         """Lose the next configuration of a daemon, and every other one meanwhile."""
-        self._passed_hosts.discard(host)
+        self._spared_hosts.discard(host)
         self._chosen_hosts[host] += 1
         try:
             yield
