Stand-in: wipe the disk of a control VM that has made no folder yet

**Cause:** soak ended with FileNotFoundError at load 26 on 8 cores: a control VM is replaced at 6.3 s, and its disk is wiped 0.4 s later, before the new process has made its folder.

--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -112,7 +112,10 @@
     def wipe_control(self, control):
         """Kill a control VM, delete its data and restart it."""
         control.kill()
-        shutil.rmtree(self.folder / control.name)
+        data = self.folder / control.name
+        # One that has just been started may not have made its folder yet.
+        if data.exists():
+            shutil.rmtree(data)
         control.write(
             control.settings.replace("is_first_start = true", "is_first_start = false")
         )
--- a/tests/test_soak_controls.py
+++ b/tests/test_soak_controls.py
@@ -8,6 +8,7 @@
 from soak._draws import draw_group_run_faults
 from soak._faults import CutControl, ReplaceControl, SplitControls, WipePair
 from soak._proxy import Direction, Flow
+from standin.fleet import Fleet
 
 
 class FakeControl:
@@ -90,3 +91,23 @@
 def test_a_run_about_the_control_group_has_each_kind_of_loss():
     kinds = {type(fault) for fault in draw_group_run_faults(7, 12.0)}
     assert {CutControl, ReplaceControl, SplitControls, WipePair} <= kinds
+
+
+@pytest.mark.parametrize("has_data", [True, False])
+def test_a_disk_is_wiped_also_before_its_control_vm_has_made_its_folder(
+    tmp_path, has_data
+):
+    # Guards against a run that ends when a VM's disk is wiped right after its start.
+    actions = []
+    control = types.SimpleNamespace(
+        name="c",
+        settings="is_first_start = true",
+        kill=lambda: actions.append("kill"),
+        write=actions.append,
+        start=lambda: actions.append("start"),
+    )
+    if has_data:
+        (tmp_path / "c" / "group").mkdir(parents=True)
+    Fleet.wipe_control(types.SimpleNamespace(folder=tmp_path), control)
+    assert actions == ["kill", "is_first_start = false", "start"]
+    assert not (tmp_path / "c").exists()
