--- a/benches/bench_suspects.py
+++ b/benches/bench_suspects.py
@@ -28,7 +28,7 @@
 from tamarackhaven.fleet._trials import Trials
 from tamarackhaven.sidecar import CallerRequest
 from tamarackhaven.sidecar._messages import PEER_CODEC, TargetEnded
-from tamarackhaven.sidecar._peers import PeerServer
+from tamarackhaven.sidecar._peer_server import PeerServer
 from tamarackhaven.sidecar._request_digest import DIGEST_BYTES, request_digest
 from tamarackhaven.sidecar._suspects import KnownSuspects
 from tamarackhaven.sidecar._view import View
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -17,7 +17,8 @@
 from tamarackhaven.sidecar._inbound import Inbound
 from tamarackhaven.sidecar._key_calls import KeyCalls
 from tamarackhaven.sidecar._messages import PEER_CODEC
-from tamarackhaven.sidecar._peers import Peers, PeerServer
+from tamarackhaven.sidecar._peer_server import PeerServer
+from tamarackhaven.sidecar._peers import Peers
 from tamarackhaven.sidecar._permits import Permits
 from tamarackhaven.sidecar._runs import Runs
 from tamarackhaven.sidecar._suspects import KnownSuspects
--- a/tests/sidecar/test_narrow_links.py
+++ b/tests/sidecar/test_narrow_links.py
@@ -12,7 +12,8 @@
 from tamarackhaven.sidecar._inbound import Inbound
 from tamarackhaven.sidecar._messages import PEER_CODEC, Answered, NotRun
 from tamarackhaven.sidecar._named_limit import NamedLimit
-from tamarackhaven.sidecar._peers import Peers, PeerServer
+from tamarackhaven.sidecar._peer_server import PeerServer
+from tamarackhaven.sidecar._peers import Peers
 from tamarackhaven.sidecar._runs import Runs
 from tamarackhaven.sidecar._suspects import KnownSuspects
 from tamarackhaven.sidecar._target_client import SendEnd, SendResult
--- a/tests/sidecar/test_peers.py
+++ b/tests/sidecar/test_peers.py
@@ -19,7 +19,8 @@
     TargetEnded,
     WaitQuery,
 )
-from tamarackhaven.sidecar._peers import MAX_INLINE_BODY_BYTES, Peers, PeerServer
+from tamarackhaven.sidecar._peer_server import PeerServer
+from tamarackhaven.sidecar._peers import MAX_INLINE_BODY_BYTES, Peers
 from tamarackhaven.sidecar._runs import Runs
 
 FORWARD = Forward(
