Give other connections their turn after each pipelined request

**Cause:** a connection passed on up to 32 requests of its backlog in one turn of the event loop, so eight of them put some 250 between two steps of each other request, which takes five or more steps.

**Change:** a connection passes on one request, and continues in the next turn of the loop. Up to 32 still run side by side.

**Why it works:** between two steps of a request stands at most one request of each other connection.

A caller that leaves behind a request with `Connection: close` and further bytes still cancels it (a test that failed on the way).

--- a/tamarackhaven/net/_http_server.py
+++ b/tamarackhaven/net/_http_server.py
@@ -188,7 +188,11 @@
                 self._on_body_data(exchange, event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._on_request_end(exchange)
-                return True
+                if not self._buffer or self._has_stopped_reading:
+                    return False
+                # Other connections get their turn after each of a caller's pipelined
+                # requests.
+                break
         self._transport.pause_reading()
         asyncio.get_running_loop().call_soon(self._continue_parsing)
         return False
@@ -197,8 +201,7 @@
         if self._has_stopped_reading or self._transport.is_closing():
             return
         self._transport.resume_reading()
-        if self._reading_exchange is not None:
-            self._process_buffer(has_unparsed=True)
+        self._process_buffer(has_unparsed=self._reading_exchange is not None)
 
     def _on_request_head(self, exchange, event):
         _http_head.check_framing(event.headers)
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -88,11 +88,31 @@
     run(test)
 
 
-def test_closed_caller_connection_cancels_its_requests():
+def test_a_caller_that_pipelines_many_requests_delays_others_by_one_of_them():
+    # Guards against: a few connections with a backlog each make all others wait for
+    # tens of their requests, turn after turn.
+    async def test(harness):
+        connections = [await harness.open() for _ in range(2)]
+        for (_, writer), target, count in zip(
+            connections, (b"/many", b"/one"), (100, 1), strict=True
+        ):
+            writer.write((b"GET " + target + b" HTTP/1.1\r\n" + HOST + b"\r\n") * count)
+        while len(harness.requests) < 101:
+            await asyncio.sleep(0.005)
+        targets = [request.target for request in harness.requests]
+        assert targets.index("/one") <= 2
+        for _, writer in connections:
+            writer.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("rest", [b"\r\n", b"Connection: close\r\n\r\nmore bytes"])
+def test_closed_caller_connection_cancels_its_requests(rest):
     async def test(harness):
         harness.release_event_by_target["/a"] = asyncio.Event()
         _, writer = await harness.open()
-        writer.write(b"GET /a HTTP/1.1\r\n" + HOST + b"\r\n")
+        writer.write(b"GET /a HTTP/1.1\r\n" + HOST + rest)
         while not harness.requests:
             await asyncio.sleep(0.005)
         writer.close()
