Stand-in: read logs whose last line a killed process had half written

**Cause:** a daemon was killed while it wrote `daemon: configuration taken`; the log kept 64 bytes of that line. The next run's `daemon: started` was appended to them, and the reader of the logs takes each line that begins with a brace for JSON.

**Evidence:** line 351 of 127.102.2.3.log holds both, the first one cut after `taken",`; all other lines of the run can be read.

**Change:** a start ends a half-written line, and a line that isn't JSON is text, as the docstring says.

**Why it works:** also a line that a running process is writing at that moment is text then.

No product code changed.

--- a/standin/process.py
+++ b/standin/process.py
@@ -35,6 +35,10 @@
         self.starts += 1
         environment = {**os.environ, "TAMARACKHAVEN_BOOT": str(self._path)}
         with self._log.open("ab") as log:
+            # A killed process may have left half a line.
+            if log.tell() and not self._log.read_bytes().endswith(b"\n"):
+                log.write(b"\n")
+                log.flush()
             self._process = subprocess.Popen(
                 [sys.executable, *self._launcher(), "platform", self.role],
                 cwd=ROOT,
@@ -146,7 +150,11 @@
     @property
     def lines(self):
         """The log as one dict per line; a line that isn't JSON is under "text"."""
-        return [
-            json.loads(line) if line.startswith("{") else {"text": line}
-            for line in self._log.read_text().splitlines()
-        ]
+        return [_parsed(line) for line in self._log.read_text().splitlines()]
+
+
+def _parsed(line):
+    try:
+        return json.loads(line) if line.startswith("{") else {"text": line}
+    except ValueError:
+        return {"text": line}
