--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of the independent review, and the stand-ins that they share."""
