--- a/review/lab/server_stub.py
+++ b/review/lab/server_stub.py
@@ -127,7 +127,7 @@
         self.record.say("released", id=self.id, first=first, last=last)
         while any(first <= key <= last for key in self.running_keys):
             await asyncio.sleep(0.01)
-        return f"h{self.id}{first}"
+        return f"{first:04x}{int(time.monotonic() * 1000) % (1 << 48):012x}"
 
     # Heartbeats.
 
@@ -181,7 +181,14 @@
         until_s = sent_s + reply["hold_s"]
         kept = {(first, last) for first, last, _, _ in rows}
         gone = [h for h in self.held() if (h.first, h.last) not in kept]
-        self._released += [[h.first, h.last, f"h{self.id}{h.first}"] for h in gone]
+        self._released += [
+            [
+                h.first,
+                h.last,
+                f"{h.first:04x}{int(time.monotonic() * 1000) % (1 << 48):012x}",
+            ]
+            for h in gone
+        ]
         self.holds = [Hold(a, b, fence, until_s) for a, b, fence, _ in rows]
         return bool(gone)
 
