Bind each HTTP server by the limits of its own peers

**Callers saw:** every request refused from 15 s after all processes were killed and back, and without a kill from two seconds after a valid configuration with max_body_bytes 128, a size that no caller reaches.

**Cause:** sidecar/_daemon.py put a configuration's limits for callers into force at the server that gets the target's heartbeats, too. Each heartbeat was answered 413, so no daemon knew its target. Size of body and head, time for a head and idle time all did so.

**Change:** HttpServer takes its limits as an argument without a default; net/_server_limits.py has those of heartbeats, orders and probes. Those of a configuration go to the callers' server alone. Rejected heartbeats and orders have a log line and a counter each, the last heartbeat's age is a gauge, and "configuration taken" has the limits in force.

Why it is enough: the configuration's limits are assigned in one place, and a new server must name its peers' limits to be built.

--- a/standin/call.py
+++ b/standin/call.py
@@ -14,25 +14,31 @@
     body: bytes = b""
 
 
-async def call(host, port, method, path, headers=(), body=b"", timeout_s=3.0):
+async def call(
+    host, port, method, path, headers=(), body=b"", timeout_s=3.0, head_pause_s=0.0
+):
     """Make one HTTP call on a new connection; return its ``Answer``.
 
-    Connection errors, a timeout and malformed responses give status 0.
+    The head is sent in two parts, ``head_pause_s`` seconds apart. Connection errors, a
+    timeout and malformed responses give status 0.
     """
     try:
         # ``asyncio.wait_for`` could swallow the cancellation of the caller.
         async with asyncio.timeout(timeout_s):
-            return await _call(host, port, method, path, headers, body)
+            return await _call(host, port, method, path, headers, body, head_pause_s)
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         return Answer(0)
 
 
-async def _call(host, port, method, path, headers, body):
+async def _call(host, port, method, path, headers, body, head_pause_s):
     reader, writer = await asyncio.open_connection(host, port)
     try:
         lines = [f"{method} {path} HTTP/1.1", "Connection: close"]
         lines += [f"{name}: {value}" for name, value in headers]
         lines += [f"Content-Length: {len(body)}", "", ""]
+        if head_pause_s:
+            writer.write(lines.pop(0).encode() + b"\r\n")
+            await asyncio.sleep(head_pause_s)
         writer.write("\r\n".join(lines).encode() + body)
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
         found = {}
--- a/standin/fleet_target.py
+++ b/standin/fleet_target.py
@@ -10,6 +10,7 @@
 from standin.call import call
 
 HEARTBEAT_S = 0.3
+HEARTBEAT_TIMEOUT_S = 1.0
 PORTS = {"operators": 18620, "links": 17600, "callers": 18629, "readiness": 18625}
 TARGET_PORT = 18628
 
@@ -48,6 +49,9 @@
         # Value of the header that names a limit, None for no header.
         self.limit_text = None
         self.is_announced = False
+        # Bytes of a further header of its heartbeats, and seconds within their heads.
+        self.head_padding = 0
+        self.head_pause_s = 0.0
         self.on_arrival = lambda attempt: None
         self.on_start = lambda attempt: None
         # Returns after how many seconds a request ends the target, None if it doesn't.
@@ -135,9 +139,10 @@
             PORTS["operators"],
             "POST",
             f"/api/instances/{self.name}/{action}",
-            [("Host", "x")],
+            [("Host", "x"), ("Padding", "p" * self.head_padding)],
             json.dumps(document).encode(),
-            1.0,
+            HEARTBEAT_TIMEOUT_S,
+            self.head_pause_s,
         )
         if answer.status != 200:
             return False
--- a/tamarackhaven/_process.py
+++ b/tamarackhaven/_process.py
@@ -10,7 +10,7 @@
 from tamarackhaven._metrics import CONTENT_TYPE, METRICS_PATH
 from tamarackhaven._settings_file import load_settings
 from tamarackhaven.errors import TamarackhavenError
-from tamarackhaven.net import HttpResponse, HttpServer
+from tamarackhaven.net import PROBE_LIMITS, HttpResponse, HttpServer
 
 # Lines with the same sentence per minute. Under overload each refusal would write one;
 # beyond a hundred per second, counters provide the numbers.
@@ -90,6 +90,6 @@
         headers = ((b"Content-Type", CONTENT_TYPE.encode()),)
         return HttpResponse(200, headers, metrics.page().encode())
 
-    server = HttpServer(handle, lambda request, error: None)
+    server = HttpServer(handle, lambda request, error: None, PROBE_LIMITS)
     await server.start(host, port)
     return server
--- a/tamarackhaven/fleet/process.py
+++ b/tamarackhaven/fleet/process.py
@@ -18,7 +18,7 @@
 from tamarackhaven.fleet._control import FleetControl
 from tamarackhaven.fleet._messages import CONTROL_CODEC
 from tamarackhaven.fleet._settings import FleetControlSettings, split
-from tamarackhaven.net import HttpServer, listen
+from tamarackhaven.net import ORDER_LIMITS, HttpServer, listen
 
 
 def run_control(path, make_api):
@@ -53,7 +53,10 @@
     await control.start()
     api = make_api(control, split(settings.operators)[1], log.part("orders"))
     server = HttpServer(
-        api.handle, lambda request, error: _log_internal_error(log, error)
+        api.handle,
+        lambda request, error: _log_internal_error(log, error),
+        ORDER_LIMITS,
+        lambda error: _log_rejected_order(log, metrics, error),
     )
     await listen(server, "operators", *split(settings.operators))
     if settings.metrics:
@@ -77,3 +80,8 @@
 
 def _log_internal_error(log, error):
     log.say("internal error", error=repr(error))
+
+
+def _log_rejected_order(log, metrics, error):
+    metrics.count("tamarackhaven_orders_rejected_total", kind=error.kind.name)
+    log.say("order rejected", kind=error.kind.name, detail=error.detail)
--- a/tamarackhaven/net/__init__.py
+++ b/tamarackhaven/net/__init__.py
@@ -11,9 +11,17 @@
 from tamarackhaven.net._http_server import HttpServer
 from tamarackhaven.net._link import Link, LinkServer, dial
 from tamarackhaven.net._listen import listen
+from tamarackhaven.net._server_limits import (
+    HEARTBEAT_LIMITS,
+    ORDER_LIMITS,
+    PROBE_LIMITS,
+)
 from tamarackhaven.net._wire import Codec, Packed
 
 __all__ = [
+    "HEARTBEAT_LIMITS",
+    "ORDER_LIMITS",
+    "PROBE_LIMITS",
     "AnswerBudget",
     "ClientConnection",
     "Codec",
--- a/tamarackhaven/net/_http_server.py
+++ b/tamarackhaven/net/_http_server.py
@@ -16,7 +16,6 @@
 from tamarackhaven.net._body_budget import BodyBudget
 from tamarackhaven.net._http_head import MAX_EVENTS_PER_TURN
 from tamarackhaven.net._http_messages import HttpRequest, HttpResponse
-from tamarackhaven.routing import Limits
 
 # A caller that sends requests without reading the responses would exhaust the memory.
 # Usual callers pipeline fewer; reading resumes when a response has been written.
@@ -399,23 +398,23 @@
     on_error : callable
         ``on_error(request, error)`` is called for an exception of the handler, and
         with None as the request for a response that can't be serialized.
+    limits : Limits
+        Of its peers. They may be replaced while it runs.
     on_bad_request : callable
         ``on_bad_request(error)`` is called for each request that the server rejects.
 
     Attributes
     ----------
-    limits : Limits
-        In force.
     checked_refusal : callable
         ``checked_refusal(error)`` returns the error to send for a request that the
         server rejects.
     """
 
-    def __init__(self, handler, on_error, on_bad_request=lambda error: None):
+    def __init__(self, handler, on_error, limits, on_bad_request=lambda error: None):
         self.handler = handler
         self.on_error = on_error
         self.on_bad_request = on_bad_request
-        self.limits = Limits()
+        self.limits = limits
         self.checked_refusal = lambda error: error
         self.body_budget = BodyBudget(MAX_BUFFERED_BODY_BYTES)
         self.connections = set()
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -11,7 +11,15 @@
     Report,
     SuspectsView,
 )
-from tamarackhaven.net import HttpResponse, HttpServer, LinkServer, listen
+from tamarackhaven.net import (
+    HEARTBEAT_LIMITS,
+    PROBE_LIMITS,
+    HttpResponse,
+    HttpServer,
+    LinkServer,
+    listen,
+)
+from tamarackhaven.routing import Limits
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._control_link import ControlLink
 from tamarackhaven.sidecar._end_notices import EndNotices
@@ -109,12 +117,17 @@
             metrics,
         )
         self._caller_server = HttpServer(
-            self._caller_requests.handle, self._on_error, self._on_bad_request
+            self._caller_requests.handle,
+            self._on_error,
+            Limits(),
+            self._on_bad_request,
         )
         self._caller_server.checked_refusal = self._caller_requests.confirmed_refusal
-        self._readiness_server = HttpServer(self._handle_readiness, self._on_error)
+        self._readiness_server = HttpServer(
+            self._handle_readiness, self._on_error, PROBE_LIMITS
+        )
         self._registry_server = HttpServer(
-            registry(self), self._on_error, self._on_bad_request
+            registry(self), self._on_error, HEARTBEAT_LIMITS, self.reject_heartbeat
         )
         self._control = ControlLink(
             lambda: DaemonHello(settings.links, boot),
@@ -224,6 +237,10 @@
             "tamarackhaven_target_limits_in_force", int(limit_per_s is not None)
         )
         self.metrics.gauge("tamarackhaven_target_limit_per_second", limit_per_s or 0.0)
+        self.metrics.gauge(
+            "tamarackhaven_target_heartbeat_age_seconds",
+            boot_s() - self.state.heartbeat_received_s,
+        )
         intake = self.inbound.intake
         self.metrics.gauge("tamarackhaven_body_announced_bytes", intake.remaining_bytes)
         self.metrics.gauge(
@@ -327,8 +344,8 @@
 
     def _on_configuration(self):
         configuration = self.view.table.configuration
-        for server in (self._caller_server, self._registry_server):
-            server.limits = configuration.limits
+        limits = configuration.limits
+        self._caller_server.limits = limits
         service = self.view.table.service_by_name.get(self.settings.service)
         if service is not None:
             self.state.set_hold_orders(service.hold_orders)
@@ -339,6 +356,10 @@
             index=stamp.index,
             digest=stamp.digest,
             routes=len(configuration.routes),
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
             view_age_s=stamp.age_s,
         )
 
@@ -374,6 +395,13 @@
             self._control.report_now()
         return reply
 
+    def reject_heartbeat(self, error):
+        """Count and log a call of the target that can't be read."""
+        self.metrics.count(
+            "tamarackhaven_heartbeats_rejected_total", kind=error.kind.name
+        )
+        self.log.say("heartbeat refused", kind=error.kind.name, detail=error.detail)
+
     def mark_target_leaving(self, name, born_ms=None):
         """Mark the target as draining, since it announced that it leaves.
 
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -21,7 +21,10 @@
         self.release_event_by_target = {}
         self.bad_request_errors = []
         self.server = HttpServer(
-            self.handle, lambda request, error: None, self.bad_request_errors.append
+            self.handle,
+            lambda request, error: None,
+            Limits(),
+            self.bad_request_errors.append,
         )
 
     async def handle(self, request):
