Tell the answers to two sends of an attempt apart

**Cause:** answers are matched by the attempt id. A rejected send leaves its connection in the pool, the daemon sends the same attempt again over it, and a second copy of the rejection, which comes where the next answer is due, names that id, too. For two sends of one attempt on one connection an id tells nothing.

**Change:** a connection carries an id once; a further send takes another idle connection or a new one. A connection isn't used again after an answer without an id, so that no copy of it can follow, nor after 256 requests, which bounds the ids kept. Skipped answers are counted and logged with both ids. Nothing is closed at a rejection that names its attempt.

Why it is enough: on a connection whose earlier answers all named other ids, a copy of any of them is told by its id. Health checks send no request, cancelled requests close their connection, and requests of other daemons go through the same pool.

--- a/standin/fleet_target.py
+++ b/standin/fleet_target.py
@@ -11,6 +11,7 @@
 
 HEARTBEAT_S = 0.3
 HEARTBEAT_TIMEOUT_S = 1.0
+ATTEMPT_ID = "tamarackhaven-attempt-id"
 PORTS = {"operators": 18620, "links": 17600, "callers": 18629, "readiness": 18625}
 TARGET_PORT = 18628
 
@@ -52,6 +53,9 @@
         # Bytes of a further header of its heartbeats, and seconds within their heads.
         self.head_padding = 0
         self.head_pause_s = 0.0
+        # Whether it rejects an attempt, and whether it gives that answer twice.
+        self.rejects = lambda attempt: False
+        self.gives_twice = lambda attempt: False
         self.on_arrival = lambda attempt: None
         self.on_start = lambda attempt: None
         # Returns after how many seconds a request ends the target, None if it doesn't.
@@ -170,6 +174,7 @@
             writer.transport.abort()
             return
         self._writers.add(writer)
+        second_copy = b""
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -179,7 +184,12 @@
                     for n, _, v in (line.partition(":") for line in lines[1:] if line)
                 }
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
-                writer.write(await self._answer(lines[0], headers, body))
+                # A second copy comes where the next answer is due.
+                writer.write(second_copy)
+                answer = await self._answer(lines[0], headers, body)
+                writer.write(answer)
+                is_twice = self.gives_twice(headers.get(ATTEMPT_ID, ""))
+                second_copy = answer if is_twice else b""
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
         except asyncio.CancelledError:
@@ -208,15 +218,14 @@
         self.on_ended(self)
 
     async def _answer(self, line, headers, body):
-        attempt = headers.get("tamarackhaven-attempt-id", "")
+        attempt = headers.get(ATTEMPT_ID, "")
         key = int(headers.get("tamarackhaven-shard-key", -1))
         self.on_arrival(attempt)
         misdirected = headers.get("tamarackhaven-expected-instance") != self.name
         if misdirected or (self.service == "owned" and not self.holds(key)):
-            return (
-                b"HTTP/1.1 421 Misdirected\r\nTamarackhaven-Not-Executed: 1\r\n"
-                b"Content-Length: 0\r\n\r\n"
-            )
+            return _not_run("421 Misdirected", attempt)
+        if self.rejects(attempt):
+            return _not_run("503 Full", attempt)
         self._record_start(attempt, key)
         end_s = self.ends_under(Started(attempt, line.split()[1], key, body))
         if end_s is not None:
@@ -235,3 +244,11 @@
         limit, leaving = self.limit_text, self.is_announced
         lines = f"Server-Limit: {limit}\r\n" if limit is not None else ""
         return (lines + ("Server-Leaving: 1\r\n" if leaving else "")).encode()
+
+
+def _not_run(status, attempt):
+    """Return an answer that says that the target did not run the attempt."""
+    return (
+        f"HTTP/1.1 {status}\r\nTamarackhaven-Not-Executed: 1\r\n"
+        f"Tamarackhaven-Attempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
--- a/tamarackhaven/net/__init__.py
+++ b/tamarackhaven/net/__init__.py
@@ -2,6 +2,7 @@
 
 from tamarackhaven.net._body_budget import AnswerBudget
 from tamarackhaven.net._http_client import (
+    MAX_REQUESTS_PER_CONNECTION,
     ClientConnection,
     Reply,
     RequestNotSentError,
@@ -20,6 +21,7 @@
 
 __all__ = [
     "HEARTBEAT_LIMITS",
+    "MAX_REQUESTS_PER_CONNECTION",
     "ORDER_LIMITS",
     "PROBE_LIMITS",
     "AnswerBudget",
--- a/tamarackhaven/net/_http_client.py
+++ b/tamarackhaven/net/_http_client.py
@@ -2,6 +2,11 @@
 
 It carries one request at a time. Bytes that arrive while no request is in flight
 belong to no request: the connection is closed and not reused.
+
+A server may send a response twice, the second time when the next request is in flight.
+The response to a request is told from such a copy by the id that it names. That works
+because a connection carries each id once, and isn't reused after a response without an
+id.
 """
 
 import asyncio
@@ -17,6 +22,8 @@
 MAX_REPLY_BYTES = 70 << 20
 # A server that sends more of these before its response never gets to it.
 MAX_INTERIM_RESPONSES = 16
+# The ids that a connection has carried are kept until it is closed.
+MAX_REQUESTS_PER_CONNECTION = 256
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
@@ -70,15 +77,21 @@
     ----------
     budget : AnswerBudget
         Counts the bytes of replies that are being received.
+    on_stale_reply : callable
+        ``on_stale_reply(reply, request_id)`` is called for each reply to an earlier
+        request that is skipped while ``request_id`` is in flight.
     """
 
-    def __init__(self, budget):
+    def __init__(self, budget, on_stale_reply=lambda reply, request_id: None):
         self._budget = budget
+        self._on_stale_reply = on_stale_reply
+        self._carried_ids = set()
         self._transport = None
         self._parser = None
         self._request_event = None
         self._request_body = b""
-        self._is_expected_reply = None
+        self._request_id = None
+        self._read_id = None
         self._reply_future = None
         self._response_head = None
         self._body = bytearray()
@@ -90,8 +103,8 @@
         self.is_reusable = True
 
     @classmethod
-    async def open(cls, host, port, timeout_s, budget):
-        """Return a connected ``ClientConnection``.
+    async def open(cls, host, port, timeout_s, *settings):
+        """Return a connected ``ClientConnection(*settings)``.
 
         Raises
         ------
@@ -101,7 +114,7 @@
         """
         loop = asyncio.get_running_loop()
         _, connection = await asyncio.wait_for(
-            loop.create_connection(lambda: cls(budget), host, port), timeout_s
+            loop.create_connection(lambda: cls(*settings), host, port), timeout_s
         )
         return connection
 
@@ -114,7 +127,14 @@
         """Whether another request can be sent on this connection."""
         return self.is_reusable and not self._transport.is_closing()
 
-    async def request(self, method, target, headers, body, is_expected_reply):
+    def has_carried(self, request_id):
+        """Whether a request with this id was sent on this connection.
+
+        It may answer true for another id, never false for one that it has carried.
+        """
+        return hash(request_id) in self._carried_ids
+
+    async def request(self, method, target, headers, body, request_id, read_id):
         """Send a request and return its ``Reply``.
 
         Parameters
@@ -125,9 +145,11 @@
             Must include ``Host``; ``Content-Length`` is added.
         body : bytes
             Complete body.
-        is_expected_reply : callable
-            ``is_expected_reply(reply)`` returns false for a reply to an earlier
-            request; that reply is skipped.
+        request_id : str
+            Identifies the request. The connection must not have carried it before.
+        read_id : callable
+            ``read_id(reply)`` returns the id of the request that a reply answers, None
+            if the reply doesn't say. A reply to another request is skipped.
 
         Raises
         ------
@@ -138,6 +160,9 @@
         """
         if not self.is_open:
             raise RequestNotSentError("connection was closed while idle")
+        if self.has_carried(request_id):
+            raise RequestNotSentError("connection has carried the request before")
+        self._carried_ids.add(hash(request_id))
         headers = list(headers)
         if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             headers.append((b"Content-Length", str(len(body)).encode()))
@@ -146,7 +171,8 @@
             target=target.encode("latin-1"),
             headers=headers,
         )
-        self._is_expected_reply = is_expected_reply
+        self._request_id = request_id
+        self._read_id = read_id
         self._request_body = body
         self._interim_count = 0
         data = self._start_parser()
@@ -253,7 +279,9 @@
         trailing_data = self._parser.trailing_data[0]
         ends_connection = self._parser.their_state is h11.MUST_CLOSE
         self._budget.remove(self)
-        if not self._is_expected_reply(reply):
+        named_id = self._read_id(reply)
+        if named_id is not None and named_id != self._request_id:
+            self._on_stale_reply(reply, self._request_id)
             if ends_connection:
                 self._abort_request(
                     "connection closed after the response to an earlier request"
@@ -268,6 +296,8 @@
         if (
             trailing_data
             or ends_connection
+            or named_id is None
+            or len(self._carried_ids) >= MAX_REQUESTS_PER_CONNECTION
             or self._response_head.http_version == b"1.0"
         ):
             self.is_reusable = False
--- a/tamarackhaven/sidecar/_dialect.py
+++ b/tamarackhaven/sidecar/_dialect.py
@@ -115,8 +115,8 @@
         """Return the headers of a request to the target, as (bytes, bytes) pairs."""
 
     @abc.abstractmethod
-    def is_reply_to(self, reply, attempt_id):
-        """Return whether a reply belongs to the attempt, as far as it says."""
+    def read_attempt_id(self, reply):
+        """Return the attempt id that a ``Reply`` names, None if it names none."""
 
     @abc.abstractmethod
     def classify_reply(self, reply, attempt_id):
--- a/tamarackhaven/sidecar/_key_calls.py
+++ b/tamarackhaven/sidecar/_key_calls.py
@@ -11,7 +11,7 @@
     OrderEnd,
     ReleaseOrder,
 )
-from tamarackhaven.sidecar._target_client import SendEnd, any_reply
+from tamarackhaven.sidecar._target_client import SendEnd
 
 # How often due calls are looked for without any event: renewals and retries.
 POLL_INTERVAL_S = 0.1
@@ -125,7 +125,7 @@
         if is_release:
             # A later life holds no keys of the former one, so a release does it no
             # harm.
-            sending = self._client.send(*request, any_reply)
+            sending = self._client.send_any(*request)
         else:
             sending = self._grants_client.send_to_life(
                 *request, self._state.heartbeat_received_s
--- a/tamarackhaven/sidecar/_results.py
+++ b/tamarackhaven/sidecar/_results.py
@@ -57,6 +57,16 @@
             forward.number, kind.name, retry_after_s, offered, self._load(forward.route)
         )
 
+    def stale_reply(self, attempt_id, answered_id, status):
+        """Count and log an answer to ``answered_id`` that came while another waited."""
+        self._metrics.count("tamarackhaven_target_stale_answers_total")
+        self._log.say(
+            "stale answer skipped",
+            request_id=attempt_id,
+            answered_id=answered_id,
+            status=status,
+        )
+
     def lost(self, forward, kind, started_s, detail="", ended=""):
         self._metrics.count(
             "tamarackhaven_gate_lost_total", kind=kind.name, service=forward.service
--- a/tamarackhaven/sidecar/_target_client.py
+++ b/tamarackhaven/sidecar/_target_client.py
@@ -39,9 +39,9 @@
     """No idle connection is old enough for the life, and it's too late to open one."""
 
 
-def any_reply(_reply):
-    """Accept any reply as the answer."""
-    return True
+def _read_no_id(_reply):
+    """Replies to calls name no call."""
+    return
 
 
 class SendEnd(enum.Enum):
@@ -93,13 +93,21 @@
         self._used_count = 0
         self._budget = AnswerBudget(MAX_RECEIVED_ANSWER_BYTES)
         self.opened_count = 0
+        self.on_stale_reply = lambda reply, request_id: None
 
-    async def send(self, method, target, headers, body, is_reply):
+    async def send(self, method, target, headers, body, request_id, read_id):
         """Send a request; return a ``SendResult``.
 
+        A request that was sent before, with the same id, goes over another connection:
+        a second copy of its first reply would be taken for the reply to this send.
         Cancelling it closes its connection.
         """
-        request = method, target, headers, body, is_reply
+        request = method, target, headers, body, request_id, read_id
+        return await self._send(request, ANY_TIME)
+
+    async def send_any(self, method, target, headers, body):
+        """Send a call whose reply names nothing; return a ``SendResult``."""
+        request = method, target, headers, body, object(), _read_no_id
         return await self._send(request, ANY_TIME)
 
     async def send_to_life(self, method, target, headers, body, heartbeat_received_s):
@@ -115,7 +123,7 @@
         before the next heartbeat.
         """
         opened_by_s = heartbeat_received_s + MIN_RESTART_S
-        request = method, target, headers, body, any_reply
+        request = method, target, headers, body, object(), _read_no_id
         try:
             return await self._send(request, opened_by_s)
         except _NoConnectionToLifeError:
@@ -123,7 +131,7 @@
 
     async def _send(self, request, opened_by_s):
         for _ in range(2):
-            connection = self._take_idle(opened_by_s)
+            connection = self._take_idle(request[4], opened_by_s)
             if connection is None:
                 if boot_s() > opened_by_s:
                     raise _NoConnectionToLifeError
@@ -158,7 +166,12 @@
 
     async def _connect(self, timeout_s):
         address = self._host, self._port
-        return await ClientConnection.open(*address, timeout_s, self._budget)
+        return await ClientConnection.open(
+            *address, timeout_s, self._budget, self._note_stale_reply
+        )
+
+    def _note_stale_reply(self, reply, request_id):
+        self.on_stale_reply(reply, request_id)
 
     async def is_listening(self):
         """Whether the target accepts a connection now.
@@ -187,8 +200,8 @@
                 # Nothing listens; the process that sends the next heartbeat will.
                 return
 
-    def _take_idle(self, opened_by_s):
-        """Return an idle connection, None if none may be used.
+    def _take_idle(self, request_id, opened_by_s):
+        """Return an idle connection for a request, None if none may be used.
 
         Without a limit on the age, it's the one used last, so that unneeded ones reach
         their idle timeout; with a limit, the one idle for longest, so that all stay
@@ -199,6 +212,8 @@
         for connection in reversed(self._idle) if is_any_age else tuple(self._idle):
             if not connection.is_open or not self._is_reusable(connection, now):
                 connection.close()
+            elif connection.has_carried(request_id):
+                continue
             elif connection.opened_s <= opened_by_s:
                 self._idle.remove(connection)
                 return connection
--- a/tamarackhaven/sidecar/_target_exchange.py
+++ b/tamarackhaven/sidecar/_target_exchange.py
@@ -58,6 +58,7 @@
         self._numbers = itertools.count()
         self._refused_since_s = None
         self._connection_refusals = 0
+        client.on_stale_reply = self._record_stale_reply
         self.on_ended = lambda: None
 
     async def send(self, forward, body, deadline_s):
@@ -94,7 +95,8 @@
                     forward.target,
                     headers,
                     body,
-                    lambda reply: self._dialect.is_reply_to(reply, forward.attempt_id),
+                    forward.attempt_id,
+                    self._dialect.read_attempt_id,
                 ),
                 left_s + TARGET_DEADLINE_MARGIN_S,
             )
@@ -125,6 +127,10 @@
             )
         return self._result_from_reply(forward, sent.reply, started_s)
 
+    def _record_stale_reply(self, reply, attempt_id):
+        answered_id = self._dialect.read_attempt_id(reply)
+        self._results.stale_reply(attempt_id, answered_id, reply.status)
+
     def _count_sent(self, forward):
         self._metrics.count("tamarackhaven_gate_sent_total", service=forward.service)
 
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -14,6 +14,11 @@
 BUDGET = AnswerBudget(1 << 20)
 
 
+def read_id(reply):
+    name = reply.header(b"id")
+    return None if name is None else name.decode()
+
+
 def send_requests(*responses, requests=1, pause_between_s=0.0):
     """Send requests on one connection to a server that replies with ``responses``.
 
@@ -34,17 +39,11 @@
         connection = await ClientConnection.open("127.0.0.1", port, 1.0, BUDGET)
         outcomes = []
         for number in range(requests):
-            name = f"id-{number}".encode()
-
-            def is_expected_reply(reply, name=name):
-                return reply.header(b"id") in (None, name)
-
+            name = f"id-{number}"
             try:
-                headers = [(b"Host", b"h"), (b"Id", name)]
+                headers = [(b"Host", b"h"), (b"Id", name.encode())]
                 outcomes.append(
-                    await connection.request(
-                        "GET", "/", headers, b"", is_expected_reply
-                    )
+                    await connection.request("GET", "/", headers, b"", name, read_id)
                 )
             except (RequestNotSentError, RequestUnansweredError) as error:
                 outcomes.append(type(error))
@@ -125,10 +124,10 @@
         port = server.sockets[0].getsockname()[1]
         connection = await ClientConnection.open("127.0.0.1", port, 1.0, BUDGET)
         headers = [(b"Host", b"h")]
-        await connection.request("GET", "/", headers, b"", lambda reply: True)
+        await connection.request("GET", "/", headers, b"", "id-0", read_id)
         await asyncio.sleep(0.1)
         with pytest.raises(RequestNotSentError):
-            await connection.request("GET", "/", headers, b"", lambda reply: True)
+            await connection.request("GET", "/", headers, b"", "id-1", read_id)
         server.close()
 
     asyncio.run(main())
--- a/tests/sidecar/test_inbound_suspects.py
+++ b/tests/sidecar/test_inbound_suspects.py
@@ -29,7 +29,7 @@
         self.ends = False
         self.received = 0
 
-    async def send(self, method, target, headers, body, is_reply):
+    async def send(self, method, target, headers, body, request_id, read_id):
         self.received += 1
         await self.may_answer.wait()
         if self.ends:
--- a/tests/sidecar/test_narrow_links.py
+++ b/tests/sidecar/test_narrow_links.py
@@ -55,6 +55,9 @@
 
 
 class Dialect:
+    def read_attempt_id(self, reply):
+        return None
+
     def target_headers(self, forward, name, left_ms):
         return ()
 
@@ -71,7 +74,7 @@
     def __init__(self):
         self.body_bytes = []
 
-    async def send(self, method, target, headers, body, is_reply):
+    async def send(self, method, target, headers, body, request_id, read_id):
         self.body_bytes.append(len(body))
         return SendResult(SendEnd.REPLIED, Reply(200, (), b"done"))
 
