Give each call about keys a connection of its own

**Callers see:** two targets that run requests for one key (OWNER), if a release is believed done that the target hasn't carried out, or a grant that is carried out late after a release. Not seen in a fleet; shown with one connection.

**Cause:** a call about keys took any answer as its own.

**Change:** CallClient opens a connection for each call and closes it after the answer. Spare ones, opened with each heartbeat, serve grants until the next one, since a new connection may lead to a later life; there are as many as ranges and four more, 32 at most. A grant isn't sent over a connection that took too long to open.

Why it is enough: no answer can come on a connection before its only call.

Real processes with grants by calls: not run.

--- a/tamarackhaven/sidecar/_called_holds.py
+++ b/tamarackhaven/sidecar/_called_holds.py
@@ -383,6 +383,11 @@
         self._drop_expired(now)
         return tuple(Hold(each.first, each.last, each.fence) for each in self._spans)
 
+    @property
+    def range_count(self):
+        """Number of ranges that the newest grant includes."""
+        return len(self._grant.ranges) if self._grant else 0
+
     @property
     def settled(self):
         """The newest grant; keys that it leaves out are held until they're released."""
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -20,6 +20,7 @@
     listen,
 )
 from tamarackhaven.routing import Limits
+from tamarackhaven.sidecar._call_client import CallClient
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._control_link import ControlLink
 from tamarackhaven.sidecar._end_notices import EndNotices
@@ -88,8 +89,7 @@
         )
         self._key_calls = KeyCalls(
             self.state,
-            client,
-            TargetClient(*split(settings.target)),
+            CallClient(*split(settings.target)),
             dialect,
             log.part("keys"),
             metrics,
--- a/tamarackhaven/sidecar/_key_calls.py
+++ b/tamarackhaven/sidecar/_key_calls.py
@@ -24,10 +24,8 @@
     ----------
     state : TargetState
         Of the target.
-    client : TargetClient
-        Its connections for requests; releases use them, too.
-    grants_client : TargetClient
-        Connections used only for calls to hold keys.
+    client : CallClient
+        Its connections for calls.
     dialect : Dialect
         Encodes calls and decodes their answers.
     log : Log
@@ -38,12 +36,9 @@
         Called once the target holds keys, and once it has released some.
     """
 
-    def __init__(
-        self, state, client, grants_client, dialect, log, metrics, on_held, on_released
-    ):
+    def __init__(self, state, client, dialect, log, metrics, on_held, on_released):
         self._state = state
         self._client = client
-        self._grants_client = grants_client
         self._dialect = dialect
         self._log = log
         self._metrics = metrics
@@ -66,10 +61,11 @@
 
         While all slots of a target and the connections to it are busy, a new owner
         would get no call through, as a new connection may lead to another life. So
-        there are dedicated connections for as many calls as may be in flight.
+        there are spare connections, enough to renew each range once.
         """
-        if isinstance(self._state.keys, CalledHolds):
-            self._start(self._grants_client.keep(MAX_OPEN_GRANTS))
+        keys = self._state.keys
+        if isinstance(keys, CalledHolds):
+            self._start(self._client.keep(keys.range_count + MAX_OPEN_GRANTS))
 
     def start_due_calls(self):
         """Make the calls that are due now."""
@@ -121,15 +117,10 @@
         name = heartbeat.name if heartbeat else ""
         call = self._dialect.order_call(order, name)
         is_release = isinstance(order, ReleaseOrder)
-        request = call.method, call.target, call.headers, call.body
         if is_release:
-            # A later life holds no keys of the former one, so a release does it no
-            # harm.
-            sending = self._client.send_any(*request)
+            sending = self._client.release(call)
         else:
-            sending = self._grants_client.send_to_life(
-                *request, self._state.heartbeat_received_s
-            )
+            sending = self._client.grant(call, self._state.heartbeat_received_s)
         timeout_s = RELEASE_TIMEOUT_S if is_release else CALL_TIMEOUT_S
         try:
             # Cancelled by the timeout, the client closes its connection, so that bytes
--- a/tamarackhaven/sidecar/_target_client.py
+++ b/tamarackhaven/sidecar/_target_client.py
@@ -27,18 +27,12 @@
 # connections away within this time of each other.
 PROBE_TIMEOUT_S = 0.1
 PROBE_SETTLE_S = 0.005
-# A target that crashes right after a heartbeat can't be running again within this time.
-MIN_RESTART_S = 0.1
 ANY_TIME = float("inf")
 # Answers that are being received. With the bodies of requests they leave room for the
 # rest of a daemon in 200 MB.
 MAX_RECEIVED_ANSWER_BYTES = 48 << 20
 
 
-class _NoConnectionToLifeError(Exception):
-    """No idle connection is old enough for the life, and it's too late to open one."""
-
-
 def _read_no_id(_reply):
     """Replies to calls name no call."""
     return
@@ -90,7 +84,7 @@
         self._host = host
         self._port = port
         self._idle = []
-        self._used_count = 0
+        self._idle_limit_s = DEFAULT_IDLE_TIMEOUT_S
         self._budget = AnswerBudget(MAX_RECEIVED_ANSWER_BYTES)
         self.opened_count = 0
         self.on_stale_reply = lambda reply, request_id: None
@@ -102,64 +96,79 @@
         a second copy of its first reply would be taken for the reply to this send.
         Cancelling it closes its connection.
         """
-        request = method, target, headers, body, request_id, read_id
-        return await self._send(request, ANY_TIME)
-
-    async def send_any(self, method, target, headers, body):
-        """Send a call whose reply names nothing; return a ``SendResult``."""
-        request = method, target, headers, body, object(), _read_no_id
-        return await self._send(request, ANY_TIME)
-
-    async def send_to_life(self, method, target, headers, body, heartbeat_received_s):
-        """Send a call to the life with a heartbeat at ``heartbeat_received_s``.
-
-        If a target crashes, its next life may listen on the same address before its
-        first heartbeat, and would be told to hold keys with the fence of the former
-        life. So the call is sent only on a connection that was open when the heartbeat
-        was received, or was opened right after it; a connection to a former life is
-        closed by then. ``heartbeat_received_s`` is in seconds of the boot clock.
-
-        Return a ``SendResult``. It's NOT_SENT also if there is no such connection
-        before the next heartbeat.
-        """
-        opened_by_s = heartbeat_received_s + MIN_RESTART_S
-        request = method, target, headers, body, object(), _read_no_id
-        try:
-            return await self._send(request, opened_by_s)
-        except _NoConnectionToLifeError:
-            return SendResult(SendEnd.NOT_SENT, None, "no connection to this life")
-
-    async def _send(self, request, opened_by_s):
         for _ in range(2):
-            connection = self._take_idle(request[4], opened_by_s)
+            connection = self._take_idle(request_id)
             if connection is None:
-                if boot_s() > opened_by_s:
-                    raise _NoConnectionToLifeError
-                try:
-                    connection = await self._open()
-                except ConnectionRefusedError as error:
-                    return SendResult(
-                        SendEnd.NOT_SENT, None, repr(error), is_refused=True
-                    )
-                except OSError as error:
-                    return SendResult(SendEnd.NOT_SENT, None, repr(error))
-            self._used_count += 1
-            try:
-                reply = await connection.request(*request)
-            except RequestNotSentError:
+                connection = await self._open_or_fail()
+                if isinstance(connection, SendResult):
+                    return connection
+            request = method, target, headers, body, request_id, read_id
+            result = await self._exchange(connection, request)
+            if result is None:
                 continue
-            except RequestUnansweredError as error:
-                return SendResult(
-                    SendEnd.UNANSWERED,
-                    detail=str(error),
-                    is_too_large=error.is_too_large,
-                )
-            finally:
-                self._used_count -= 1
             self._return_to_idle(connection)
-            return SendResult(SendEnd.REPLIED, reply)
+            return result
         return SendResult(SendEnd.NOT_SENT, None, "closed while idle")
 
+    async def send_once(self, call, opened_by_s, prefers_new=False):
+        """Send a ``TargetCall`` over a connection that carries nothing else.
+
+        Parameters
+        ----------
+        call : TargetCall
+            Its answer names no call.
+        opened_by_s : float
+            When an idle connection must have been opened, in seconds of the boot clock.
+        prefers_new : bool
+            Whether an idle connection is used only if no new one can be opened.
+
+        Returns
+        -------
+        SendResult
+        """
+        connection = None if prefers_new else self._take_oldest(opened_by_s)
+        if connection is None:
+            connection = await self._open_or_fail()
+        if isinstance(connection, SendResult):
+            idle = self._take_oldest(opened_by_s) if prefers_new else None
+            if idle is None:
+                return connection
+            connection = idle
+        if connection.opened_s > opened_by_s:
+            connection.close()
+            return SendResult(SendEnd.NOT_SENT, None, "no connection to this life")
+        request = call.method, call.target, call.headers, call.body, "", _read_no_id
+        try:
+            result = await self._exchange(connection, request)
+        finally:
+            connection.close()
+        if connection.idle_limit_s is not None:
+            self._idle_limit_s = connection.idle_limit_s
+        return result or SendResult(SendEnd.NOT_SENT, None, "closed while idle")
+
+    async def _exchange(self, connection, request):
+        """Return a ``SendResult``, None if the connection was closed before it."""
+        try:
+            reply = await connection.request(*request)
+        except RequestNotSentError:
+            return None
+        except RequestUnansweredError as error:
+            return SendResult(
+                SendEnd.UNANSWERED,
+                detail=str(error),
+                is_too_large=error.is_too_large,
+            )
+        return SendResult(SendEnd.REPLIED, reply)
+
+    async def _open_or_fail(self):
+        """Return a new connection, or the ``SendResult`` if there can be none."""
+        try:
+            return await self._open()
+        except ConnectionRefusedError as error:
+            return SendResult(SendEnd.NOT_SENT, None, repr(error), is_refused=True)
+        except OSError as error:
+            return SendResult(SendEnd.NOT_SENT, None, repr(error))
+
     async def _open(self):
         self.opened_count += 1
         return await self._connect(OPEN_TIMEOUT_S)
@@ -188,42 +197,55 @@
         return connection.is_open
 
     async def keep(self, count):
-        """Open idle connections until there are ``count`` in all, also those in use.
-
-        They are open when the next heartbeat arrives, so ``send_to_life`` can use them
-        from then on.
-        """
-        while len(self._idle) + self._used_count < count:
+        """Open connections until ``count`` are idle."""
+        while len(self._open_idle()) < count:
             try:
                 self._return_to_idle(await self._open())
             except OSError:
                 # Nothing listens; the process that sends the next heartbeat will.
                 return
 
-    def _take_idle(self, request_id, opened_by_s):
-        """Return an idle connection for a request, None if none may be used.
+    @property
+    def idle_count(self):
+        """Number of idle connections."""
+        return len(self._open_idle())
+
+    def has_idle(self, opened_by_s):
+        """Whether an idle connection was open at ``opened_by_s``."""
+        return any(each.opened_s <= opened_by_s for each in self._open_idle())
 
-        Without a limit on the age, it's the one used last, so that unneeded ones reach
-        their idle timeout; with a limit, the one idle for longest, so that all stay
-        open.
+    def _take_idle(self, request_id):
+        """Return the idle connection used last for a request, None if none may be used.
+
+        So unneeded ones reach their idle timeout.
         """
+        for connection in reversed(self._open_idle()):
+            if not connection.has_carried(request_id):
+                self._idle.remove(connection)
+                return connection
+        return None
+
+    def _take_oldest(self, opened_by_s):
+        """Return the connection idle for longest, None if none may be used."""
+        for connection in self._open_idle():
+            if connection.opened_s <= opened_by_s:
+                self._idle.remove(connection)
+                return connection
+        return None
+
+    def _open_idle(self):
+        """Return the idle connections that are open; close those idle for too long."""
         now = boot_s()
-        is_any_age = opened_by_s == ANY_TIME
-        for connection in reversed(self._idle) if is_any_age else tuple(self._idle):
+        for connection in self._idle:
             if not connection.is_open or not self._is_reusable(connection, now):
                 connection.close()
-            elif connection.has_carried(request_id):
-                continue
-            elif connection.opened_s <= opened_by_s:
-                self._idle.remove(connection)
-                return connection
         self._idle = [each for each in self._idle if each.is_open]
-        return None
+        return self._idle
 
     def _is_reusable(self, connection, now):
         limit_s = connection.idle_limit_s
         if limit_s is None:
-            limit_s = DEFAULT_IDLE_TIMEOUT_S
+            limit_s = self._idle_limit_s
         margin_s = min(MAX_IDLE_MARGIN_S, limit_s * IDLE_MARGIN_FRACTION)
         return now - connection.idle_since_s < limit_s - margin_s
 
