Fail answers whose head or trailer was cut off

**Callers saw:** a 200, 204 or an answer to HEAD, with a part of its headers, after a target had stopped in the middle of the head and closed.

**Cause:** http.client takes the end of the connection for the empty line that ends headers or the trailer of chunks.

**Change:** WholeResponse raises if a line isn't ended or is missing. Such an answer is ANSWER_SHORT. The handover, the command line and the stand-ins use it, too, so that a simulated caller can show the fault.

Why it is enough: heads, chunk sizes and trailers are read by readline alone; bodies were checked before.

**Measured:** five answers cut at each byte. With _send.py as before:

FAILED test_an_answer_cut_at_any_byte_is_not_passed_on[...] (five of five) 5 failed, 1 passed in 1.60s

and green with the change (54 passed, with the tests of the sender, the handover and the commands).

--- a/standin/load.py
+++ b/standin/load.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from tamarackhaven._whole_response import connect
 from tamarackhaven.errors import ErrorKind
 
 SOCKET_TIMEOUT_S = 5.0
@@ -54,9 +55,7 @@
     """
     is_own_connection = connection is None
     if is_own_connection:
-        connection = http.client.HTTPConnection(
-            "127.0.0.1", port, timeout=SOCKET_TIMEOUT_S
-        )
+        connection = connect("127.0.0.1", port, SOCKET_TIMEOUT_S)
     try:
         if connection.sock is None:
             connection.connect()
--- a/standin/target.py
+++ b/standin/target.py
@@ -20,7 +20,10 @@
 import attrs
 import waitress
 
+from tamarackhaven._whole_response import connect
+
 REPORT_INTERVAL_S = 0.2
+CONNECT_TIMEOUT_S = 2.0
 _RECEIVE_BYTES = 8192
 _STALL_DURATION_S = 30.0
 _POLL_INTERVAL_S = 0.005
@@ -356,7 +359,7 @@
             self._connection = None
 
     def _connect(self):
-        return http.client.HTTPConnection(*self._address, timeout=2)
+        return connect(*self._address, CONNECT_TIMEOUT_S)
 
     def _announcement(self):
         return {
--- a/tamarackhaven/_handover.py
+++ b/tamarackhaven/_handover.py
@@ -12,6 +12,7 @@
 from tamarackhaven import _codec
 from tamarackhaven._changes import ReleaseShards
 from tamarackhaven._ledger import LedgerPart
+from tamarackhaven._whole_response import connect
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 POLL_INTERVAL_S = 0.01
@@ -138,9 +139,7 @@
         if part is None or next_owner is None:
             return
         peer = next_owner.peer
-        connection = http.client.HTTPConnection(
-            peer.host, peer.port, timeout=LEDGER_TIMEOUT_S
-        )
+        connection = connect(peer.host, peer.port, LEDGER_TIMEOUT_S)
         try:
             connection.request("POST", LEDGER_PATH, encode_part(part))
             connection.getresponse().read()
--- a/tamarackhaven/_send.py
+++ b/tamarackhaven/_send.py
@@ -18,6 +18,7 @@
 from tamarackhaven import _request as names
 from tamarackhaven._clock import boot_s
 from tamarackhaven._request import HttpAnswer
+from tamarackhaven._whole_response import WholeResponse
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 CONNECT_TIMEOUT_S = 0.5
@@ -254,7 +255,7 @@
 
 
 def _read_response(sock, outgoing, gone):
-    response = http.client.HTTPResponse(
+    response = WholeResponse(
         _DeadlineSocket(sock, outgoing.deadline_s, gone), method=outgoing.method
     )
     try:
--- a/tamarackhaven/plumbing.py
+++ b/tamarackhaven/plumbing.py
@@ -16,6 +16,7 @@
 from tamarackhaven._model import AvailabilityZone, OwnershipPolicy, Service
 from tamarackhaven._refusals import Refusal
 from tamarackhaven._settings_file import read_toml
+from tamarackhaven._whole_response import connect
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
 HTTP_TIMEOUT_S = 5.0
@@ -218,7 +219,7 @@
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit():
         raise TamarackhavenError(ErrorKind.USAGE, f"{address!r} is not HOST:PORT.")
-    connection = http.client.HTTPConnection(host, int(port), timeout=HTTP_TIMEOUT_S)
+    connection = connect(host, int(port), HTTP_TIMEOUT_S)
     try:
         connection.request(
             "GET", REFUSALS_PATH + quote(request_or_decision_id, safe="")
