--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -62,6 +62,9 @@
         How many of them may be lost at once.
     """
 
+    target_class = Target
+    configuration = CONFIGURATION
+
     def __init__(self, folder, services, net, controls=3, tolerated_losses=1):
         self.folder = folder
         self._tolerated_losses = tolerated_losses
@@ -69,7 +72,7 @@
         self.control_hosts = [f"127.{net}.1.{n + 1}" for n in range(controls)]
         self.target_hosts = [f"127.{net}.2.{n + 1}" for n in range(len(services))]
         self.targets = [
-            Target(host, service)
+            self.target_class(host, service)
             for host, service in zip(self.target_hosts, services, strict=True)
         ]
         seeds = [f"{host}:{PORTS['operators']}" for host in self.control_hosts[:3]]
@@ -156,7 +159,7 @@
         for target in self.targets:
             await target.start()
         try:
-            await self.order("/api/config/replace", CONFIGURATION, "r0")
+            await self.order("/api/config/replace", self.configuration, "r0")
             await self.until(self._serves, 20.0)
             await self.until(self._all_own_keys, 20.0)
         except AssertionError as error:
