Provoke repeated answers and tight limits for callers in the soak

**Change:** RepeatAnswers makes a target reject some requests and give some answers twice; in half of the runs each change has limits that callers keep and heartbeats exceed. Targets are told their keys by heartbeats alone in the soak, still.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,6 +14,7 @@
 import attrs
 import defopt
 
+from soak._answer_faults import draw_answer_faults
 from soak._busy import CHECK_INTERVAL_S, BusyWatch
 from soak._draws import (
     draw_control_faults,
@@ -88,6 +89,7 @@
         *draw_update_faults(seed, seconds),
         *draw_notice_faults(seed, seconds),
         *draw_poison_faults(seed, seconds),
+        *draw_answer_faults(seed, seconds),
     ]
     return sorted(faults, key=lambda fault: fault.at_s)
 
--- a/soak/_load.py
+++ b/soak/_load.py
@@ -27,6 +27,9 @@
 MAX_STORM_PAUSE_S = 0.3
 # The update of a change is on its way to a daemon for less than this.
 UNSEEN_S = 0.3
+# Fraction of runs whose changes have limits that callers keep and heartbeats exceed.
+TIGHT_LIMITS_FRACTION = 0.5
+TIGHT_LIMITS = {"max_header_bytes": 400, "idle_timeout_s": 0.0}
 # Fraction of lookups that go to a route that moves between services, comes and goes.
 MOVING_FRACTION = 0.4
 # Fraction of bookings with a large body, and how often it repeats the attempt id.
@@ -151,6 +154,9 @@
         self._fleet = fleet
         self._random = random.Random(f"{seed} operator")
         self._route_random = random.Random(f"{seed} routes")
+        self._has_tight_limits = (
+            random.Random(f"{seed} limits").random() < TIGHT_LIMITS_FRACTION
+        )
         self._base = 1
         self._version = 1
         self._former_services = {}
@@ -195,6 +201,8 @@
         routes = document["virtual_hosts"][0]["path_routes"]
         for route in routes:
             route["timeout_s"] = timeout_s
+        if self._has_tight_limits:
+            document["limits"] = TIGHT_LIMITS
         watch = self._fleet.records.routes
         present = watch.services(self._base)
         services = draw_change(self._route_random, present, self._former_services)
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -11,6 +11,8 @@
 HOLD_TIME_FACTOR = 1.02
 # Time from the start of draining to the leave request, and from there to the stop.
 DRAIN_DURATION_S = 1.5
+# Makes the head of a heartbeat larger than any of a caller.
+HEARTBEAT_PADDING = 1000
 
 
 class SoakTarget(Target):
@@ -25,6 +27,7 @@
     def __init__(self, host, service, zone, records):
         super().__init__(host, service, zone)
         self.name = f"i-{host}-{self.born_ms}"
+        self.head_padding = HEARTBEAT_PADDING
         self._records = records
         self.watch = NoticeWatch(records.drain_s)
         self.ends_under = lambda started: records.poisons.arrived(self, started)
