--- a/tests/sidecar/test_call_client.py
+++ b/tests/sidecar/test_call_client.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from tamarackhaven._clock import boot_s
-from tamarackhaven.sidecar._call_client import CallClient
+from tamarackhaven.sidecar._call_client import MIN_RESTART_S, CallClient
 from tamarackhaven.sidecar._dialect import TargetCall
-from tamarackhaven.sidecar._target_client import SendEnd
+from tamarackhaven.sidecar._target_client import SendEnd, TargetClient
 
 HOST = "127.0.0.1"
 CALL = TargetCall("POST", "/call", ((b"Host", b"h"),), b"")
@@ -104,3 +104,20 @@
             assert result.end is SendEnd.NOT_SENT
 
     asyncio.run(main())
+
+
+def test_a_connection_that_took_too_long_to_open_carries_no_grant(monkeypatch):
+    # Guards against a later life that is told to hold keys with an old fence.
+    open_at_once = TargetClient._open
+
+    async def open_slowly(client):
+        await asyncio.sleep(2 * MIN_RESTART_S)
+        return await open_at_once(client)
+
+    async def main():
+        async with RepeatingTarget(HELD) as target:
+            monkeypatch.setattr(TargetClient, "_open", open_slowly)
+            result = await target.client.grant(CALL, boot_s())
+            assert result.end is SendEnd.NOT_SENT
+
+    asyncio.run(main())
