Tell the answers to two tries of a request apart in the older runtime

**Callers saw:** not seen; shown with one connection: a request is refused, sent again under its id over the same connection, and a second copy of the refusal ends it: "503", then "503 connections 1", though the target gave its own 200.

**Cause:** as in the fleet's client: the pool gave any idle connection to a try, and the echoed id tells nothing for two tries on one connection.

**Change:** a connection carries an id once, and 256 requests at most. If every idle one has carried it, one is closed before a new one is opened, so that the pool's limit holds.

Fleets don't use this module.

--- a/tamarackhaven/_send.py
+++ b/tamarackhaven/_send.py
@@ -24,6 +24,8 @@
 CONNECT_TIMEOUT_S = 0.5
 # Shorter than the 120 s after which waitress closes an idle connection.
 MAX_IDLE_S = 20.0
+# The ids that a connection has carried are kept until it is closed.
+MAX_REQUESTS_PER_CONNECTION = 256
 _POLL_INTERVAL_S = 0.05
 _MIN_TIMEOUT_S = 0.001
 # waitress rejects the standard hop-by-hop headers from an application and writes the
@@ -119,11 +121,15 @@
         self._unreachable_kind = unreachable
         self._in_use = threading.BoundedSemaphore(limit)
         self._idle = deque()
+        self._carried_ids_by_socket = {}
         self.opened = 0
 
-    def acquire(self, deadline_s):
+    def acquire(self, deadline_s, request_id=""):
         """Return a connected socket for exclusive use until it is released.
 
+        It has not carried ``request_id`` before: a second copy of the answer to an
+        earlier try would be taken for the answer to this one.
+
         Raises
         ------
         TamarackhavenError
@@ -135,33 +141,53 @@
         if not self._in_use.acquire(blocking=False):
             raise TamarackhavenError(ErrorKind.CONNECTIONS_FULL)
         try:
-            return self._pop_idle() or self._open(deadline_s)
+            sock = self._pop_idle(request_id) or self._open(deadline_s)
+            self._carried_ids_by_socket.setdefault(sock, set()).add(hash(request_id))
+            return sock
         except BaseException:
             self._in_use.release()
             raise
 
     def release(self, sock, reusable):
         """Return a socket to the pool, or close it unless ``reusable``."""
-        if reusable:
+        carried_ids = self._carried_ids_by_socket[sock]
+        if reusable and len(carried_ids) < MAX_REQUESTS_PER_CONNECTION:
             self._idle.append((time.monotonic(), sock))
         else:
-            sock.close()
+            self._close(sock)
         self._in_use.release()
 
     def close(self):
         """Close the idle connections."""
         while self._idle:
-            self._idle.popleft()[1].close()
+            self._close(self._idle.popleft()[1])
 
-    def _pop_idle(self):
-        while True:
+    def _close(self, sock):
+        del self._carried_ids_by_socket[sock]
+        sock.close()
+
+    def _pop_idle(self, request_id):
+        """Return the idle connection used last that hasn't carried a request, or None.
+
+        If all have carried it, one is closed, so that ``limit`` holds with a new one.
+        """
+        passed_over = []
+        found = None
+        while found is None:
             try:
                 idle_since_s, sock = self._idle.pop()
             except IndexError:
-                return None
-            if time.monotonic() - idle_since_s < MAX_IDLE_S and not _has_input(sock):
-                return sock
-            sock.close()
+                break
+            if time.monotonic() - idle_since_s >= MAX_IDLE_S or _has_input(sock):
+                self._close(sock)
+            elif hash(request_id) in self._carried_ids_by_socket[sock]:
+                passed_over.append((idle_since_s, sock))
+            else:
+                found = sock
+        if found is None and passed_over:
+            self._close(passed_over.pop()[1])
+        self._idle.extend(reversed(passed_over))
+        return found
 
     def _open(self, deadline_s):
         timeout_s = max(_MIN_TIMEOUT_S, min(CONNECT_TIMEOUT_S, deadline_s - boot_s()))
@@ -213,7 +239,7 @@
         ANSWER_MISMATCH or CALLER_GONE if that is unknown. The connection is closed
         after each of the latter.
     """
-    sock = connections.acquire(outgoing.deadline_s)
+    sock = connections.acquire(outgoing.deadline_s, outgoing.request_id)
     reusable = False
     try:
         _write(sock, connections.address, outgoing)
--- a/tests/test_send.py
+++ b/tests/test_send.py
@@ -9,7 +9,12 @@
 
 from standin.target import Mode, Server, StandinSettings
 from tamarackhaven._clock import boot_s
-from tamarackhaven._send import Connections, OutgoingRequest, send
+from tamarackhaven._send import (
+    MAX_REQUESTS_PER_CONNECTION,
+    Connections,
+    OutgoingRequest,
+    send,
+)
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tests.fakes import wait_for
 
@@ -209,3 +214,40 @@
     server.stop()
     assert error.kind.name == kind
     assert took_s < 2.0
+
+
+def test_a_second_try_goes_over_a_connection_that_has_not_carried_it():
+    # Guards against a refusal of a request that runs, by a copy of an earlier answer.
+    refused = ok(body=b"").replace(b"200 OK", b"503 Full")
+    answers = refused, ok("r2"), ok(body=b"mine"), ok("r2"), ok("r3")
+    with scripted(*answers) as (connections, received):
+        assert send(connections, outgoing(), never).status == 503
+        send(connections, outgoing("r2"), never)
+        assert send(connections, outgoing(), never).body == b"mine"
+        assert [len(requests) for requests in received] == [2, 1]
+        # The first connection was closed, as no other was idle.
+        send(connections, outgoing("r2"), never)
+        send(connections, outgoing("r3"), never)
+        assert [len(requests) for requests in received] == [2, 3]
+
+
+def test_an_idle_connection_that_has_carried_the_request_stays_open_beside_others():
+    # Guards against a new connection for each rejection.
+    with scripted(ok("r0"), ok("r2"), ok("r3")) as (connections, received):
+        first = connections.acquire(boot_s() + 5, "r1")
+        send(connections, outgoing("r0"), never)
+        connections.release(first, reusable=True)
+        connections.release(connections.acquire(boot_s() + 5, "r1"), reusable=True)
+        assert connections.opened == 2
+        for request_id in ("r2", "r3"):
+            send(connections, outgoing(request_id), never)
+        assert connections.opened == 2
+
+
+def test_a_connection_carries_a_bounded_number_of_requests():
+    # Guards against ids that are kept without end.
+    count = MAX_REQUESTS_PER_CONNECTION + 1
+    with scripted(*(ok(f"r{n}") for n in range(count))) as (connections, _):
+        for number in range(count):
+            send(connections, outgoing(f"r{number}"), never)
+        assert connections.opened == 2
