--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -14,6 +14,7 @@
 from tamarackhaven._storage import Storage
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.fleet import _growth
+from tamarackhaven.fleet._acknowledgements import Acknowledgements
 from tamarackhaven.fleet._daemon_sessions import DaemonSessions
 from tamarackhaven.fleet._group_keeper import MembershipManager
 from tamarackhaven.fleet._group_links import GroupLinks
@@ -28,6 +29,7 @@
     LeaderHint,
     MemberHello,
     Report,
+    UpdateTaken,
 )
 from tamarackhaven.fleet._report_answers import ReportAnswers
 from tamarackhaven.fleet._settings import split
@@ -109,6 +111,9 @@
             self._sessions,
             metrics,
         )
+        self._acknowledgements = Acknowledgements(
+            self.machine, self._sessions, log, metrics
+        )
         self._links = None
         self._membership_manager = None
         self._server = LinkServer(CONTROL_CODEC, self._on_message, self._on_closed)
@@ -125,6 +130,7 @@
         """
         self._loop = asyncio.get_running_loop()
         self._metrics.add_source(self._state_log.update_gauges)
+        self._metrics.add_source(self._acknowledgements.update_gauges)
         storage = Storage.open(Path(self._settings.data_folder) / "group")
         name, membership = self._identity(storage)
         hello = MemberHello(name, self._host, self._port)
@@ -252,6 +258,8 @@
             self._on_daemon_hello(link, message)
         elif isinstance(message, Report):
             self._on_report(link, message)
+        elif isinstance(message, UpdateTaken):
+            self._sessions.record_taken(link, message.part, message.index)
 
     def _on_hint(self, hint):
         self._membership_manager.add_addresses(hint.control)
@@ -461,11 +469,14 @@
         self._founding.require_voters(voters, has_configuration, boot_s())
         future = asyncio.wrap_future(self.consensus.propose(encode(command)))
         try:
-            return await asyncio.wait_for(future, self._settings.order_timeout_s)
+            outcome = await asyncio.wait_for(future, self._settings.order_timeout_s)
         except TimeoutError as error:
             raise TamarackhavenError(
                 ErrorKind.CHANGE_UNCONFIRMED, "no quorum confirmed the change in time"
             ) from error
+        if outcome.kind is None:
+            self._acknowledgements.acknowledge(command, self._leadership_in_force())
+        return outcome
 
     def _require_leadership(self):
         if self.leads:
--- a/tamarackhaven/fleet/_daemon_sessions.py
+++ b/tamarackhaven/fleet/_daemon_sessions.py
@@ -65,6 +65,8 @@
             session = self._begin(link, report)
             link.send(make_targets_view())
         session.acknowledge(report.state_index)
+        for version in report.known:
+            session.record_taken(version.part, version.index)
         if report.refused_parts:
             self._log_refused_parts(session, report)
             session.resend(report.refused_parts, report.known)
@@ -74,6 +76,20 @@
             self._log_difference(session, version)
         session.send_updates(state)
 
+    def record_taken(self, link, part, index):
+        """Record that the daemon at the other end of a link has taken an update."""
+        session = self._session_by_link.get(link)
+        if session is not None:
+            session.record_taken(part, index)
+
+    def daemons_without(self, index_by_part):
+        """Return the daemons that lack a part as of a log index, by their sessions."""
+        return [
+            session.daemon
+            for session in self._session_by_link.values()
+            if not session.has_taken(index_by_part)
+        ]
+
     def _begin(self, link, report):
         daemon = self._daemon_by_link[link]
         session = Session(daemon, link, self._update_cache, report.known)
--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -82,7 +82,7 @@
 
     def __init__(self, term, lease_s, now):
         self.term = term
-        self._confirmed_s = now
+        self.confirmed_s = now
         self._last_grant_number = 0
         self.leases = LeaseTable(lease_s, now)
         self.directory = TargetDirectory(term, self.leases)
@@ -134,7 +134,7 @@
 
         A new leader doesn't know at first which ones others run.
         """
-        is_discovering = now - self._confirmed_s < DISCOVERY_TIMEOUT_S
+        is_discovering = now - self.confirmed_s < DISCOVERY_TIMEOUT_S
         if is_discovering or not daemon:
             return ()
         return self.trials.grant(daemon, report, state, now)
@@ -192,7 +192,7 @@
         They all do so within about a second. After a power failure the wait ends
         early, once each owner's daemon has reported.
         """
-        if now - self._confirmed_s >= DISCOVERY_TIMEOUT_S:
+        if now - self.confirmed_s >= DISCOVERY_TIMEOUT_S:
             return True
         owners = {
             each.owner for ranges in state.ranges_by_service.values() for each in ranges
--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -227,6 +227,22 @@
     is_behind: bool = False
 
 
+@attrs.frozen
+class UpdateTaken:
+    """Says that a daemon handles new requests by a part, from an update or a later one.
+
+    Parameters
+    ----------
+    part : str
+        One of ``CONFIRMED_PARTS``.
+    index : int
+        Log index of the version that it has.
+    """
+
+    part: str
+    index: int
+
+
 @attrs.frozen
 class LeaseGrant:
     """Answers ``Report`` once a quorum has confirmed the leader.
@@ -395,6 +411,7 @@
         DaemonHello,
         LeaderHint,
         Report,
+        UpdateTaken,
         LeaseGrant,
         ConfigurationView,
         ConfigurationChange,
--- a/tamarackhaven/fleet/_sessions.py
+++ b/tamarackhaven/fleet/_sessions.py
@@ -51,6 +51,7 @@
     update_cache: UpdateCache = attrs.field(factory=UpdateCache)
     known: tuple = ()
     _index_by_part: dict = attrs.field(init=False)
+    _taken_index_by_part: dict = attrs.field(init=False)
     _replaced_versions: set = attrs.field(init=False, factory=set)
     _unacknowledged: collections.deque = attrs.field(
         init=False, factory=collections.deque
@@ -58,6 +59,7 @@
 
     def __attrs_post_init__(self):
         self._index_by_part = {each.part: each.index for each in self.known}
+        self._taken_index_by_part = dict(self._index_by_part)
 
     def send_updates(self, state):
         """Send the parts of ``state`` that are newer than what the daemon was sent.
@@ -75,6 +77,18 @@
         while self._unacknowledged and self._unacknowledged[0].index <= index:
             self._unacknowledged.popleft()
 
+    def record_taken(self, part, index):
+        """Record that the daemon has a part as of a log index."""
+        taken = self._taken_index_by_part.get(part, NO_INDEX)
+        self._taken_index_by_part[part] = max(taken, index)
+
+    def has_taken(self, index_by_part):
+        """Whether the daemon has these parts as of these log indexes, or newer."""
+        return all(
+            self._taken_index_by_part.get(part, NO_INDEX) >= index
+            for part, index in index_by_part.items()
+        )
+
     def resend(self, refused_parts, known):
         """Send updates for refused parts from what the daemon has, from now on.
 
--- a/tamarackhaven/fleet/_state.py
+++ b/tamarackhaven/fleet/_state.py
@@ -229,6 +229,14 @@
             self._view_version = view_version(self.versions())
         return self._view_version
 
+    def confirmed_index_by_part(self):
+        """Return the log index of each of ``CONFIRMED_PARTS``, by its name."""
+        return {
+            CONFIGURATION_PART: self.configuration_index,
+            ZONES_PART: self.zones_index,
+            SUSPECTS_PART: self.suspects_index,
+        }
+
     def _keys_digest(self, service):
         digest = self._keys_digest_by_service.get(service)
         if digest is None:
--- a/tamarackhaven/sidecar/_control_link.py
+++ b/tamarackhaven/sidecar/_control_link.py
@@ -79,8 +79,15 @@
         # Of the newest leader that a quorum has confirmed to this daemon.
         self._confirmed_term = 0
         self.on_session_begun = lambda: None
+        # Returns fields of a log line that say what the view has.
+        self.view_fields = dict
         self.confirmed_s = float("-inf")
 
+    def send(self, message):
+        """Send a message to the leader, if there is a session."""
+        if self._session is not None:
+            self._session.link.send(message)
+
     def report_now(self):
         """Send a report without waiting for the interval."""
         self._report_due.set()
@@ -96,11 +103,16 @@
                     "leader answers again" if is_former else "leader found",
                     host=session.host,
                     term=session.term,
+                    **self.view_fields(),
                 )
                 answered_s = self.confirmed_s
                 await self._run_session(session)
                 self._log.say(
-                    "leader lost", silent_s=round(boot_s() - self.confirmed_s, 3)
+                    "leader lost",
+                    host=session.host,
+                    term=session.term,
+                    silent_s=round(boot_s() - self.confirmed_s, 3),
+                    **self.view_fields(),
                 )
                 if self.confirmed_s > answered_s:
                     pause_s = MIN_SESSION_PAUSE_S
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -141,6 +141,10 @@
             self.view, self._control.report_now, log, metrics
         )
         self._control.on_session_begun = self._view_updates.begin_session
+        self._control.view_fields = lambda: self.view.configuration_stamp(
+            boot_s()
+        ).log_fields()
+        self._view_updates.on_taken = self._control.send
         self._tasks = []
         self._is_leaving = False
         self._permits.report_now = self._control.report_now
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -103,7 +103,7 @@
         configuration = self.table.configuration
         return ConfigurationStamp(
             configuration.version,
-            self._index(CONFIGURATION_PART),
+            self.index(CONFIGURATION_PART),
             digest_text(configuration.digest),
             age_s,
         )
@@ -121,7 +121,8 @@
         """Return the versions of the parts in force, as a tuple of ``PartVersion``."""
         return tuple(self._version_by_part.values())
 
-    def _index(self, part):
+    def index(self, part):
+        """Return the log index of a part in force, ``NO_INDEX`` without one."""
         version = self._version_by_part.get(part)
         return NO_INDEX if version is None else version.index
 
@@ -230,7 +231,7 @@
 
     def _check_base(self, message):
         """Return why a difference can't be applied, None if it can."""
-        index = self._index(message.part)
+        index = self.index(message.part)
         if message.index <= index:
             return UpdateOutcome.OUTDATED
         return None if message.base == index else UpdateOutcome.REFUSED
@@ -288,7 +289,7 @@
 
     def keys_index(self, service):
         """Return the log index of the owners of a service's keys, -1 if unknown."""
-        return self._index(keys_part(service))
+        return self.index(keys_part(service))
 
     def available_targets(self, service):
         """Return the targets of a service that may get new requests."""
--- a/tamarackhaven/sidecar/_view_updates.py
+++ b/tamarackhaven/sidecar/_view_updates.py
@@ -2,7 +2,12 @@
 
 from tamarackhaven._clock import boot_s
 from tamarackhaven._digests import digest_text
-from tamarackhaven.fleet._messages import NO_INDEX, TargetsView
+from tamarackhaven.fleet._messages import (
+    CONFIRMED_PARTS,
+    NO_INDEX,
+    TargetsView,
+    UpdateTaken,
+)
 from tamarackhaven.sidecar._view_lag import LagChange, ViewLag
 from tamarackhaven.sidecar._view_reports import UpdateOutcome, ViewReports
 
@@ -20,6 +25,11 @@
         Log of the daemon.
     metrics : Metrics
         Metrics of the process.
+
+    Attributes
+    ----------
+    on_taken : callable
+        ``on_taken(message)`` is called with an ``UpdateTaken`` for the leader.
     """
 
     def __init__(self, view, report_now, log, metrics):
@@ -29,6 +39,7 @@
         self._metrics = metrics
         self._reports = ViewReports()
         self._lag = ViewLag()
+        self.on_taken = lambda message: None
 
     def begin_session(self):
         """Begin a session, whose first report says what the view has then."""
@@ -51,6 +62,9 @@
                 base=getattr(message, "base", NO_INDEX),
                 index=message.index,
             )
+        elif message.part in CONFIRMED_PARTS:
+            index = self._view.index(message.part)
+            self.on_taken(UpdateTaken(message.part, index))
         if self._reports.record(message.part, outcome):
             self._report_now()
         return outcome is UpdateOutcome.APPLIED
