Let a control VM say that it leads only once a quorum has confirmed it

What callers saw: for up to 5 s after an acknowledgement, requests on a moved route ran at the service of before. **Cause:** a control VM answered daemons that look for the leader from what its consensus thread had last noted. While that thread waits for a disk, the event loop goes on and says that it leads, though another one does: the daemon begins a session, gets no answer for 1.0 to 1.5 s, asks again, and takes whichever of the two answers first. The one that is stuck is as quick as the other. **Change:** it answers that it leads once a quorum has confirmed that, after it was asked; else that it doesn't.

--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -19,6 +19,7 @@
 from tamarackhaven.fleet._group_keeper import MembershipManager
 from tamarackhaven.fleet._group_links import GroupLinks
 from tamarackhaven.fleet._group_log import GroupLog
+from tamarackhaven.fleet._leader_hints import LeaderHints
 from tamarackhaven.fleet._leadership import Leadership
 from tamarackhaven.fleet._machine import FleetMachine
 from tamarackhaven.fleet._messages import (
@@ -114,6 +115,12 @@
         self._acknowledgements = Acknowledgements(
             self.machine, self._sessions, log, metrics
         )
+        self._hints = LeaderHints(
+            self._read,
+            self._leadership_in_force,
+            self._make_hint,
+            self._sessions.register,
+        )
         self._links = None
         self._membership_manager = None
         self._server = LinkServer(CONTROL_CODEC, self._on_message, self._on_closed)
@@ -255,7 +262,7 @@
         elif isinstance(message, JoinGroup):
             link.send(self._membership_manager.handle_join_request(message, boot_s()))
         elif isinstance(message, DaemonHello):
-            self._on_daemon_hello(link, message)
+            self._hints.add(link, message)
         elif isinstance(message, Report):
             self._on_report(link, message)
         elif isinstance(message, UpdateTaken):
@@ -265,16 +272,15 @@
         self._membership_manager.add_addresses(hint.control)
 
     def _on_closed(self, link):
+        self._hints.close(link)
         self._sessions.close(link)
 
-    def _on_daemon_hello(self, link, hello):
+    def _make_hint(self, is_leader):
         status = self.consensus.status()
         leader = status.membership.by_name.get(status.leader)
         address = (leader.host, leader.port) if leader else None
         control = (*self._membership_manager.addresses, (self._host, self._port))
-        link.send(LeaderHint(self.leads, status.term, address, control))
-        if self.leads:
-            self._sessions.register(link, hello.daemon)
+        return LeaderHint(is_leader, status.term, address, control)
 
     # Leases.
 
