Tell daemons at once when another control VM leads

A daemon had one link, to the leader that it was about to miss. Among those that claim to lead it took the first answer, and its own former leader's late answer kept it there. **Change:** the links on which control VMs have said that they don't lead stay open, and each control VM says on them when it knows another leader, and the leader when a quorum has confirmed it: that link becomes the session, without a search. A daemon leaves, and passes over, a leader older than any whose term it has heard of.

--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -97,7 +97,7 @@
         self._decision_timer = None
         self._leadership = None
         self._confirming_term = None
-        self._last_role = (None, "")
+        self._last_role = (None, "", 0)
         self._founding = _growth.Founding(self._required_voters, boot_s())
         self._tasks = []
         self._loop = None
@@ -371,7 +371,7 @@
             await manager.make_due_changes(now)
 
     def _update_role(self, status):
-        role = (status.role, status.leader)
+        role = (status.role, status.leader, status.term)
         if role != self._last_role:
             self._last_role = role
             self._log.say(
@@ -380,6 +380,7 @@
                 leader=status.leader,
                 term=status.term,
             )
+            self._hints.announce(is_leader=False)
         if self._leadership is not None and not self.leads:
             self._leadership = None
             self._sessions.abort_all()
@@ -401,6 +402,7 @@
         self._leadership = Leadership(term, self._settings.lease.lease_s, now)
         self._metrics.count("tamarackhaven_fleet_leaderships_total")
         self._log.say("leads", term=term)
+        self._hints.announce(is_leader=True)
 
     def _schedule_decision(self):
         """Decide as soon as ``MIN_DECISION_INTERVAL_S`` has passed since the last time.
--- a/tamarackhaven/fleet/_daemon_sessions.py
+++ b/tamarackhaven/fleet/_daemon_sessions.py
@@ -142,6 +142,7 @@
             self._log.say("daemon lost", daemon=session.daemon)
 
     def abort_all(self):
-        """Close the links of all daemons, since this control VM no longer leads."""
-        for link in list(self._daemon_by_link):
+        """Close the links of all sessions, since this control VM no longer leads."""
+        self._daemon_by_link.clear()
+        for link in list(self._session_by_link):
             link.abort()
--- a/tamarackhaven/net/_link.py
+++ b/tamarackhaven/net/_link.py
@@ -27,6 +27,10 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 # Connecting between availability zones of a region takes a few milliseconds.
 DIAL_TIMEOUT_S = 0.6
+# A connection without traffic that goes silent is closed after this idle time and this
+# many unanswered keep-alive probes, one a second.
+KEEP_ALIVE_IDLE_S = 3
+KEEP_ALIVE_PROBES = 3
 
 
 class Link(asyncio.Protocol):
@@ -165,6 +169,22 @@
             self.last_received_s = now
         self._last_unsent_bytes = unsent_bytes
 
+    def keep_alive(self):
+        """Close the connection within seconds if the other end is gone.
+
+        Without this, a link on which nothing is sent would seem open for hours.
+        """
+        if not self.is_open:
+            return
+        connection = self._transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in (
+            (socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+            (socket.TCP_KEEPINTVL, 1),
+            (socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+        ):
+            connection.setsockopt(socket.IPPROTO_TCP, option, value)
+
     def abort(self):
         """Abort the connection; unsent bytes are dropped."""
         if self._transport is not None:
--- a/tamarackhaven/sidecar/_control_link.py
+++ b/tamarackhaven/sidecar/_control_link.py
@@ -5,17 +5,10 @@
 
 import asyncio
 import collections
-import contextlib
 
 from tamarackhaven._clock import boot_s
-from tamarackhaven.fleet._addresses import KnownAddresses
-from tamarackhaven.fleet._messages import (
-    CONTROL_CODEC,
-    LeaderHint,
-    LeaseGrant,
-    Report,
-)
-from tamarackhaven.net import dial
+from tamarackhaven.fleet._messages import LeaseGrant, Report
+from tamarackhaven.sidecar._leader_search import LeaderSearch
 
 # The lease is renewed several times before it expires, and a leader is notified of a
 # change within this time even if a message is lost.
@@ -27,17 +20,11 @@
 # session that was closed because of this would start again with the same update. So a
 # link that still delivers data is kept for this long, which is less than a lease.
 BUSY_REPORT_TIMEOUT_S = 2.5
-# All control VMs are queried again after the maximum, or after the minimum if all of
-# them have answered by then.
-MAX_SEARCH_ROUND_S = 0.7
-MIN_SEARCH_ROUND_S = 0.1
 # A leader that closes the link on a daemon's report, or fails on it, would get the same
 # report again at once, a thousand times a second. After a session without an answer the
 # next one waits for the minimum, then for twice as long each time, up to the maximum.
 MIN_SESSION_PAUSE_S = 0.05
 MAX_SESSION_PAUSE_S = 0.8
-# A congested link delays a query and its answer by seconds.
-HELLO_TIMEOUT_S = 4.0
 MAX_REMEMBERED_REPORTS = 16
 
 
@@ -62,22 +49,21 @@
     """
 
     def __init__(self, make_hello, make_report, on_view_message, on_grant, seeds, log):
-        self._make_hello = make_hello
         self._make_report = make_report
         self._on_view_message = on_view_message
         self._on_grant = on_grant
-        self._seeds = seeds
         self._log = log
-        self._known_addresses = KnownAddresses()
+        self._search = LeaderSearch(
+            make_hello, seeds, self._on_newer_leader, self._on_session_closed, log
+        )
         self._last_number = 0
         self._requested_s_by_number = collections.OrderedDict()
         self._last_answered_number = 0
         self._report_due = asyncio.Event()
-        self._link_closed = asyncio.Event()
+        # Set when the session may have ended: its link, or the term of its leader.
+        self._session_changed = asyncio.Event()
         self._answer_received = asyncio.Event()
         self._session = None
-        # Of the newest leader that a quorum has confirmed to this daemon.
-        self._confirmed_term = 0
         self.on_session_begun = lambda: None
         # Returns fields of a log line that say what the view has.
         self.view_fields = dict
@@ -97,7 +83,7 @@
         pause_s = MIN_SESSION_PAUSE_S
         try:
             while True:
-                session = await self._find_leader()
+                session = await self._search.find(self._session, self._answer_received)
                 is_former = session is self._session
                 self._log.say(
                     "leader answers again" if is_former else "leader found",
@@ -111,6 +97,7 @@
                     "leader lost",
                     host=session.host,
                     term=session.term,
+                    newest_term=self._search.newest_term,
                     silent_s=round(boot_s() - self.confirmed_s, 3),
                     **self.view_fields(),
                 )
@@ -120,160 +107,67 @@
                 await asyncio.sleep(pause_s)
                 pause_s = min(2 * pause_s, MAX_SESSION_PAUSE_S)
         finally:
+            self._search.close()
             if self._session is not None:
-                self._session.link.abort()
-
-    # Search.
-
-    async def _find_leader(self):
-        """Query all control VMs until one leads; return a session with it.
-
-        A session that has fallen silent is continued if its leader is the first to
-        answer.
-
-        On a congested link an answer takes seconds. If each query were cancelled before
-        the next round, the daemon would use an old configuration for as long as the
-        link is congested. So queries of several rounds overlap, and each has the time
-        that the most congested links need; after the loss of a leader, a new one is
-        still looked for several times a second.
-        """
-        queries = set()
-        found = None
-        try:
-            while found is None:
-                addresses = dict.fromkeys([*self._known_addresses, *self._seeds()])
-                round_queries = {
-                    asyncio.create_task(self._query(each)) for each in addresses
-                }
-                queries |= round_queries
-                found = await self._first_session(queries, round_queries)
-        finally:
-            await _cancel_queries(queries)
-        return found
-
-    async def _first_session(self, queries, round_queries):
-        """Return the first session with a leader in this round, else None."""
-        answer_task = asyncio.create_task(self._answer_received.wait())
-        early_end_s = boot_s() + MIN_SEARCH_ROUND_S
-        round_end_s = boot_s() + MAX_SEARCH_ROUND_S
-        try:
-            while (
-                left_s := (round_end_s if round_queries else early_end_s) - boot_s()
-            ) > 0:
-                done, _ = await asyncio.wait(
-                    {*queries, answer_task},
-                    timeout=left_s,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                if answer_task in done:
-                    return self._session
-                queries -= done
-                round_queries -= done
-                found = [task.result() for task in done if task.result() is not None]
-                for extra in found[1:]:
-                    extra.link.abort()
-                if found:
-                    return found[0]
-        finally:
-            answer_task.cancel()
-        return None
-
-    async def _query(self, address):
-        """Return a session with the control VM at an address if it leads, else None."""
-        hints = asyncio.Queue()
-        session = _Session(self, hints, address[0])
-        deadline_s = boot_s() + HELLO_TIMEOUT_S
-        try:
-            link = session.link = await dial(
-                address,
-                CONTROL_CODEC,
-                session.on_message,
-                session.on_closed,
-                HELLO_TIMEOUT_S,
-            )
-        except OSError:
-            return None
-        try:
-            link.send(self._make_hello())
-            hint = await asyncio.wait_for(hints.get(), max(deadline_s - boot_s(), 0.0))
-        except TimeoutError:
-            link.abort()
-            return None
-        except asyncio.CancelledError:
-            link.abort()
-            raise
-        if hint is None:
-            return None
-        self._known_addresses.add(hint.control)
-        session.term = hint.term
-        if hint.is_leader and not self._is_deposed(session):
-            return session
-        link.abort()
-        return None
-
-    def _is_deposed(self, session):
-        """Whether a control VM that says that it leads has been replaced since.
-
-        A leader that is cut off from its group doesn't know it yet. A daemon that took
-        it would get old news from it until its first report times out.
-        """
-        if session.term >= self._confirmed_term:
-            return False
-        self._log.say(
-            "deposed leader passed over",
-            host=session.host,
-            term=session.term,
-            confirmed_term=self._confirmed_term,
-        )
-        return True
+                self._session.abort()
 
     # Session.
 
     async def _run_session(self, session):
-        """Send reports until the leader stops answering or the link is closed."""
+        """Send reports until the leader stops answering, or the session has ended."""
         self._switch_to(session)
         link = session.link
         started_s = boot_s()
         self._answer_received.clear()
-        while link.is_open:
+        while link.is_open and not self._search.is_deposed(session):
             now = boot_s()
-            if self._is_lost(link, started_s, now):
+            left_s = self._silence_left_s(link, started_s, now)
+            if left_s < 0:
                 break
             self._send_report(link, now)
-            self._report_due.clear()
-            wakeups = [
-                asyncio.create_task(self._report_due.wait()),
-                asyncio.create_task(self._link_closed.wait()),
-            ]
-            await asyncio.wait(
-                wakeups, timeout=REPORT_INTERVAL_S, return_when=asyncio.FIRST_COMPLETED
-            )
-            for wakeup in wakeups:
-                wakeup.cancel()
+            self._search.watch_others(session, now)
+            await self._wait_for_report(min(REPORT_INTERVAL_S, left_s))
         self._answer_received.clear()
 
+    async def _wait_for_report(self, timeout_s):
+        """Wait until a report is due, or the session may have ended."""
+        self._report_due.clear()
+        wakeups = [
+            asyncio.create_task(self._report_due.wait()),
+            asyncio.create_task(self._session_changed.wait()),
+        ]
+        await asyncio.wait(
+            wakeups, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        self._session_changed.clear()
+        for wakeup in wakeups:
+            wakeup.cancel()
+
     def _switch_to(self, session):
         """Replace the former session, unless ``session`` is that one."""
         if session is self._session:
             return
         if self._session is not None:
-            self._session.link.abort()
+            self._session.abort()
         self._session = session
-        self._link_closed.clear()
+        self._search.end_watch(session.host)
+        self._session_changed.clear()
         self._requested_s_by_number.clear()
         self._last_answered_number = self._last_number
         self.on_session_begun()
-        session.begin()
+        session.begin(lambda message: self._on_session_message(session, message))
 
-    def _is_lost(self, link, started_s, now):
-        """Whether the leader hasn't answered for too long.
+    def _silence_left_s(self, link, started_s, now):
+        """Return for how long the leader may still not answer, below 0 for too long.
 
         Times are in seconds of the boot clock.
         """
         requested_s = max(self._oldest_unanswered_s(now), started_s)
-        if now - requested_s > BUSY_REPORT_TIMEOUT_S:
-            return True
-        return now - max(requested_s, link.last_received_s) > REPORT_TIMEOUT_S
+        received_s = max(requested_s, link.last_received_s)
+        until_s = min(
+            requested_s + BUSY_REPORT_TIMEOUT_S, received_s + REPORT_TIMEOUT_S
+        )
+        return until_s - now
 
     def _oldest_unanswered_s(self, now):
         for number, requested_s in self._requested_s_by_number.items():
@@ -288,71 +182,27 @@
             self._requested_s_by_number.popitem(last=False)
         link.send(self._make_report(self._last_number))
 
-    def on_session_message(self, session, message):
-        """Handle a message of the leader."""
+    def _on_session_message(self, session, message):
         if session is not self._session:
             return
         if isinstance(message, LeaseGrant):
-            requested_s = self._requested_s_by_number.get(message.number)
-            self._last_answered_number = max(self._last_answered_number, message.number)
-            if requested_s is not None:
-                self.confirmed_s = boot_s()
-                self._confirmed_term = max(self._confirmed_term, message.grant.term)
-                self._on_grant(message, requested_s)
-            self._answer_received.set()
-        elif not isinstance(message, LeaderHint | Report):
+            self._on_answer(session, message)
+        elif not isinstance(message, Report):
             self._on_view_message(message)
 
-    def on_session_closed(self, session):
-        """Wake the loop that sends reports, since the link of its session is closed."""
-        if session is self._session:
-            self._link_closed.set()
-
-
-async def _cancel_queries(queries):
-    """Cancel queries; abort the links of those that have just found a leader."""
-    for task in queries:
-        task.cancel()
-    for result in await asyncio.gather(*queries, return_exceptions=True):
-        if isinstance(result, _Session):
-            result.link.abort()
-
-
-class _Session:
-    """Passes the hint on a link to the search, and other messages to the session.
-
-    Two control VMs may both claim to lead, and then one link isn't used. If its closing
-    counted as that of the link in use, reports would follow each other without a pause.
-    So messages and the closing of a link are ignored until its session begins, and only
-    one session is in use at a time.
-    """
-
-    def __init__(self, owner, hints, host):
-        self._owner = owner
-        self._hints = hints
-        self.host = host
-        self.term = None
-        self._early_messages = []
-        self._has_begun = False
-        self.link = None
-
-    def begin(self):
-        """Deliver the messages received so far, and from now on each new one."""
-        self._has_begun = True
-        for message in self._early_messages:
-            self._owner.on_session_message(self, message)
-        self._early_messages = []
+    def _on_answer(self, session, answer):
+        requested_s = self._requested_s_by_number.get(answer.number)
+        self._last_answered_number = max(self._last_answered_number, answer.number)
+        if requested_s is not None:
+            self.confirmed_s = boot_s()
+            self._search.note_term(answer.grant.term)
+            self._on_grant(answer, requested_s)
+        if not self._search.is_deposed(session):
+            self._answer_received.set()
 
-    def on_message(self, _link, message):
-        if self._has_begun:
-            self._owner.on_session_message(self, message)
-        elif isinstance(message, LeaderHint):
-            self._hints.put_nowait(message)
-        else:
-            self._early_messages.append(message)
+    def _on_session_closed(self, session):
+        if session is self._session:
+            self._session_changed.set()
 
-    def on_closed(self, _link):
-        with contextlib.suppress(asyncio.QueueFull):
-            self._hints.put_nowait(None)
-        if self._has_begun:
-            self._owner.on_session_closed(self)
+    def _on_newer_leader(self):
+        self._session_changed.set()
--- a/tests/fleet/test_leader_hints.py
+++ b/tests/fleet/test_leader_hints.py
@@ -83,3 +83,13 @@
 
 def test_a_link_that_is_closed_while_its_daemon_waits_gets_no_session(member):
     assert answers(member, member.hints.close) == []
+
+
+@pytest.mark.parametrize("is_leader", [False, True])
+def test_daemons_that_have_asked_are_told_of_a_change(member, is_leader):
+    member.leadership = None
+    answers(member)
+    member.events.clear()
+    member.hints.announce(is_leader)
+    found = ["d"] if is_leader else []
+    assert member.events == [*found, LeaderHint(is_leader, 1, None, ())]
--- a/tests/sidecar/test_control_link.py
+++ b/tests/sidecar/test_control_link.py
@@ -28,8 +28,8 @@
 
 def test_a_silent_leader_is_lost(control):
     link = Link(last_received_s=99.0)
-    assert not control._is_lost(link, 90.0, 100.0 + REPORT_TIMEOUT_S - 0.01)
-    assert control._is_lost(link, 90.0, 100.0 + REPORT_TIMEOUT_S + 0.01)
+    assert control._silence_left_s(link, 90.0, 100.0 + REPORT_TIMEOUT_S - 0.01) > 0
+    assert control._silence_left_s(link, 90.0, 100.0 + REPORT_TIMEOUT_S + 0.01) < 0
 
 
 def test_a_leader_whose_answer_is_delayed_by_an_update_is_kept(control):
@@ -37,11 +37,12 @@
     # answer to the report. If the session were closed, the same update would be sent
     # again.
     link = Link(last_received_s=101.4)
-    assert not control._is_lost(link, 90.0, 101.5)
+    assert control._silence_left_s(link, 90.0, 101.5) > 0
 
 
 def test_a_leader_that_sends_updates_but_no_answer_is_lost(control):
     # A leader that is cut off from its quorum can't confirm a lease, but it still
     # sends updates that follow from the reports of other daemons.
     late_s = 100.0 + BUSY_REPORT_TIMEOUT_S + 0.01
-    assert control._is_lost(Link(last_received_s=late_s), 90.0, late_s)
+    link = Link(last_received_s=late_s)
+    assert control._silence_left_s(link, 90.0, late_s) < 0
--- a/tests/sidecar/test_control_link_search.py
+++ b/tests/sidecar/test_control_link_search.py
@@ -1,6 +1,7 @@
 """How a daemon searches for the leader, over real links on loopback."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -15,7 +16,12 @@
 )
 from tamarackhaven.fleet._model import GrantId
 from tamarackhaven.net import LinkServer
-from tamarackhaven.sidecar._control_link import REPORT_INTERVAL_S, ControlLink
+from tamarackhaven.sidecar import _leader_search
+from tamarackhaven.sidecar._control_link import (
+    REPORT_INTERVAL_S,
+    REPORT_TIMEOUT_S,
+    ControlLink,
+)
 
 HOSTS = ("127.77.0.1", "127.77.0.2")
 OBSERVATION_S = 1.2
@@ -27,11 +33,17 @@
 
 
 class ControlVm:
-    """Fake control VM that claims to lead, and answers each report."""
+    """Fake control VM that claims to lead, and answers each report.
+
+    With ``is_leader`` False it says that it doesn't lead; with ``is_stuck`` it answers
+    no reports.
+    """
 
-    def __init__(self, host, term=1):
+    def __init__(self, host, term=1, is_leader=True):
         self.host = host
         self.term = term
+        self.is_leader = is_leader
+        self.is_stuck = False
         self.reports = []
         self.links = []
         self._server = LinkServer(CONTROL_CODEC, self._on_message, lambda _link: None)
@@ -43,10 +55,13 @@
     def _on_message(self, link, message):
         if isinstance(message, DaemonHello):
             self.links.append(link)
-            link.send(LeaderHint(True, self.term, None, ()))
-            link.send(ZonesView(1, (self.host,)))
+            link.send(LeaderHint(self.is_leader, self.term, None, ()))
+            if self.is_leader:
+                link.send(ZonesView(1, (self.host,)))
         elif isinstance(message, Report):
             self.reports.append(message.number)
+            if self.is_stuck:
+                return
             grant = GrantId(self.term, message.number)
             link.send(LeaseGrant(message.number, grant, 4.0))
 
@@ -168,6 +183,63 @@
     run(test)
 
 
+def two_vms():
+    """Return a leader of term 1, and a control VM that doesn't lead."""
+    return [ControlVm(HOSTS[0]), ControlVm(HOSTS[1], is_leader=False)]
+
+
+def test_a_daemon_follows_a_new_leader_before_it_misses_the_former_one():
+    # Guards against: the new leader acknowledges a change, and daemons serve by an
+    # older version until the former leader has been silent for long enough.
+    async def test(fleet):
+        former, new = fleet.vms
+        await until(lambda: former.reports and new.links)
+        former.is_stuck = True
+        (link,) = new.links
+        link.send(LeaderHint(True, 2, None, ()))
+        before_s = time.monotonic()
+        await until(lambda: new.reports)
+        assert time.monotonic() - before_s < REPORT_TIMEOUT_S / 2
+        assert len(new.links) == 1
+
+    run(test, two_vms())
+
+
+def test_a_late_answer_of_a_former_leader_does_not_keep_its_daemons():
+    # Guards against: a daemon goes back to a leader that has been replaced, as that is
+    # the first to answer its search.
+    async def test(fleet):
+        former, other = fleet.vms
+        await until(lambda: former.reports and other.links)
+        (link,) = other.links
+        link.send(LeaderHint(False, 2, ("elsewhere", 1), ()))
+        await asyncio.sleep(REPORT_INTERVAL_S / 2)
+        before = len(former.reports)
+        (in_use,) = former.links[:1]
+        grant = GrantId(1, before)
+        in_use.send(LeaseGrant(before, grant, 4.0))
+        await asyncio.sleep(OBSERVATION_S)
+        assert len(former.reports) == before
+
+    run(test, two_vms())
+
+
+def test_a_control_vm_that_ended_is_asked_again_for_later_leaders(monkeypatch):
+    # Guards against: after a rolling restart of the control VMs no daemon hears of the
+    # next leader before it misses the former one.
+    monkeypatch.setattr(_leader_search, "WATCH_INTERVAL_S", REPORT_INTERVAL_S)
+
+    async def test(fleet):
+        former, other = fleet.vms
+        await until(lambda: former.reports and other.links)
+        other.links[0].abort()
+        await until(lambda: len(other.links) == 2)
+        other.links[1].send(LeaderHint(True, 2, None, ()))
+        await until(lambda: other.reports)
+
+    run(test, two_vms())
+
+
 PROXY_HOSTS = ("127.77.1.1",)
 CONTROL_HOST = "127.77.1.2"
 DELAY_S = 0.6
