Acknowledge an order once the daemons have taken the change

What callers saw: requests on a moved route run at the service of before, more than 2 s after its operator was told that it is in force. **Cause:** an order was acknowledged when the group had committed it, whatever daemons had. A leader that was elected a moment ago had no daemon yet, and one whose news were slow didn't ask. The promise was given in the name of daemons that nobody had asked. **Change:** the leader waits until each daemon with a session has said that it has taken the change, and until it has led for 1.2 s, the time in which daemons that weren't told of it find it; at most 2 s after it has applied the change, and not for a daemon without a report for 1.5 s. Then a quorum confirms that it still leads; else the operator is told that the outcome is unknown (503), and the next leader answers the same order. Before the first configuration nothing is waited for.

--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -14,7 +14,6 @@
 from tamarackhaven._storage import Storage
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.fleet import _growth
-from tamarackhaven.fleet._acknowledgements import Acknowledgements
 from tamarackhaven.fleet._daemon_sessions import DaemonSessions
 from tamarackhaven.fleet._group_keeper import MembershipManager
 from tamarackhaven.fleet._group_links import GroupLinks
@@ -32,6 +31,7 @@
     Report,
     UpdateTaken,
 )
+from tamarackhaven.fleet._orders import Orders
 from tamarackhaven.fleet._report_answers import ReportAnswers
 from tamarackhaven.fleet._settings import split
 from tamarackhaven.fleet._state import encode
@@ -51,20 +51,6 @@
 MIN_DECISION_INTERVAL_S = 0.02
 
 
-class NotLeaderError(Exception):
-    """Raised when this control VM doesn't lead.
-
-    Parameters
-    ----------
-    host : str or None
-        Host of the leading control VM, None if it isn't known.
-    """
-
-    def __init__(self, host):
-        super().__init__(host)
-        self.host = host
-
-
 class FleetControl:
     """A control VM's process, running on one event loop.
 
@@ -98,7 +84,6 @@
         self._leadership = None
         self._confirming_term = None
         self._last_role = (None, "", 0)
-        self._founding = _growth.Founding(self._required_voters, boot_s())
         self._tasks = []
         self._loop = None
         self.consensus = None
@@ -106,18 +91,17 @@
         self._state_log = StateLog(self.machine, log, metrics)
         self._group_log = GroupLog(self._required_voters, log, metrics)
         self._answers = ReportAnswers(
-            self._read,
-            self._leadership_in_force,
+            self.read,
+            self.leadership_in_force,
             self.machine,
             self._sessions,
             metrics,
         )
-        self._acknowledgements = Acknowledgements(
-            self.machine, self._sessions, log, metrics
-        )
+        founding = _growth.Founding(self._required_voters, boot_s())
+        self.orders = Orders(self, founding, self._sessions, log, metrics)
         self._hints = LeaderHints(
-            self._read,
-            self._leadership_in_force,
+            self.read,
+            self.leadership_in_force,
             self._make_hint,
             self._sessions.register,
         )
@@ -137,7 +121,7 @@
         """
         self._loop = asyncio.get_running_loop()
         self._metrics.add_source(self._state_log.update_gauges)
-        self._metrics.add_source(self._acknowledgements.update_gauges)
+        self._metrics.add_source(self.orders.acknowledgements.update_gauges)
         storage = Storage.open(Path(self._settings.data_folder) / "group")
         name, membership = self._identity(storage)
         hello = MemberHello(name, self._host, self._port)
@@ -229,6 +213,7 @@
                 detail=outcome.detail or getattr(command, "cause", ""),
             )
         self._send_state_updates()
+        self.orders.acknowledgements.record_applied()
         if not self.leads:
             return
         self._state_log.log_configuration(index, len(self._sessions))
@@ -248,7 +233,8 @@
         status = self.consensus.status()
         return status.role is Role.LEADER and status.term == self._leadership.term
 
-    def _leadership_in_force(self):
+    def leadership_in_force(self):
+        """Return the ``Leadership`` while this member leads, else None."""
         return self._leadership if self.leads else None
 
     # Messages.
@@ -303,7 +289,14 @@
         if report.releases or report.ended_lives or is_due:
             self._schedule_decision()
 
-    async def _read(self):
+    async def read(self):
+        """Return once a quorum has confirmed that this member leads.
+
+        Raises
+        ------
+        TamarackhavenError
+            NO_QUORUM if none does in time, or an error of the member.
+        """
         future = asyncio.wrap_future(self.consensus.read())
         try:
             return await asyncio.wait_for(future, READ_TIMEOUT_S)
@@ -392,7 +385,7 @@
 
     async def _confirm_leadership(self, term):
         try:
-            await self._read()
+            await self.read()
         except TamarackhavenError:
             self._confirming_term = None
             return
@@ -456,64 +449,3 @@
         elif is_void:
             leadership.discard_change(command)
         self._schedule_decision()
-
-    # Operators' orders.
-
-    async def order(self, command):
-        """Commit and apply an operator's command; return its ``Outcome``.
-
-        Raises
-        ------
-        NotLeaderError
-            Another control VM leads, or none does.
-        TamarackhavenError
-            NO_QUORUM if the command was not accepted; CHANGE_UNCONFIRMED if it may
-            have been.
-        """
-        self._require_leadership()
-        with self.machine.lock:
-            has_configuration = self.machine.state.configuration.version > 0
-        voters = len(self.consensus.status().membership.voters)
-        self._founding.require_voters(voters, has_configuration, boot_s())
-        future = asyncio.wrap_future(self.consensus.propose(encode(command)))
-        try:
-            outcome = await asyncio.wait_for(future, self._settings.order_timeout_s)
-        except TimeoutError as error:
-            raise TamarackhavenError(
-                ErrorKind.CHANGE_UNCONFIRMED, "no quorum confirmed the change in time"
-            ) from error
-        if outcome.kind is None:
-            self._acknowledgements.acknowledge(command, self._leadership_in_force())
-        return outcome
-
-    def _require_leadership(self):
-        if self.leads:
-            return
-        status = self.consensus.status()
-        leader = status.membership.by_name.get(status.leader)
-        is_other = leader is not None and status.leader != status.name
-        raise NotLeaderError(leader.host if is_other else None)
-
-    async def read_configuration(self):
-        """Return the newest configuration.
-
-        Raises
-        ------
-        NotLeaderError
-            Another control VM leads, or none does.
-        TamarackhavenError
-            NO_QUORUM if no quorum confirms that this member leads.
-        """
-        await self._confirm_state()
-        with self.machine.lock:
-            return self.machine.state.configuration
-
-    async def read_suspects(self):
-        """Return all known ``SuspectRequest``; see ``read_configuration``."""
-        await self._confirm_state()
-        with self.machine.lock:
-            return tuple(self.machine.state.suspect_by_request.values())
-
-    async def _confirm_state(self):
-        self._require_leadership()
-        await self._read()
--- a/tamarackhaven/fleet/_daemon_sessions.py
+++ b/tamarackhaven/fleet/_daemon_sessions.py
@@ -1,5 +1,6 @@
 """The daemons that are connected to the leading control VM, and what they are sent."""
 
+from tamarackhaven._clock import boot_s
 from tamarackhaven._digests import digest_text
 from tamarackhaven.fleet._feed import UpdateCache
 from tamarackhaven.fleet._messages import CONTROL_CODEC
@@ -64,6 +65,7 @@
         if session is None:
             session = self._begin(link, report)
             link.send(make_targets_view())
+        session.reported_s = boot_s()
         session.acknowledge(report.state_index)
         for version in report.known:
             session.record_taken(version.part, version.index)
@@ -82,12 +84,15 @@
         if session is not None:
             session.record_taken(part, index)
 
-    def daemons_without(self, index_by_part):
-        """Return the daemons that lack a part as of a log index, by their sessions."""
+    def daemons_without(self, index_by_part, now):
+        """Return the daemons that lack a part as of a log index, by their sessions.
+
+        Those that have sent no report for too long aren't waited for.
+        """
         return [
             session.daemon
             for session in self._session_by_link.values()
-            if not session.has_taken(index_by_part)
+            if not session.has_taken(index_by_part) and not session.is_silent(now)
         ]
 
     def _begin(self, link, report):
--- a/tamarackhaven/fleet/_sessions.py
+++ b/tamarackhaven/fleet/_sessions.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from tamarackhaven.fleet._directory import MAX_REPORT_AGE_S
 from tamarackhaven.fleet._feed import UpdateCache
 from tamarackhaven.fleet._messages import (
     CONFIGURATION_PART,
@@ -44,12 +45,15 @@
     known : tuple of PartVersion
         The parts of the state that the daemon has as the session begins. Nothing that
         was sent on another link may change them afterwards.
+    reported_s : float
+        When the newest report was received, in seconds of the boot clock.
     """
 
     daemon: str
     link: object
     update_cache: UpdateCache = attrs.field(factory=UpdateCache)
     known: tuple = ()
+    reported_s: float = float("inf")
     _index_by_part: dict = attrs.field(init=False)
     _taken_index_by_part: dict = attrs.field(init=False)
     _replaced_versions: set = attrs.field(init=False, factory=set)
@@ -89,6 +93,10 @@
             for part, index in index_by_part.items()
         )
 
+    def is_silent(self, now):
+        """Whether the daemon has sent no report for too long, as if it were gone."""
+        return now - self.reported_s > MAX_REPORT_AGE_S
+
     def resend(self, refused_parts, known):
         """Send updates for refused parts from what the daemon has, from now on.
 
--- a/tamarackhaven/fleet/process.py
+++ b/tamarackhaven/fleet/process.py
@@ -29,8 +29,8 @@
     path : str
         Settings file, TOML.
     make_api : callable
-        ``make_api(control, port, log)`` returns an object whose ``handle`` answers
-        operators' requests.
+        ``make_api(orders, port, log)`` returns an object whose ``handle`` answers
+        operators' requests; ``orders`` is an ``Orders``.
     """
     return run_process(lambda: _main(path, make_api))
 
@@ -51,7 +51,7 @@
     control = FleetControl(settings, log, metrics, on_fatal)
     on_signals(stopped.set, lambda: reload_settings(path, control, log))
     await control.start()
-    api = make_api(control, split(settings.operators)[1], log.part("orders"))
+    api = make_api(control.orders, split(settings.operators)[1], log.part("orders"))
     server = HttpServer(
         api.handle,
         lambda request, error: _log_internal_error(log, error),
--- a/tests/fleet/moving_fleet.py
+++ b/tests/fleet/moving_fleet.py
@@ -8,8 +8,9 @@
 
 from soak._routes import RouteWatch
 from standin.call import call
-from standin.fleet import CONFIGURATION, Fleet
+from standin.fleet import CONFIGURATION
 from standin.fleet_target import PORTS
+from tests.fleet.real_fleet import ProxiedFleet
 
 MOVED_PREFIX = "/moved/"
 KEY = 7
@@ -20,7 +21,7 @@
 REQUEST_INTERVAL_S = 0.1
 
 
-class MovingFleet(Fleet):
+class MovingFleet(ProxiedFleet):
     """A fleet with a route that moves between its services, and a watch of it."""
 
     def __init__(self, *settings):
@@ -34,7 +35,9 @@
             control.may_stall()
 
     async def move(self, service):
-        """Move the route to a service; return how long the acknowledgement took.
+        """Move the route to a service; return its version and the acknowledgement.
+
+        The latter is the time in seconds after the order was first sent.
 
         The order goes to each control VM in turn until one acknowledges it.
         """
@@ -62,7 +65,7 @@
             )
             if answer.status == 200:
                 self.watch.acknowledge(version)
-                return time.monotonic() - sent_s
+                return version, time.monotonic() - sent_s
             assert answer.status in (0, 307, 503), answer
             if answer.status == 307:
                 host = answer.headers["location"].split("/")[2].split(":")[0]
@@ -88,6 +91,21 @@
                     self.wrong.append(wrong)
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
+    def flows_of(self, daemon, control):
+        """Return the open connections of a daemon to a control VM, by index."""
+        hello = daemon.name.encode()
+        return [
+            each for each in self.proxies[control].flows if hello in each.first_bytes
+        ]
+
+    def has_taken(self, daemon, version):
+        """Whether a daemon has logged that it took a version."""
+        return any(
+            line.get("sentence") == "daemon: configuration taken"
+            and line["version"] == version
+            for line in daemon.lines
+        )
+
     def _service_of(self, answer):
         """Return the service of the target that has answered."""
         return next(
--- a/tests/platform_adapter/test_suspect_orders.py
+++ b/tests/platform_adapter/test_suspect_orders.py
@@ -22,7 +22,7 @@
     def __init__(self):
         self.commands = []
 
-    async def order(self, command):
+    async def execute(self, command):
         self._require_leadership()
         self.commands.append(command)
         return Outcome()
