Let one odd heartbeat shut out no target

What callers saw: after a single heartbeat of another writer in a target's name, with a sequence or a start far ahead, no request reached that target and its keys went to others, until it started again. One alone neither ends a life that sends heartbeats nor leaps ahead; a number far ahead counts with the next one after it, unless the known ones go on; those that look old count once three have come over two intervals and no newer one has, so that a mark that was wrong from the start, or a clock that was set back, passes. While another life may run, the target counts as cold and is called for no keys.

--- a/tamarackhaven/sidecar/_called_holds.py
+++ b/tamarackhaven/sidecar/_called_holds.py
@@ -215,7 +215,7 @@
     def due(self, now):
         """Return the calls to make now, as a list; each must be ``ended`` later."""
         self._drop_expired(now)
-        if self._grant is None or now >= self._lease_until_s:
+        if self._grant is None or now >= self._lease_until_s or self.may_have_ended:
             return []
         wanted = self._grant.ranges
         return [*self._due_releases(wanted, now), *self._due_grants(wanted, now)]
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -24,6 +24,7 @@
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._control_link import ControlLink
 from tamarackhaven.sidecar._end_notices import EndNotices
+from tamarackhaven.sidecar._heartbeat_order import Order
 from tamarackhaven.sidecar._inbound import Inbound
 from tamarackhaven.sidecar._key_calls import KeyCalls
 from tamarackhaven.sidecar._messages import PEER_CODEC
@@ -379,7 +380,9 @@
     def heartbeat(self, beat):
         """Apply a heartbeat of the target; return its ``HeartbeatReply``."""
         before = self.state.target(boot_s())
+        order = self.state.heartbeat_order(beat, boot_s())
         reply = self.state.apply_heartbeat(beat, boot_s())
+        self._record_order(beat, order)
         if before is not None and before.life != self.state.life:
             self.inbound.ends.life_ended(before.life, "next life")
         self._apply_known_leaving()
@@ -399,6 +402,28 @@
             self._control.report_now()
         return reply
 
+    def _record_order(self, beat, order):
+        """Count and log a heartbeat that isn't simply the next one of its target."""
+        if order is Order.NEWER:
+            return
+        taken = self.state.heartbeat is beat
+        self.metrics.count(
+            "tamarackhaven_heartbeats_out_of_order_total",
+            order=order.value,
+            taken="yes" if taken else "no",
+        )
+        known = self.state.heartbeat
+        self.log.say(
+            "heartbeat out of order",
+            order=order.value,
+            taken=taken,
+            name=beat.name,
+            born_ms=beat.born_ms,
+            sequence=beat.sequence,
+            known_life=self.state.life,
+            known_sequence=known.sequence,
+        )
+
     def reject_heartbeat(self, error):
         """Count and log a call of the target that can't be read."""
         self.metrics.count(
--- a/tamarackhaven/sidecar/_key_holds.py
+++ b/tamarackhaven/sidecar/_key_holds.py
@@ -38,6 +38,12 @@
         Of the daemon.
     life : str
         Grants for other lives are ignored.
+
+    Attributes
+    ----------
+    may_have_ended : bool
+        Whether another life may run by now, which must be told nothing that this one
+        was granted.
     """
 
     def __init__(self, lease, life):
@@ -46,6 +52,7 @@
         self._grant = None
         self._lease_until_s = float("-inf")
         self._releases = []
+        self.may_have_ended = False
 
     def apply_grant(self, grant, requested_s):
         """Apply a grant; its lease counts from when it was requested."""
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -16,6 +16,7 @@
 from tamarackhaven.routing import HoldOrders
 from tamarackhaven.sidecar._called_holds import CalledHolds
 from tamarackhaven.sidecar._draining import accepts_new
+from tamarackhaven.sidecar._heartbeat_order import HeartbeatOrder, Order
 from tamarackhaven.sidecar._key_holds import HeartbeatHolds, HeartbeatReply
 from tamarackhaven.sidecar._named_limit import NamedLimit
 
@@ -81,6 +82,7 @@
         self.leaving_since_s = None
         self.limit = NamedLimit()
         self._early_leave = None
+        self._order = HeartbeatOrder(settings.lease.heartbeat_s)
         self.ended_lives = []
         self._keys = None
         self._hold_orders = HoldOrders.HEARTBEATS
@@ -97,7 +99,10 @@
 
     def apply_heartbeat(self, beat, now):
         """Apply a heartbeat; return its ``HeartbeatReply``."""
-        if not self._accept(beat):
+        order = self._order.compare(beat, now)
+        if not self._accept(beat, now):
+            if order is Order.LATER_LIFE:
+                self._expect_later_life(beat, now)
             return HeartbeatReply()
         self.heartbeat = beat
         self.heartbeat_received_s = now
@@ -108,8 +113,19 @@
             self._start_draining(now)
         if self._keys is None:
             self._keys = self._make_holds()
+        self._keys.may_have_ended = False
         return self._keys.record_heartbeat(beat, now)
 
+    def _expect_later_life(self, beat, now):
+        """Do nothing that harms a later life, until it's known which one runs.
+
+        The next heartbeat tells. A later life might be cold, and mustn't be given the
+        former one's keys under their fencing tokens.
+        """
+        self.cold_until_s = max(self.cold_until_s, now + beat.cold_s)
+        if self._keys is not None:
+            self._keys.may_have_ended = True
+
     def _make_holds(self):
         kind = _HOLDS_BY_ORDERS[self._hold_orders]
         return kind(self._settings.lease, self.life)
@@ -120,26 +136,29 @@
             self._hold_orders = orders
             self._keys = None
 
-    def _accept(self, beat):
-        """Return whether a heartbeat is newer than the last one.
+    def _accept(self, beat, now):
+        """Return whether a heartbeat is of the running life, and newer.
 
-        A heartbeat of a later life ends the current life.
+        One of another life ends the current life, since two processes can't listen on
+        one address.
         """
-        known = self.heartbeat
-        if known is None:
-            return True
-        if (beat.name, beat.born_ms) == (known.name, known.born_ms):
-            return beat.sequence > known.sequence
-        # A heartbeat of an earlier life may arrive late, and the daemon would take that
-        # life for the running one. The life that was started later is the running one,
-        # since two processes can't listen on one address.
-        if beat.born_ms <= known.born_ms:
+        if not self._order.accepts(beat, now):
             return False
-        self.end()
+        known = self.heartbeat
+        if known is not None and not _is_life(known, beat.name, beat.born_ms):
+            self._end_life()
         return True
 
+    def heartbeat_order(self, beat, now):
+        """Return the ``Order`` of a heartbeat after the newest one that was taken."""
+        return self._order.compare(beat, now)
+
     def end(self):
         """End the current life, which is known not to run any more."""
+        self._order.forget()
+        self._end_life()
+
+    def _end_life(self):
         if self.heartbeat is not None:
             self.ended_lives.append(self.life)
             del self.ended_lives[:-8]
--- /dev/null
+++ b/tests/fleet/test_odd_heartbeats.py
@@ -0,0 +1,113 @@
+"""Real processes: another writer sends one odd heartbeat in the name of a target."""
+
+import asyncio
+import json
+
+import pytest
+
+from standin.call import call
+from standin.fleet import Fleet
+from standin.fleet_target import HEARTBEAT_S, PORTS
+from tests.fleet.real_fleet import run
+
+NETS = iter(range(94, 110))
+SERVICES = ("owned", "owned", "shared")
+KEYS = range(0, 65536, 4099)
+HUGE = (1 << 53) - 1
+# Longer than a target may be without an accepted heartbeat, and than its lease.
+OBSERVED_S = 4.0
+NESTED = "[" * 1020 + "]" * 1020
+
+
+def heartbeat(target, **fields):
+    """Return the body of a heartbeat in the name of ``target``, with odd fields."""
+    document = {
+        "address": f"{target.host}:1",
+        "born": target.born_ms,
+        "info": {
+            "service": target.service,
+            "version": "v1",
+            "zone": target.zone,
+            "max_concurrency": 8,
+        },
+        "status": {
+            "state": "ready",
+            "sequence": target._sequence + 1,
+            "cold_s_time": 0,
+        },
+        "active_holds": [],
+        "released": [],
+    }
+    for part in (document, document["info"], document["status"]):
+        part.update((key, fields[key]) for key in fields.keys() & part.keys())
+    return json.dumps(document).replace('"NESTED"', NESTED).encode()
+
+
+async def write(target, body, name=None, call_name="heartbeat"):
+    """Send a heartbeat or a leave to the daemon beside ``target``."""
+    path = f"/api/instances/{name or target.name}/{call_name}"
+    headers = [("Host", "x"), ("Content-Type", "application/json")]
+    return await call(target.host, PORTS["operators"], "POST", path, headers, body)
+
+
+async def served(fleet):
+    """Return how many requests for keys are served, and by which targets."""
+    answers = [await fleet.ask("/owned/", key, 2) for key in KEYS]
+    targets = {answer.body.split(b" ")[0] for answer in answers if answer.status == 200}
+    return sum(answer.status == 200 for answer in answers), targets
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"sequence": HUGE},
+        {"sequence": 500_000},
+        {"born": HUGE},
+        {"later": 1},
+        {"max_concurrency": HUGE},
+        {"cold_s_time": 1e15},
+    ],
+    ids=str,
+)
+def test_one_odd_heartbeat_shuts_out_no_target(tmp_path, fields):
+    # Guards against: one heartbeat of another writer, with an order number or a start
+    # that is far ahead, makes the daemon ignore all later ones of its target.
+    async def test(fleet):
+        target = fleet.targets[0]
+        if "later" in fields:
+            fields["born"] = target.born_ms + fields.pop("later")
+        assert (await served(fleet))[0] == len(KEYS)
+        await write(target, heartbeat(target, **fields))
+        await asyncio.sleep(OBSERVED_S)
+        count, targets = await served(fleet)
+        assert count == len(KEYS)
+        assert target.name.encode() in targets
+        assert target.held_by_range
+
+    run(test, (tmp_path, SERVICES, next(NETS)), Fleet)
+
+
+def test_entries_that_cannot_be_read_are_refused_and_change_nothing(tmp_path):
+    # Guards against: an entry with deeply nested lists, or a number that is too large,
+    # ends in an internal error.
+    async def test(fleet):
+        target = fleet.targets[0]
+        for name in ("service", "state", "sequence", "cold_s_time", "born"):
+            answer = await write(target, heartbeat(target, **{name: "NESTED"}))
+            assert answer.status == 400, (name, answer)
+            assert len(answer.body) < 500
+        for value in (1e400, float("nan"), 10**400, -1):
+            body = heartbeat(target, sequence=value, born=value)
+            assert (await write(target, body)).status == 400
+        body = f'{{"born":{NESTED}}}'.encode()
+        answer = await write(target, body, "someone-else", "leave")
+        assert answer.status == 200
+        await asyncio.sleep(4 * HEARTBEAT_S)
+        assert (await served(fleet))[0] == len(KEYS)
+        for daemon in fleet.daemons:
+            assert not any(
+                line.get("sentence", "").endswith("internal error")
+                for line in daemon.lines
+            )
+
+    run(test, (tmp_path, SERVICES, next(NETS)), Fleet)
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -46,6 +46,7 @@
             "_draining",
             "_final_refusals",
             "_gate",
+            "_heartbeat_order",
             "_key_holds",
             "_key_load",
             "_known_targets",
