--- a/tamarackhaven/fleet/_orders.py
+++ b/tamarackhaven/fleet/_orders.py
@@ -58,8 +58,8 @@
         NotLeaderError
             Another control VM leads, or none does.
         TamarackhavenError
-            NO_QUORUM if the command was not accepted; CHANGE_UNCONFIRMED if it may
-            have been.
+            INVALID_RESOURCE if it can't be stored; NO_QUORUM if it was not accepted;
+            CHANGE_UNCONFIRMED if it may have been.
         """
         self._require_leadership()
         with self._machine.lock:
@@ -67,7 +67,7 @@
         consensus = self._control.consensus
         voters = len(consensus.status().membership.voters)
         self._founding.require_voters(voters, has_configuration, boot_s())
-        future = asyncio.wrap_future(consensus.propose(encode(command)))
+        future = asyncio.wrap_future(consensus.propose(_encoded(command)))
         timeout_s = self._control.settings.order_timeout_s
         try:
             outcome = await asyncio.wait_for(future, timeout_s)
@@ -133,3 +133,19 @@
     async def _confirm_state(self):
         self._require_leadership()
         await self._control.read()
+
+
+def _encoded(command):
+    """Return the bytes of a command for the log.
+
+    Raises
+    ------
+    TamarackhavenError
+        INVALID_RESOURCE if it has a value that can't be stored.
+    """
+    try:
+        return encode(command)
+    except (OverflowError, ValueError, TypeError) as error:
+        raise TamarackhavenError(
+            ErrorKind.INVALID_RESOURCE, f"cannot be stored: {error}"
+        ) from error
--- a/tests/platform_adapter/test_wire_documents.py
+++ b/tests/platform_adapter/test_wire_documents.py
@@ -9,6 +9,7 @@
 
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.fleet import Hold, Release, TargetPhase
+from tamarackhaven.fleet._state import ReplaceConfiguration, encode
 from tamarackhaven.routing import RequestKind, check, edited
 
 DOCUMENT = {
@@ -235,3 +236,44 @@
         documents.read_document(b'{"version":"r1","extra":' + nested.encode() + b"}")
     assert caught.value.kind is ErrorKind.INVALID_RESOURCE
     documents.read_document(json.dumps(DOCUMENT).encode())
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        ("services", 0, "max_connections"),
+        ("limits", "max_header_bytes"),
+        ("limits", "max_body_bytes"),
+        ("virtual_hosts", 0, "path_routes", 0, "priority"),
+        ("virtual_hosts", 0, "path_routes", 0, "max_attempts"),
+    ],
+)
+def test_a_number_that_cannot_be_stored_is_refused(path):
+    # Guards against: an order ends in an internal error, and operators send it again
+    # without end.
+    document = json.loads(json.dumps(DOCUMENT))
+    parent = document
+    for key in path[:-1]:
+        parent = parent[key]
+    parent[path[-1]] = 1 << 64
+    with pytest.raises(TamarackhavenError) as caught:
+        documents.read_configuration(
+            documents.read_document(json.dumps(document).encode())
+        )
+    assert caught.value.kind is ErrorKind.INVALID_RESOURCE
+    assert "beyond" in caught.value.detail
+    parent[path[-1]] = 1 << 62
+    encode(ReplaceConfiguration(0, documents.read_configuration(document), "digest"))
+
+
+@pytest.mark.parametrize("depth", [100, 250, 1020])
+@pytest.mark.parametrize("field", ["lease_grants", "name", "sharded", "cold_s"])
+def test_nested_values_in_a_configuration_are_refused_with_a_code(field, depth):
+    document = json.loads(json.dumps(DOCUMENT))
+    document["services"][0][field] = "NESTED"
+    nested = "[" * depth + "]" * depth
+    body = json.dumps(document).replace('"NESTED"', nested).encode()
+    with pytest.raises(TamarackhavenError) as caught:
+        documents.read_configuration(documents.read_document(body))
+    assert caught.value.kind is ErrorKind.INVALID_RESOURCE
+    assert len(caught.value.detail) < 200
