Read ports, counts and times of other writers within bounds, in both runtimes

What was seen: a control VM's address with a port of 99,999 in a hint, as another writer can bring it in, ended the task that looks for the leader, and the daemon was without one for good. The older runtime took ports of -1 and 10^400 and slots of -1; Infinity, 1e400 and deep nests left its application as errors of no kind. **Cause:** addresses and numbers of other processes were passed on as they came; dialling raises OverflowError for a port that can't exist, where all callers expect OSError. **Change:** an address that can't exist is unreachable (one place: dial), isn't remembered, and makes nobody a member. /announce and /report read numbers within named bounds, and lists nested too deeply are malformed (400).

--- a/tamarackhaven/_announce_app.py
+++ b/tamarackhaven/_announce_app.py
@@ -48,6 +48,10 @@
         raise TamarackhavenError(ErrorKind.NOT_FOUND, f"Try {allowed}.")
     try:
         action(json.loads(raw.body or b"{}"))
+    except RecursionError as error:
+        raise TamarackhavenError(
+            ErrorKind.MALFORMED_REQUEST, f"{raw.target}: nested too deeply."
+        ) from error
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise TamarackhavenError(
             ErrorKind.MALFORMED_REQUEST, f"{raw.target}: {error!r}."
--- a/tamarackhaven/_forward.py
+++ b/tamarackhaven/_forward.py
@@ -5,6 +5,7 @@
 from tamarackhaven import _request as names
 from tamarackhaven._clock import boot_s
 from tamarackhaven._model import PolicyMode
+from tamarackhaven._numbers import read_digits
 from tamarackhaven._retry import LOST_KINDS, REFUSED_KINDS, RELOCATED_KINDS
 from tamarackhaven._send import Connections, OutgoingRequest, send
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
@@ -18,6 +19,8 @@
     ErrorKind.ANSWER_SHORT: ErrorKind.FORWARD_LOST,
 }
 _MAX_PEERS = 2000
+# A longer wait named by another daemon is cut to an hour.
+MAX_RETRY_AFTER_MS = 3_600_000
 
 
 class Forwarder:
@@ -88,7 +91,7 @@
 
 def _retry_after_s(answer):
     value = answer.header(names.RETRY_AFTER_MS_HEADER)
-    return int(value) / 1000 if value.isdigit() else 0.0
+    return (read_digits(value, MAX_RETRY_AFTER_MS) or 0) / 1000
 
 
 def _retryable_kinds(mode):
--- a/tamarackhaven/_owner.py
+++ b/tamarackhaven/_owner.py
@@ -19,11 +19,15 @@
     Replay,
 )
 from tamarackhaven._model import PolicyMode
+from tamarackhaven._numbers import read_digits
 from tamarackhaven._request import HttpAnswer
 from tamarackhaven._send import OutgoingRequest, send
 from tamarackhaven._verify import verify
 from tamarackhaven.errors import ErrorKind, Ran, TamarackhavenError
 
+# A longer wait named by a target is cut to an hour.
+MAX_RETRY_AFTER_S = 3600
+
 IN_PROGRESS_RETRY_AFTER_S = 0.5
 BODY_DROPPED_HEADER = "Tamarackhaven-Body-Dropped"
 _OWN_ANSWER_HEADERS = frozenset(
@@ -315,7 +319,7 @@
 
 def _shed_error(answer):
     value = answer.header(names.RETRY_AFTER_HEADER)
-    retry_after_s = float(value) if value.isdigit() else 0.0
+    retry_after_s = float(read_digits(value, MAX_RETRY_AFTER_S) or 0)
     return TamarackhavenError(ErrorKind.TARGET_REFUSED, "", retry_after_s)
 
 
--- a/tamarackhaven/_path.py
+++ b/tamarackhaven/_path.py
@@ -10,11 +10,14 @@
 from tamarackhaven._identify import identify, read_request_id
 from tamarackhaven._locate import locate
 from tamarackhaven._model import PolicyMode
+from tamarackhaven._numbers import read_digits
 from tamarackhaven._refusals import Refusal, RefusalRecord
 from tamarackhaven._shared_route import locate_at_member, refuse_booking
 from tamarackhaven._verify import is_owner
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 
+MAX_GRANT = (1 << 63) - 1
+
 _TRACEBACK_LIMIT = -5  # negative: the innermost frames
 _FORWARDED_HOPS = 1
 
@@ -170,4 +173,5 @@
 def _forwarder_has_newer_grant(raw, located):
     """Return whether the forwarding daemon's grant is newer than this daemon's."""
     value = raw.headers.get("tamarackhaven-epoch", "")
-    return value.isdigit() and int(value) > located.grant.grant
+    number = read_digits(value, MAX_GRANT)
+    return number is not None and number > located.grant.grant
--- a/tamarackhaven/_target_link.py
+++ b/tamarackhaven/_target_link.py
@@ -6,6 +6,15 @@
 
 from tamarackhaven._gate_messages import TargetReport
 from tamarackhaven._model import Address
+from tamarackhaven._numbers import checked_count, checked_seconds
+
+MAX_PORT = 65535
+# More requests at once than any target runs.
+MAX_SLOTS = 1 << 17
+MAX_COUNT = (1 << 53) - 1
+# Longer than any process runs: thirty years.
+MAX_AGE_S = 1e9
+MAX_TEXT_LENGTH = 200
 
 
 @attrs.frozen
@@ -99,22 +108,43 @@
 
 
 def parse_report(fields):
-    """Return the ``TargetReport`` in a target's JSON object; its age is as of now."""
+    """Return the ``TargetReport`` in a target's JSON object; its age is as of now.
+
+    Raises
+    ------
+    ValueError, KeyError, TypeError, AttributeError
+        If it isn't a report.
+    """
     return TargetReport(
-        age_s=float(fields.get("age_s", 0.0)),
-        running=int(fields["running"]),
-        slots=int(fields["slots"]),
-        uptime_s=float(fields["uptime_s"]),
-        incarnation=str(fields["incarnation"]),
-        served=int(fields["served"]),
+        age_s=checked_seconds("age_s", fields.get("age_s", 0.0), MAX_AGE_S),
+        running=checked_count("running", fields["running"], 0, MAX_COUNT),
+        slots=checked_count("slots", fields["slots"], 0, MAX_SLOTS),
+        uptime_s=checked_seconds("uptime_s", fields["uptime_s"], MAX_AGE_S),
+        incarnation=_text("incarnation", fields["incarnation"]),
+        served=checked_count("served", fields["served"], 0, MAX_COUNT),
     )
 
 
 def parse_announcement(fields):
-    """Return the ``Announcement`` in a target's JSON object."""
+    """Return the ``Announcement`` in a target's JSON object.
+
+    Raises
+    ------
+    ValueError, KeyError, TypeError, AttributeError
+        If it isn't an announcement.
+    """
     address = fields["address"]
     return Announcement(
-        incarnation=str(fields["incarnation"]),
-        slots=int(fields["slots"]),
-        address=Address(str(address["host"]), int(address["port"])),
+        incarnation=_text("incarnation", fields["incarnation"]),
+        slots=checked_count("slots", fields["slots"], 1, MAX_SLOTS),
+        address=Address(
+            _text("host", address["host"]),
+            checked_count("port", address["port"], 1, MAX_PORT),
+        ),
     )
+
+
+def _text(name, value):
+    if isinstance(value, list | dict) or not 0 < len(str(value)) <= MAX_TEXT_LENGTH:
+        raise ValueError(f"{name} must be a text of 1 to {MAX_TEXT_LENGTH} characters")
+    return str(value)
--- a/tamarackhaven/fleet/_addresses.py
+++ b/tamarackhaven/fleet/_addresses.py
@@ -5,6 +5,12 @@
 # When control VMs are replaced over months, every outdated address would be dialled in
 # each search. This holds some generations of the largest group.
 MAX_ADDRESSES = 64
+MAX_PORT = 65535
+
+
+def is_address(host, port):
+    """Whether a host and a port, as another process says them, can be dialled."""
+    return bool(host) and 0 < port <= MAX_PORT
 
 
 class KnownAddresses:
@@ -17,8 +23,13 @@
         return iter(self._addresses)
 
     def add(self, addresses):
-        """Add addresses; the least recently received are dropped at the limit."""
+        """Add addresses; the least recently received are dropped at the limit.
+
+        Those that can't be dialled are left out.
+        """
         for host, port in addresses:
+            if not is_address(host, port):
+                continue
             self._addresses[host, port] = None
             self._addresses.move_to_end((host, port))
         while len(self._addresses) > MAX_ADDRESSES:
--- a/tamarackhaven/fleet/_group_keeper.py
+++ b/tamarackhaven/fleet/_group_keeper.py
@@ -5,6 +5,7 @@
 from tamarackhaven._raft import Role
 from tamarackhaven.errors import TamarackhavenError
 from tamarackhaven.fleet import _growth
+from tamarackhaven.fleet._addresses import is_address
 from tamarackhaven.fleet._joining import JOIN_REQUEST_INTERVAL_S, GroupSearch
 from tamarackhaven.fleet._member_silence import MemberSilence
 from tamarackhaven.fleet._messages import GroupHint
@@ -76,6 +77,8 @@
             leader=status.leader,
             term=status.term,
         )
+        if not is_address(request.host, request.port):
+            return GroupHint(self.addresses)
         newcomer = _growth.Newcomer(request.name, request.host, request.port)
         self._links.set_address(request.name, request.host, request.port)
         address = (request.host, request.port)
--- a/tamarackhaven/net/_link.py
+++ b/tamarackhaven/net/_link.py
@@ -207,13 +207,20 @@
     ------
     OSError
         If the connection is refused, or not established within ``timeout_s`` seconds
-        (``TimeoutError``).
+        (``TimeoutError``), or if there can be no such address.
     """
     loop = asyncio.get_running_loop()
-    _, link = await asyncio.wait_for(
-        loop.create_connection(lambda: Link(codec, on_message, on_closed), *address),
-        timeout_s,
-    )
+    try:
+        _, link = await asyncio.wait_for(
+            loop.create_connection(
+                lambda: Link(codec, on_message, on_closed), *address
+            ),
+            timeout_s,
+        )
+    except (OverflowError, ValueError, TypeError) as error:
+        # Addresses come from other processes. An error of another kind would end the
+        # task that dials, and with it the search for a leader.
+        raise OSError(f"not an address: {error}") from error
     return link
 
 
--- a/tests/fleet/test_group_keeper.py
+++ b/tests/fleet/test_group_keeper.py
@@ -161,3 +161,14 @@
     control._membership_manager.ask_to_join(newcomer.status(), 1e9)
     assert links.asked == [{("10.0.0.7", 7)}]
     assert control._settings.lease == settings().lease
+
+
+def test_a_vm_with_an_odd_address_does_not_become_a_member():
+    # Guards against: all members dial an address that can't exist.
+    leader = FakeConsensus("10.0.0.1:7", GROUP, "10.0.0.1:7", Role.LEADER)
+    manager = make_manager(leader)
+    for port in (0, -1, 99_999):
+        manager.handle_join_request(JoinGroup("odd", "10.0.0.4", port), 1.0)
+    asyncio.run(manager.make_due_changes(1.0))
+    assert leader.steps == []
+    assert not any(port in (0, -1, 99_999) for _, port in manager.addresses)
--- a/tests/net/test_link.py
+++ b/tests/net/test_link.py
@@ -1,8 +1,10 @@
 """Probes on links between processes, and when a link is aborted."""
 
+import asyncio
+
 import pytest
 
-from tamarackhaven.net._link import Link
+from tamarackhaven.net._link import Link, dial
 
 PROBE_TIMEOUT_S = 0.75
 
@@ -68,3 +70,10 @@
     assert link.arriving_bytes == 0
     link.data_received((100).to_bytes(4, "big") + bytes(30))
     assert link.arriving_bytes == 70
+
+
+@pytest.mark.parametrize("address", [("127.0.0.1", 99_999), ("127.0.0.1", -1)])
+def test_an_address_that_cannot_exist_is_unreachable(address):
+    # Guards against: the task that looks for the leader ends on an odd address.
+    with pytest.raises(OSError, match="not an address"):
+        asyncio.run(dial(address, None, None, None))
--- a/tests/sidecar/test_control_link_search.py
+++ b/tests/sidecar/test_control_link_search.py
@@ -240,6 +240,21 @@
     run(test, two_vms())
 
 
+@pytest.mark.parametrize("odd", [("127.0.0.1", 99_999), ("", 1), ("127.0.0.1", -1)])
+def test_an_odd_address_in_a_hint_does_not_end_the_search(odd):
+    # Guards against: a daemon without a leader for good.
+    async def test(fleet):
+        vm, other = fleet.vms
+        await until(lambda: vm.reports and other.links)
+        other.links[0].send(LeaderHint(False, 1, None, (odd,)))
+        await asyncio.sleep(REPORT_INTERVAL_S)
+        vm.links[0].abort()
+        before = len(vm.reports)
+        await until(lambda: len(vm.reports) > before)
+
+    run(test, two_vms())
+
+
 PROXY_HOSTS = ("127.77.1.1",)
 CONTROL_HOST = "127.77.1.2"
 DELAY_S = 0.6
