--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -25,10 +25,10 @@
     "_fair_queue _fence_round _fetch_pace _gate _gate_messages _hedge _history "
     "_hot_keys _identify _keys _lease_holder _lease_promises _lease_times _lease_wire "
     "_ledger _limit _locate _members _model _numbers _outliers _pins _placement _plan "
-    "_raft _raft_core _raft_election _raft_follower _raft_leader _raft_log _raft_membership "
-    "_raft_messages _raft_outbox _raft_progress _raft_reads _request _resources "
-    "_retry _retry_after _rules _seams _shared_pool _state _target_loads _trace "
-    "_verify errors"
+    "_raft _raft_core _raft_election _raft_follower _raft_leader _raft_log "
+    "_raft_membership _raft_messages _raft_outbox _raft_progress _raft_reads _request "
+    "_resources _retry _retry_after _rules _seams _shared_pool _state _target_loads "
+    "_trace _verify errors"
 )
 # Modules that define or convert data and make no decisions under load.
 DATA_MODULES = _split("_codec _settings")
