Soak: stall leaders' disks and send odd heartbeats, and excuse nobody for it

**Cause:** a stalled disk of a control VM excused all daemons for its duration and 3 s more, and no run stalled the leader's on purpose: the soak couldn't show what callers saw. Nothing sent heartbeats in a target's name. **Change:** stalled disks excuse nobody; each run but those of regressions, poisons and the control group has two stalls of whoever leads, of 1 to 5 s, and six odd heartbeats of eight kinds.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,6 +31,7 @@
 from soak._faults import inject, lose_power
 from soak._fleet import DEFAULT_VMS, SoakFleet
 from soak._load import STORM_FRACTION, Caller, Operator, describe
+from soak._undisturbed import draw_undisturbing_faults
 from standin.fleet_target import PORTS
 
 REGRESSIONS = Path(__file__).with_name("regressions.toml")
@@ -75,7 +76,11 @@
     if seed in regression_seeds():
         return draw_faults(seed, seconds)
     if is_session_run(seed):
-        faults = draw_session_faults(seed, seconds) + draw_update_faults(seed, seconds)
+        faults = [
+            *draw_session_faults(seed, seconds),
+            *draw_update_faults(seed, seconds),
+            *draw_undisturbing_faults(seed, seconds),
+        ]
         return sorted(faults, key=lambda fault: fault.at_s)
     if seed % POISON_RUN_INTERVAL == 1:
         return draw_poison_run_faults(seed, seconds)
@@ -90,6 +95,7 @@
         *draw_notice_faults(seed, seconds),
         *draw_poison_faults(seed, seconds),
         *draw_answer_faults(seed, seconds),
+        *draw_undisturbing_faults(seed, seconds),
     ]
     return sorted(faults, key=lambda fault: fault.at_s)
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -307,9 +307,8 @@
 async def _(fault: StallDisk, fleet):
     control = fleet.controls[fault.selector % len(fleet.controls)]
     control.stall()
-    with fleet.records.routes.disturbed(CONTROL_GROUP):
-        await asyncio.sleep(fault.duration_s)
-        control.unstall()
+    await asyncio.sleep(fault.duration_s)
+    control.unstall()
 
 
 @inject.register
--- a/standin/fleet_target.py
+++ b/standin/fleet_target.py
@@ -66,7 +66,7 @@
         self.held_by_range = {}
         self.fence_by_key_range = {}
         self._held_until_s = 0.0
-        self._sequence = 0
+        self.sequence = 0
         self._released = []
         self._server = None
         self._heartbeats = None
@@ -81,7 +81,7 @@
     async def restart(self):
         """Start again under the same name, as another life that holds nothing."""
         self.born_ms = next(self._next_born_ms)
-        self._sequence = 0
+        self.sequence = 0
         self._released = []
         self._end_task = None
         await self.start()
@@ -108,7 +108,7 @@
             await asyncio.sleep(0.05 if more else HEARTBEAT_S)
 
     async def _send_heartbeat(self):
-        self._sequence += 1
+        self.sequence += 1
         sent_s = time.monotonic()
         if sent_s >= self._held_until_s:
             self.held_by_range = {}
@@ -124,7 +124,7 @@
             },
             "status": {
                 "state": self.state,
-                "sequence": self._sequence,
+                "sequence": self.sequence,
                 "cold_s_time": 0,
             },
             "active_holds": rows,
--- a/tests/fleet/test_odd_heartbeats.py
+++ b/tests/fleet/test_odd_heartbeats.py
@@ -1,53 +1,19 @@
 """Real processes: another writer sends one odd heartbeat in the name of a target."""
 
 import asyncio
-import json
 
 import pytest
 
-from standin.call import call
 from standin.fleet import Fleet
-from standin.fleet_target import HEARTBEAT_S, PORTS
+from standin.fleet_target import HEARTBEAT_S
+from standin.odd_heartbeat import HUGE, NESTED, NESTED_TEXT, odd_heartbeat, write
 from tests.fleet.real_fleet import run
 
 NETS = iter(range(94, 110))
 SERVICES = ("owned", "owned", "shared")
 KEYS = range(0, 65536, 4099)
-HUGE = (1 << 53) - 1
 # Longer than a target may be without an accepted heartbeat, and than its lease.
 OBSERVED_S = 4.0
-NESTED = "[" * 1020 + "]" * 1020
-
-
-def heartbeat(target, **fields):
-    """Return the body of a heartbeat in the name of ``target``, with odd fields."""
-    document = {
-        "address": f"{target.host}:1",
-        "born": target.born_ms,
-        "info": {
-            "service": target.service,
-            "version": "v1",
-            "zone": target.zone,
-            "max_concurrency": 8,
-        },
-        "status": {
-            "state": "ready",
-            "sequence": target._sequence + 1,
-            "cold_s_time": 0,
-        },
-        "active_holds": [],
-        "released": [],
-    }
-    for part in (document, document["info"], document["status"]):
-        part.update((key, fields[key]) for key in fields.keys() & part.keys())
-    return json.dumps(document).replace('"NESTED"', NESTED).encode()
-
-
-async def write(target, body, name=None, call_name="heartbeat"):
-    """Send a heartbeat or a leave to the daemon beside ``target``."""
-    path = f"/api/instances/{name or target.name}/{call_name}"
-    headers = [("Host", "x"), ("Content-Type", "application/json")]
-    return await call(target.host, PORTS["operators"], "POST", path, headers, body)
 
 
 async def served(fleet):
@@ -77,7 +43,7 @@
         if "later" in fields:
             fields["born"] = target.born_ms + fields.pop("later")
         assert (await served(fleet))[0] == len(KEYS)
-        await write(target, heartbeat(target, **fields))
+        await write(target, odd_heartbeat(target, **fields))
         await asyncio.sleep(OBSERVED_S)
         count, targets = await served(fleet)
         assert count == len(KEYS)
@@ -93,11 +59,11 @@
     async def test(fleet):
         target = fleet.targets[0]
         for name in ("service", "state", "sequence", "cold_s_time", "born"):
-            answer = await write(target, heartbeat(target, **{name: "NESTED"}))
+            answer = await write(target, odd_heartbeat(target, **{name: NESTED_TEXT}))
             assert answer.status == 400, (name, answer)
             assert len(answer.body) < 500
         for value in (1e400, float("nan"), 10**400, -1):
-            body = heartbeat(target, sequence=value, born=value)
+            body = odd_heartbeat(target, sequence=value, born=value)
             assert (await write(target, body)).status == 400
         body = f'{{"born":{NESTED}}}'.encode()
         answer = await write(target, body, "someone-else", "leave")
