--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,7 +31,7 @@
 from soak._faults import inject, lose_power
 from soak._fleet import DEFAULT_VMS, SoakFleet
 from soak._load import STORM_FRACTION, Caller, Operator, describe
-from soak._undisturbed import draw_undisturbing_faults
+from soak._undisturbed import draw_undisturbed_run_faults, draw_undisturbing_faults
 from standin.fleet_target import PORTS
 
 REGRESSIONS = Path(__file__).with_name("regressions.toml")
@@ -42,6 +42,8 @@
 POISON_RUN_INTERVAL = 4
 # One run in so many is about the control group.
 GROUP_RUN_INTERVAL = 5
+# One run in so many disturbs no daemon, and stalls whoever leads.
+UNDISTURBED_RUN_INTERVAL = 6
 # Regressions keep the control VMs with which they failed.
 REGRESSION_CONTROLS = 3
 REGRESSION_TOLERATED_LOSSES = 1
@@ -82,6 +84,8 @@
             *draw_undisturbing_faults(seed, seconds),
         ]
         return sorted(faults, key=lambda fault: fault.at_s)
+    if seed % UNDISTURBED_RUN_INTERVAL == 4:
+        return draw_undisturbed_run_faults(seed, seconds)
     if seed % POISON_RUN_INTERVAL == 1:
         return draw_poison_run_faults(seed, seconds)
     if seed % GROUP_RUN_INTERVAL == 2:
--- a/soak/_undisturbed.py
+++ b/soak/_undisturbed.py
@@ -10,6 +10,7 @@
 # Long enough for another leader to be elected, and for orders to it.
 MIN_STALL_S = 1.0
 MAX_STALL_S = 5.0
+MAX_PAUSE_S = 2.0
 ODD_HEARTBEAT_COUNT = 6
 # How another writer's heartbeat differs from the target's.
 ODD_FIELDS = (
@@ -49,6 +50,23 @@
     await write(target, odd_heartbeat(target, **rng.choice(ODD_FIELDS)))
 
 
+def draw_undisturbed_run_faults(seed, seconds):
+    """Return the faults of a run in which all daemons are in touch all the while.
+
+    Whoever leads stalls again and again, so that terms follow each other.
+    """
+    rng = random.Random(f"undisturbed run {seed}")
+    faults = []
+    at_s = 0.0
+    while at_s < seconds:
+        duration_s = round(rng.uniform(MIN_STALL_S, MAX_STALL_S), 3)
+        faults.append(StallLeader(round(at_s, 3), rng.randrange(1 << 30), duration_s))
+        odd_s = round(at_s + rng.uniform(0.0, duration_s), 3)
+        faults.append(OddHeartbeat(odd_s, rng.randrange(1 << 30), 0.0))
+        at_s += duration_s + rng.uniform(0.0, MAX_PAUSE_S)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
 def draw_undisturbing_faults(seed, seconds):
     """Return the stalls of leaders and odd heartbeats of a run.
 
--- a/standin/fleet.py
+++ b/standin/fleet.py
@@ -16,6 +16,8 @@
 from standin.process import Process
 
 BUDGET = {"slack": 100}
+# Operators try another control VM after this time without an answer.
+OPERATOR_TIMEOUT_S = 1.0
 SERVICE_BY_ROUTE = {"/owned/": "owned", "/shared/": "shared"}
 CONFIGURATION = {
     "version": "r1",
@@ -236,18 +238,20 @@
         method = "POST" if path != "/api/config/read" else "GET"
         deadline_s = time.monotonic() + timeout_s
         for host in itertools.cycle(self.control_hosts):
-            answer = await call(host, PORTS["operators"], method, path, headers, body)
+            answer = await self._order_at(host, method, path, headers, body)
             if answer.status == 307:
                 other = answer.headers["location"].split("/")[2].split(":")[0]
-                answer = await call(
-                    other, PORTS["operators"], method, path, headers, body
-                )
+                answer = await self._order_at(other, method, path, headers, body)
             if answer.status and answer.status not in (307,) and answer.status < 500:
                 return answer
             assert time.monotonic() < deadline_s, "no control VM accepted the request"
             await asyncio.sleep(0.1)
         return None
 
+    async def _order_at(self, host, method, path, headers, body):
+        port = PORTS["operators"]
+        return await call(host, port, method, path, headers, body, OPERATOR_TIMEOUT_S)
+
     async def leader(self):
         """Return the index of the leader in ``control_hosts``, or None."""
         for number, host in enumerate(self.control_hosts):
--- a/tests/fleet/moving_fleet.py
+++ b/tests/fleet/moving_fleet.py
@@ -8,15 +8,12 @@
 
 from soak._routes import RouteWatch
 from standin.call import call
-from standin.fleet import CONFIGURATION
+from standin.fleet import CONFIGURATION, OPERATOR_TIMEOUT_S
 from standin.fleet_target import PORTS
 from tests.fleet.real_fleet import ProxiedFleet
 
 MOVED_PREFIX = "/moved/"
 KEY = 7
-# Operators try another control VM after this time without an answer, and again after a
-# pause.
-OPERATOR_TIMEOUT_S = 1.0
 OPERATOR_PAUSE_S = 0.1
 REQUEST_INTERVAL_S = 0.1
 
