Search for a leader without a storm of connections while there is none

What callers saw (soak with 40 VMs of targets, beside load): after a leader was lost no other one was elected for two minutes; nothing was served. **Cause:** daemons without a leader asked all control VMs anew ten times a second, each on a new connection: 40 daemons make 400 connections a second at each of five control VMs, whose event loops then carry votes too late. The test of the search is red without the change: 12 queries in 1.2 s.

--- a/tamarackhaven/sidecar/_leader_search.py
+++ b/tamarackhaven/sidecar/_leader_search.py
@@ -8,8 +8,8 @@
 from tamarackhaven.net import dial
 from tamarackhaven.sidecar._control_session import ControlSession
 
-# All control VMs are queried again after the maximum, or after the minimum if all of
-# them have answered by then.
+# All control VMs are queried again after the maximum; those without a link after the
+# minimum if all of them have answered by then.
 MAX_SEARCH_ROUND_S = 0.7
 MIN_SEARCH_ROUND_S = 0.1
 # A congested link delays a query and its answer by seconds.
@@ -55,6 +55,7 @@
         self._known_addresses = KnownAddresses()
         self._watched_by_address = {}
         self._watched_s = float("-inf")
+        self._queried_all_s = float("-inf")
         # The control VM that has just announced, on a watched link, that it leads.
         self._announced = None
         self._leader_announced = asyncio.Event()
@@ -109,7 +110,9 @@
             return found
         try:
             while found is None:
-                round_queries = {self._start_query(each) for each in self.addresses}
+                round_queries = {
+                    self._start_query(each) for each in self._addresses_to_query()
+                }
                 queries |= round_queries
                 found = await self._first_session(
                     queries, round_queries, former, answer_received
@@ -118,6 +121,19 @@
             self._end_search(queries, round_queries)
         return found
 
+    def _addresses_to_query(self):
+        """Return the addresses to query in a round of the search.
+
+        Control VMs with a link say on it when they know a leader. If all daemons
+        queried them several times a second while there is none, the new connections
+        could take the processor time that an election needs.
+        """
+        now = boot_s()
+        if now - self._queried_all_s >= MAX_SEARCH_ROUND_S:
+            self._queried_all_s = now
+            return self.addresses
+        return [each for each in self.addresses if each not in self._watched_by_address]
+
     def _start_query(self, address):
         return asyncio.get_running_loop().create_task(self._query(address))
 
--- a/tests/sidecar/test_control_link_search.py
+++ b/tests/sidecar/test_control_link_search.py
@@ -22,6 +22,7 @@
     REPORT_TIMEOUT_S,
     ControlLink,
 )
+from tamarackhaven.sidecar._leader_search import MAX_SEARCH_ROUND_S
 
 HOSTS = ("127.77.0.1", "127.77.0.2")
 OBSERVATION_S = 1.2
@@ -205,6 +206,19 @@
     run(test, two_vms())
 
 
+def test_a_daemon_without_a_leader_does_not_query_control_vms_without_a_pause():
+    # Guards against: the connections of all daemons take the processor time that an
+    # election needs, and the group stays without a leader.
+    async def test(fleet):
+        await asyncio.sleep(OBSERVATION_S)
+        for vm in fleet.vms:
+            assert 1 <= len(vm.links) <= 1 + OBSERVATION_S / MAX_SEARCH_ROUND_S
+        fleet.vms[0].links[-1].send(LeaderHint(True, 1, None, ()))
+        await until(lambda: fleet.vms[0].reports)
+
+    run(test, [ControlVm(host, is_leader=False) for host in HOSTS])
+
+
 def test_a_late_answer_of_a_former_leader_does_not_keep_its_daemons():
     # Guards against: a daemon goes back to a leader that has been replaced, as that is
     # the first to answer its search.
