--- a/review/lab2/backend.py
+++ b/review/lab2/backend.py
@@ -51,16 +51,20 @@
         self.clock_offset_s = 0.0
         # Further seconds before the next heartbeat is sent.
         self.next_beat_late_s = 0.0
+        self.last_beat_s = float("-inf")
         # When the heartbeat before a late one was sent, None without one.
         self.late_since_s = None
         self.holds = {}
         self.hold_until_s = float("-inf")
+        # Until when it is slow and bears little.
+        self.cold_until_s = float("-inf")
         self._fence_by_key_range = []
         self._released = []
         self._working = {}
         self._sequence = 0
         self._free = None
         self._server = None
+        self._heartbeats = None
         self._tasks = set()
         self._writers = set()
 
@@ -79,11 +83,12 @@
         self.holds, self.hold_until_s = {}, float("-inf")
         self._fence_by_key_range, self._released, self._working = [], [], {}
         self._sequence = 0
+        self.cold_until_s = float("-inf")
         self._free = asyncio.Semaphore(self.slots)
         self._server = await asyncio.start_server(self._serve, *self.address)
         self.is_up = True
         self.record.line("backend starts", backend=self.name, born=self.born_ms)
-        self._start(self._send_heartbeats())
+        self._heartbeats = self._start(self._send_heartbeats())
 
     async def crash(self):
         """End the life without a word."""
@@ -175,9 +180,14 @@
                 self.record.line("heartbeat is late", backend=self.name, late_s=late_s)
             await asyncio.sleep(pause_s + late_s)
 
+    def stop_heartbeats(self):
+        """Send no more heartbeats, as a backend that has called to leave."""
+        self._heartbeats.cancel()
+
     def beat(self):
         """Return the document of the next heartbeat."""
         self._sequence += 1
+        self.last_beat_s = time.monotonic()
         document = {
             "address": f"{self.address[0]}:{self.address[1]}",
             "born": self.born_ms,
@@ -190,7 +200,7 @@
             "status": {
                 "state": self.state,
                 "sequence": self._sequence,
-                "cold_s_time": 0,
+                "cold_s_time": round(max(self.cold_until_s - time.monotonic(), 0.0), 3),
             },
         }
         if self.sharded:
@@ -254,9 +264,12 @@
         method, path, _ = request.first.split()
         attempt = request.get("tamarackhaven-attempt-id")
         if path == "/health":
-            return self._reply(
-                "200 OK", "", b"", [("Tamarackhaven-Instance-Id", self.name)]
-            )
+            cold_ms = max(self.cold_until_s - time.monotonic(), 0.0) * 1000
+            headers = [
+                ("Tamarackhaven-Instance-Id", self.name),
+                ("Tamarackhaven-Cold-Ms", str(int(cold_ms))),
+            ]
+            return self._reply("200 OK", "", b"", headers)
         key = int(request.get("tamarackhaven-shard-key", "-1"))
         expected = request.get("tamarackhaven-expected-instance", self.name)
         now = time.monotonic()
@@ -291,6 +304,7 @@
             await asyncio.sleep(min(work_s, max(left_s, 0.0)))
         finally:
             self._working[key] -= 1
+        self.record.ended_runs.add(attempt)
         if work_s > left_s:
             self.record.line("run ended", status=504, **fields)
             return self._reply("504 Gateway Timeout", attempt, b"")
--- a/review/lab2/fleet.py
+++ b/review/lab2/fleet.py
@@ -116,6 +116,8 @@
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._rng = random.Random(7)
         self._attempts = itertools.count(1)
+        # Number of the daemon to which each request was sent.
+        self.machine_by_attempt = {}
         self.version = 0
         count = sum(each.count for each in services)
         suffixes = [f"{kind}.{n}" for kind in (1, 2) for n in range(1, 40)]
@@ -309,6 +311,7 @@
     async def request(self, at, service, key=None, deadline_s=2.0, record=True):
         """Send a request to the daemon number ``at``; return its answer or None."""
         attempt = f"{next(self._attempts):016x}"
+        self.machine_by_attempt[attempt] = at
         kind = next(each.kind for each in self.services if each.name == service)
         method = "GET" if kind == "safe" else "POST"
         headers = [
--- a/review/lab2/record.py
+++ b/review/lab2/record.py
@@ -17,8 +17,11 @@
         self._file = path.open("w")
         self._started_s = time.monotonic()
         self.begun_runs = []
+        self.ended_runs = set()
         self.on_begun = lambda backend, key: None
+        self.on_begun_attempt = lambda backend, attempt: None
         self.on_taken = lambda backend, ranges: None
+        self.on_arrived = lambda backend: None
 
     @property
     def now(self):
@@ -34,13 +37,15 @@
         self._file.write(f"{self.now:8.3f} {event} {text}\n")
 
     def arrived(self, backend, attempt, key, fields):
-        """Record that a request has reached a backend."""
+        """Record that a request that isn't rejected has reached a backend."""
+        self.on_arrived(backend)
 
     def begun(self, backend, attempt, key, fields):
         """Record that a backend begins to work on a request."""
         self.begun_runs.append((self.now, backend, backend.name, attempt, key))
         self.line("run begun", **fields)
         self.on_begun(backend, key)
+        self.on_begun_attempt(backend, attempt)
 
     def taken(self, backend, ranges):
         """Record that a backend holds ranges that it didn't hold before."""
