--- a/review/lab2/forgotten_leave.py
+++ b/review/lab2/forgotten_leave.py
@@ -1,4 +1,4 @@
-"""Case: many processes are killed at once, right after a backend said that it leaves."""
+"""Case: many processes are killed at once, after a backend said that it leaves."""
 
 import asyncio
 import sys
