--- a/review/lab2/backend.py
+++ b/review/lab2/backend.py
@@ -61,6 +61,7 @@
         self._fence_by_key_range = []
         self._released = []
         self._working = {}
+        self._attempts = set()
         self._sequence = 0
         self._free = None
         self._server = None
@@ -159,6 +160,10 @@
         """Return the keys of the requests that it runs."""
         return [key for key, count in self._working.items() if count]
 
+    def attempts_at_work(self):
+        """Return the ids of the requests that it runs."""
+        return sorted(self._attempts)
+
     def _rows(self):
         """Return what it holds or still works on, for a heartbeat."""
         rows = {(first, last): fence for first, last, fence in self.held()}
@@ -298,12 +303,14 @@
     async def _run(self, request, attempt, key, deadline_s, fields):
         self.record.begun(self, attempt, key, fields)
         self._working[key] = self._working.get(key, 0) + 1
+        self._attempts.add(attempt)
         try:
             work_s = self.work_s()
             left_s = deadline_s - time.monotonic()
             await asyncio.sleep(min(work_s, max(left_s, 0.0)))
         finally:
             self._working[key] -= 1
+            self._attempts.discard(attempt)
         self.record.ended_runs.add(attempt)
         if work_s > left_s:
             self.record.line("run ended", status=504, **fields)
