--- a/review/lab2/large_body.py
+++ b/review/lab2/large_body.py
@@ -1,4 +1,4 @@
-"""Case: a client sends some bodies of 30 MB, half of what the configuration allows."""
+"""Case: clients of one machine upload bodies of 4 MB, one after the other."""
 
 import asyncio
 import sys
@@ -11,14 +11,15 @@
 
 # Of a sidecar process, by the site file. The configuration allows 67,108,864 bytes.
 MEMORY_MB = 300
-LARGE_BODY_BYTES = 30_000_000
+LARGE_BODY_BYTES = 4_000_000
 USUAL_BODY_BYTES = 60_000
-BODIES = 8
+UPLOADERS = 12
+BODIES_EACH = 15
 MAX_CUT = 3
 
 
 async def scenario(record, has_trouble):
-    """Upload bodies one after the other, beside the usual traffic."""
+    """Upload bodies beside the usual traffic."""
     fleet = Fleet(
         [
             Service("vault", 2, False, "upload", lambda: 0.19),
@@ -34,10 +35,10 @@
         tasks = [asyncio.create_task(each.run()) for each in (limit, *clients)]
         await asyncio.sleep(4.0)
         size = LARGE_BODY_BYTES if has_trouble else USUAL_BODY_BYTES
-        for number in range(BODIES):
-            await _upload(fleet, record, size, f"u{number:015x}")
-            if limit.killed:
-                break
+        uploads = [
+            _upload_in_turn(fleet, record, size, n, limit) for n in range(UPLOADERS)
+        ]
+        await asyncio.gather(*uploads)
         await asyncio.sleep(6.0)
         record.line("peak memory", mb=limit.peak_mb_by_name)
         begun = {attempt for _, _, _, attempt, _ in record.begun_runs}
@@ -58,6 +59,14 @@
         await fleet.stop()
 
 
+async def _upload_in_turn(fleet, record, size, client, limit):
+    """Send bodies, each once the one before is answered."""
+    for number in range(BODIES_EACH):
+        if limit.killed:
+            return
+        await _upload(fleet, record, size, f"u{client:07x}{number:08x}")
+
+
 async def _upload(fleet, record, size, attempt):
     headers = [
         ("Host", HOST),
