--- a/review/lab2/forgotten_leave.py
+++ b/review/lab2/forgotten_leave.py
@@ -8,11 +8,11 @@
 from review.lab2.fleet import BOUNDS, CannotRunError, Fleet, Service
 
 DOWN_S = 0.8
-LATE_BEAT_S = 2.5
+LATE_BEAT_S = 3.0
 CONTACT_S = BOUNDS["contact_s"]
 DRAIN_S = BOUNDS["drain_deadline_s"]
 # How long the backend goes on serving after its call to leave was acknowledged.
-SERVES_ON_S = 5.5
+SERVES_ON_S = 6.0
 
 
 class DrainWatch:
