Let only the target itself, or two heartbeats, end a life whose heartbeat is late

Its keys were given to others at once, while it still held them for up to 3.6 s: two owners for over 0.5 s. **Cause:** one heartbeat with a later start ended the known life as soon as that owed one, and the end of a life revokes its lease. One that names another target than the known one, or the first one, counts only if the target gives that name when it is asked by a health check. The stand-in's odd heartbeats named a port that no target has; with the check of the address that alone would refuse them, so they name the target's, and are as hard as before.

--- a/standin/fleet_target.py
+++ b/standin/fleet_target.py
@@ -61,6 +61,10 @@
         # Returns after how many seconds a request ends the target, None if it doesn't.
         self.ends_under = lambda started: None
         self.on_ended = lambda target: None
+        # Until when it's cold, and how late its next heartbeat is, in seconds.
+        self.cold_until_s = 0.0
+        self.next_heartbeat_late_s = 0.0
+        self.health_checks = 0
         self.ran = []
         self.begun = []
         self.held_by_range = {}
@@ -102,10 +106,16 @@
             first <= key <= last for first, last in self.held_by_range
         )
 
+    @property
+    def cold_s(self):
+        """For how many more seconds it's cold."""
+        return max(self.cold_until_s - time.monotonic(), 0.0)
+
     async def _send_heartbeats_forever(self):
         while True:
             more = await self._send_heartbeat()
-            await asyncio.sleep(0.05 if more else HEARTBEAT_S)
+            late_s, self.next_heartbeat_late_s = self.next_heartbeat_late_s, 0.0
+            await asyncio.sleep((0.05 if more else HEARTBEAT_S) + late_s)
 
     async def _send_heartbeat(self):
         self.sequence += 1
@@ -125,7 +135,7 @@
             "status": {
                 "state": self.state,
                 "sequence": self.sequence,
-                "cold_s_time": 0,
+                "cold_s_time": self.cold_s,
             },
             "active_holds": rows,
             "released": self._released,
@@ -220,6 +230,9 @@
     async def _answer(self, line, headers, body):
         attempt = headers.get(ATTEMPT_ID, "")
         key = int(headers.get("tamarackhaven-shard-key", -1))
+        if line.startswith("GET /health "):
+            self.health_checks += 1
+            return self._health(attempt)
         self.on_arrival(attempt)
         misdirected = headers.get("tamarackhaven-expected-instance") != self.name
         if misdirected or (self.service == "owned" and not self.holds(key)):
@@ -239,6 +252,15 @@
             b"Tamarackhaven-Response-Signature: s\r\n%sContent-Length: %d\r\n\r\n%s"
         ) % (attempt.encode(), self._notice_headers(), len(text), text)
 
+    def _health(self, attempt):
+        """Return the answer to a health check, which echoes its id."""
+        return (
+            f"HTTP/1.1 200 OK\r\nTamarackhaven-Attempt-Id: {attempt}\r\n"
+            f"Tamarackhaven-Instance-Id: {self.name}\r\n"
+            f"Tamarackhaven-Cold-Ms: {int(1000 * self.cold_s)}\r\n"
+            "Content-Length: 0\r\n\r\n"
+        ).encode()
+
     def _notice_headers(self):
         """Return the headers with which it reports its limit and that it leaves."""
         limit, leaving = self.limit_text, self.is_announced
--- a/standin/odd_heartbeat.py
+++ b/standin/odd_heartbeat.py
@@ -3,7 +3,7 @@
 import json
 
 from standin.call import call
-from standin.fleet_target import PORTS
+from standin.fleet_target import PORTS, TARGET_PORT
 
 HUGE = (1 << 53) - 1
 NESTED_TEXT = "NESTED"
@@ -13,10 +13,10 @@
 def odd_heartbeat(target, **fields):
     """Return the body of a heartbeat of ``target`` with other values of some fields.
 
-    The value ``NESTED_TEXT`` stands for deeply nested lists.
+    The value ``NESTED_TEXT`` stands for deeply nested lists, and None for no field.
     """
     document = {
-        "address": f"{target.host}:1",
+        "address": f"{target.host}:{TARGET_PORT}",
         "born": target.born_ms,
         "info": {
             "service": target.service,
@@ -34,6 +34,8 @@
     }
     for part in (document, document["info"], document["status"]):
         part.update((key, fields[key]) for key in fields.keys() & part.keys())
+        for key in [key for key, value in part.items() if value is None]:
+            del part[key]
     return json.dumps(document).replace(f'"{NESTED_TEXT}"', NESTED).encode()
 
 
--- a/tamarackhaven/sidecar/__init__.py
+++ b/tamarackhaven/sidecar/__init__.py
@@ -9,6 +9,7 @@
     CallerRequest,
     Dialect,
     TargetCall,
+    TargetHealth,
     TargetNotice,
     Verdict,
 )
@@ -25,6 +26,7 @@
     "OrderEnd",
     "ReleaseOrder",
     "TargetCall",
+    "TargetHealth",
     "TargetNotice",
     "Verdict",
 ]
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -24,6 +24,7 @@
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._control_link import ControlLink
 from tamarackhaven.sidecar._end_notices import EndNotices
+from tamarackhaven.sidecar._health_checks import HealthChecks
 from tamarackhaven.sidecar._heartbeat_order import Order
 from tamarackhaven.sidecar._inbound import Inbound
 from tamarackhaven.sidecar._key_calls import KeyCalls
@@ -78,6 +79,7 @@
         self.state = TargetState(settings, host, port)
         client = TargetClient(*split(settings.target))
         self.suspects = KnownSuspects()
+        self._health_checks = HealthChecks(client, dialect, self._health_path, metrics)
         self.inbound = Inbound(
             settings,
             self.state,
@@ -377,11 +379,40 @@
 
     # Target.
 
-    def heartbeat(self, beat):
+    def _health_path(self):
+        """Return the path of the target's health check, None if it isn't known."""
+        if self.view.table is None:
+            return None
+        service = self.view.table.service_by_name.get(self.settings.service)
+        return service.health_path if service is not None else None
+
+    async def heartbeat(self, beat):
         """Apply a heartbeat of the target; return its ``HeartbeatReply``."""
+        named = await self._ask_name(beat) if self.state.needs_proof(beat) else None
+        return self._apply_heartbeat(beat, named)
+
+    async def _ask_name(self, beat):
+        """Return the name that the target gives after a heartbeat, None without one.
+
+        A heartbeat that names another target than the known one ends that one's life.
+        It may come from another writer, or late from a target of before.
+        """
+        known_life = self.state.life
+        checked = await self._health_checks.ask()
+        named = checked.health.name if checked is not None else None
+        self.log.say(
+            "target asked for its name",
+            name=beat.name,
+            born_ms=beat.born_ms,
+            named=named,
+            known_life=known_life,
+        )
+        return named
+
+    def _apply_heartbeat(self, beat, named):
         before = self.state.target(boot_s())
         order = self.state.heartbeat_order(beat, boot_s())
-        reply = self.state.apply_heartbeat(beat, boot_s())
+        reply = self.state.apply_heartbeat(beat, boot_s(), named)
         self._record_order(beat, order)
         if before is not None and before.life != self.state.life:
             self.inbound.ends.life_ended(before.life, "next life")
@@ -404,9 +435,9 @@
 
     def _record_order(self, beat, order):
         """Count and log a heartbeat that isn't simply the next one of its target."""
-        if order is Order.NEWER:
-            return
         taken = self.state.heartbeat is beat
+        if order is Order.NEWER and taken:
+            return
         self.metrics.count(
             "tamarackhaven_heartbeats_out_of_order_total",
             order=order.value,
@@ -421,7 +452,7 @@
             born_ms=beat.born_ms,
             sequence=beat.sequence,
             known_life=self.state.life,
-            known_sequence=known.sequence,
+            known_sequence=known.sequence if known is not None else None,
         )
 
     def reject_heartbeat(self, error):
@@ -443,6 +474,8 @@
             self.log.say("leave of another life", name=name, born_ms=born_ms)
 
     def _on_target_end(self, life, requests):
+        if life == self.state.life:
+            self.state.suspect_end()
         digests = [each.digest for each in requests]
         self.suspects.record_end(life, digests, boot_s())
         self._end_notices.announce(life, digests)
--- a/tamarackhaven/sidecar/_dialect.py
+++ b/tamarackhaven/sidecar/_dialect.py
@@ -97,6 +97,22 @@
     body: bytes
 
 
+@attrs.frozen
+class TargetHealth:
+    """What a target says of itself in the reply to a health check.
+
+    Parameters
+    ----------
+    name : str
+        Its name, empty if it gave none.
+    cold_s : float
+        For how many more seconds it is cold, 0 if it isn't.
+    """
+
+    name: str = ""
+    cold_s: float = 0.0
+
+
 class Dialect(abc.ABC):
     """Reads and writes the headers and calls of one deployment."""
 
@@ -126,6 +142,14 @@
     def read_notice(self, headers):
         """Return the ``TargetNotice`` in the headers of a target's reply."""
 
+    @abc.abstractmethod
+    def health_call(self, path, check_id):
+        """Return the ``TargetCall`` of a health check; ``check_id`` is unique."""
+
+    @abc.abstractmethod
+    def read_health(self, reply):
+        """Return the ``TargetHealth`` in a ``Reply`` to a health check."""
+
     @abc.abstractmethod
     def refusal(self, error):
         """Return the ``HttpResponse`` for a ``TamarackhavenError``."""
--- a/tamarackhaven/sidecar/_heartbeat_order.py
+++ b/tamarackhaven/sidecar/_heartbeat_order.py
@@ -3,8 +3,13 @@
 Heartbeats come late, and other writers send them in a target's name. If each one that
 looked newer were taken, a single one with an order number or a start that is far ahead
 would make all later ones of the target look old, and its keys would be lost to it. So
-one heartbeat alone neither ends a life that sends heartbeats, nor skips far ahead; and
-those that look old are taken if they go on while no newer ones come.
+one heartbeat alone neither ends a life, nor skips far ahead; and those that look old
+are taken if they go on while no newer ones come.
+
+The end of a life is believed without a wait if something else than the heartbeat shows
+it: the target names itself otherwise when it's asked, or has broken off its
+connections. Otherwise a target whose own heartbeat is late would lose its keys to
+others while it still holds them.
 """
 
 import enum
@@ -21,6 +26,9 @@
 # intervals, and no newer one does.
 MIN_RUN_LENGTH = 3
 MIN_RUN_INTERVALS = 2
+# Those of a later life, if nothing else shows that the known one has ended.
+MIN_LATER_LIFE_LENGTH = 2
+MIN_LATER_LIFE_INTERVALS = 0.5
 
 
 class Order(enum.Enum):
@@ -88,13 +96,18 @@
         self._last = None
         self._step = 0
         self._run = None
+        self._may_have_ended = False
 
     def forget(self):
         """Take the next heartbeat, whatever it is: the life before it has ended."""
         self._last = None
         self._run = None
 
-    def accepts(self, heartbeat, now):
+    def suspect_end(self):
+        """Record that the known life seems to have ended."""
+        self._may_have_ended = True
+
+    def accepts(self, heartbeat, now, named=None):
         """Whether a heartbeat is to be taken.
 
         Parameters
@@ -103,8 +116,14 @@
             As received.
         now : float
             Seconds of the boot clock.
+        named : str or None
+            Name that the target gave when it was asked after that, None if it gave
+            none. A later life may have the same name.
         """
         received = _Received(heartbeat, now)
+        is_other = self._last is None or heartbeat.name != self._last.heartbeat.name
+        if is_other and named is not None:
+            return named == heartbeat.name and self._accept(received)
         if self._last is None:
             return self._accept(received)
         order = self.compare(heartbeat, now)
@@ -135,6 +154,7 @@
     def _accept(self, received):
         self._last = received
         self._run = None
+        self._may_have_ended = False
         return True
 
     def _is_due(self, now):
@@ -152,14 +172,20 @@
 
         No newer one has come since it began, as that would have ended it.
         """
+        if order is Order.LATER_LIFE and self._may_have_ended:
+            return True
         if not self._is_due(now):
             return False
         if order is Order.LATER_LIFE:
-            return True
+            return self._has_run(MIN_LATER_LIFE_LENGTH, MIN_LATER_LIFE_INTERVALS, now)
         if order is Order.AHEAD:
             return self._run.length > 1
+        return self._has_run(MIN_RUN_LENGTH, MIN_RUN_INTERVALS, now)
+
+    def _has_run(self, min_length, min_intervals, now):
+        """Whether the run has so many heartbeats, over so many intervals."""
         run_s = now - self._run.first.at_s
         return (
-            self._run.length >= MIN_RUN_LENGTH
-            and run_s >= MIN_RUN_INTERVALS * self._heartbeat_s
+            self._run.length >= min_length
+            and run_s >= min_intervals * self._heartbeat_s
         )
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -47,6 +47,8 @@
         How much longer it's slow after its start, in seconds.
     holds, releases : tuple of Hold, tuple of Release
         Keys that it holds, and keys that it has released.
+    address : str
+        Host and port at which it accepts requests.
     """
 
     name: str
@@ -59,6 +61,7 @@
     cold_s: float = 0.0
     holds: tuple[Hold, ...] = ()
     releases: tuple[Release, ...] = ()
+    address: str = ""
 
 
 class TargetState:
@@ -97,11 +100,19 @@
 
     # Heartbeats.
 
-    def apply_heartbeat(self, beat, now):
-        """Apply a heartbeat; return its ``HeartbeatReply``."""
+    def needs_proof(self, beat):
+        """Whether a heartbeat names another target than the known one, if any."""
+        return self.heartbeat is None or beat.name != self.heartbeat.name
+
+    def apply_heartbeat(self, beat, now, named=None):
+        """Apply a heartbeat; return its ``HeartbeatReply``.
+
+        ``named`` is the name that the target gave when it was asked after this
+        heartbeat was received, None if it gave none.
+        """
         order = self._order.compare(beat, now)
-        if not self._accept(beat, now):
-            if order is Order.LATER_LIFE:
+        if not self._accept(beat, now, named):
+            if order is Order.LATER_LIFE and named in (None, beat.name):
                 self._expect_later_life(beat, now)
             return HeartbeatReply()
         self.heartbeat = beat
@@ -136,13 +147,13 @@
             self._hold_orders = orders
             self._keys = None
 
-    def _accept(self, beat, now):
+    def _accept(self, beat, now, named):
         """Return whether a heartbeat is of the running life, and newer.
 
         One of another life ends the current life, since two processes can't listen on
         one address.
         """
-        if not self._order.accepts(beat, now):
+        if not self._order.accepts(beat, now, named):
             return False
         known = self.heartbeat
         if known is not None and not _is_life(known, beat.name, beat.born_ms):
@@ -153,6 +164,14 @@
         """Return the ``Order`` of a heartbeat after the newest one that was taken."""
         return self._order.compare(beat, now)
 
+    def suspect_end(self):
+        """Record that the target has broken off its connections and listens no more.
+
+        It may only be leaving, so its keys stay its own. But a heartbeat of a later
+        life needs no other proof from now on.
+        """
+        self._order.suspect_end()
+
     def end(self):
         """End the current life, which is known not to run any more."""
         self._order.forget()
--- a/tests/fleet/test_odd_heartbeats.py
+++ b/tests/fleet/test_odd_heartbeats.py
@@ -53,6 +53,47 @@
     run(test, (tmp_path, SERVICES, next(NETS)), Fleet)
 
 
+LATE_S = 1.0
+
+
+@pytest.mark.parametrize(
+    ("name", "fields"),
+    [
+        ("i-other", {"address": None}),
+        ("i-other", {"address": "10.0.0.9:8080"}),
+        ("i-other", {"zone": "elsewhere"}),
+        ("i-other", {"version": None}),
+        ("i-other", {}),
+        (None, {}),
+    ],
+    ids=str,
+)
+def test_one_heartbeat_ends_no_life_whose_own_is_late(tmp_path, name, fields):
+    # Guards against: one heartbeat of another writer gives away keys that the target
+    # beside the daemon still holds.
+    async def test(fleet):
+        target = fleet.targets[0]
+        assert (await served(fleet))[0] == len(KEYS)
+        held = dict(target.held_by_range)
+        target.next_heartbeat_late_s = LATE_S
+        await fleet.until(lambda: is_late(target))
+        await asyncio.sleep(HEARTBEAT_S + 0.4 * LATE_S)
+        later = {"born": target.born_ms + 1, "sequence": 1} | fields
+        await write(target, odd_heartbeat(target, **later), name)
+        await asyncio.sleep(OBSERVED_S)
+        assert target.held_by_range == held
+        count, targets = await served(fleet)
+        assert count == len(KEYS)
+        assert target.name.encode() in targets
+
+    run(test, (tmp_path, SERVICES, next(NETS)), Fleet)
+
+
+async def is_late(target):
+    """Whether the target waits for longer than usual before its next heartbeat."""
+    return not target.next_heartbeat_late_s
+
+
 def test_entries_that_cannot_be_read_are_refused_and_change_nothing(tmp_path):
     # Guards against: an entry with deeply nested lists, or a number that is too large,
     # ends in an internal error.
--- a/tests/platform_adapter/test_wire_documents.py
+++ b/tests/platform_adapter/test_wire_documents.py
@@ -153,6 +153,21 @@
     assert heartbeat.releases == (Release(4096, 8191, "token"),)
 
 
+@pytest.mark.parametrize("path", [("address",), ("info", "version"), ("info", "zone")])
+@pytest.mark.parametrize("value", [..., 7, None, []])
+def test_a_heartbeat_that_names_no_target_is_refused(path, value):
+    # Guards against: a heartbeat of another writer, with fields missing or of another
+    # type, counts as one of the target.
+    document = json.loads(json.dumps(HEARTBEAT))
+    parent = document if len(path) == 1 else document[path[0]]
+    parent.pop(path[-1], None)
+    if value is not ...:
+        parent[path[-1]] = value
+    with pytest.raises(TamarackhavenError) as caught:
+        read_heartbeat("i-1", json.dumps(document).encode())
+    assert caught.value.kind is ErrorKind.INVALID_RESOURCE
+
+
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
     lambda inner: (
@@ -163,7 +178,9 @@
 )
 PATHS = [
     ("born",),
+    ("address",),
     ("info",),
+    ("info", "version"),
     ("status",),
     ("info", "service"),
     ("info", "zone"),
--- a/tests/sidecar/test_heartbeat_order.py
+++ b/tests/sidecar/test_heartbeat_order.py
@@ -10,8 +10,8 @@
 HUGE = (1 << 53) - 1
 
 
-def make_heartbeat(sequence, born_ms=1):
-    return Heartbeat("i", born_ms, "s", "z", 4, TargetPhase.READY, sequence)
+def make_heartbeat(sequence, born_ms=1, name="i"):
+    return Heartbeat(name, born_ms, "s", "z", 4, TargetPhase.READY, sequence)
 
 
 class Target:
@@ -86,6 +86,40 @@
     assert not target.accepts(9, born_ms=1, after_s=1.6)
 
 
+def test_one_heartbeat_of_a_later_life_ends_no_life_whose_own_is_late(target):
+    # Guards against: one heartbeat of another writer gives away keys that are held.
+    assert not target.accepts(1, born_ms=2, after_s=1.5)
+    assert target.accepts(target.sequence + 1, after_s=2.0)
+    assert not target.accepts(2, born_ms=2, after_s=2.2)
+
+
+@pytest.mark.parametrize(("named", "is_taken"), [("j", True), ("i", False)])
+def test_a_target_that_says_its_name_decides_which_life_runs(target, named, is_taken):
+    # Guards against: another writer's heartbeats end a life that names itself.
+    later = make_heartbeat(1, born_ms=2, name="j")
+    taken = [
+        target.order.accepts(later, target.now + after_s, named)
+        for after_s in (0.1, 2.0, 4.0)
+    ]
+    assert taken[0] is is_taken
+    assert any(taken) is is_taken
+
+
+def test_a_first_heartbeat_counts_only_if_the_target_has_that_name():
+    # Guards against: a daemon that has restarted takes a late heartbeat of a target
+    # that ran before.
+    order = HeartbeatOrder(HEARTBEAT_S)
+    assert not order.accepts(make_heartbeat(5, name="former"), 100.0, "i")
+    assert order.accepts(make_heartbeat(5), 100.1, "i")
+
+
+def test_a_target_that_broke_off_its_connections_needs_no_further_proof(target):
+    # Guards against: after a crash keys wait for one heartbeat longer than they must.
+    target.order.suspect_end()
+    assert target.accepts(1, born_ms=2, after_s=0.1)
+    assert not target.accepts(1, born_ms=3, after_s=1.5)
+
+
 def test_a_life_whose_clock_was_set_back_is_taken_if_it_goes_on(target):
     target.sequence = 0
     assert [target.beat(born_ms=0) for _ in range(4)] == [False, False, True, True]
--- a/tests/sidecar/test_target_state.py
+++ b/tests/sidecar/test_target_state.py
@@ -41,6 +41,13 @@
     return LeaseGrant(1, GrantId(term, number), lease_s, state.life, rows)
 
 
+def start_later_life(state, born_ms, now):
+    """Apply the first heartbeats of a later life under the same name."""
+    state.apply_heartbeat(make_heartbeat(1, born_ms=born_ms), now - 1.0)
+    assert state.heartbeat.born_ms != born_ms
+    return state.apply_heartbeat(make_heartbeat(2, born_ms=born_ms), now)
+
+
 @pytest.fixture
 def state():
     state = TargetState(SETTINGS, "10.0.0.1", 7000)
@@ -77,7 +84,7 @@
 
 def test_a_grant_to_another_life_is_not_passed_to_the_target(state):
     state.apply_grant(grant(state), requested_s=10.0)
-    reply = state.apply_heartbeat(make_heartbeat(1, born_ms=2), 11.0)
+    reply = start_later_life(state, 2, 12.0)
     assert reply.ranges is None
     assert state.ended_lives == ["i@1@10.0.0.1:7000"]
 
@@ -120,11 +127,11 @@
 
 def test_a_late_leave_of_a_former_life_with_the_same_name_is_ignored(state):
     # Guards against: a target that started again under its name gets nothing for good.
-    state.apply_heartbeat(make_heartbeat(born_ms=5), 11.0)
-    assert not state.leave("i", 1, 11.5)
-    assert state.accepts_new(False, 11.6)
-    assert state.leave("i", 5, 12.0)
-    assert not state.accepts_new(False, 12.1)
+    start_later_life(state, 5, 12.0)
+    assert not state.leave("i", 1, 12.5)
+    assert state.accepts_new(False, 12.6)
+    assert state.leave("i", 5, 13.0)
+    assert not state.accepts_new(False, 13.1)
 
 
 @pytest.mark.parametrize(
@@ -146,14 +153,14 @@
     assert not state.leave_life(life, 11.5)
     state.apply_heartbeat(make_heartbeat(sequence=9), 12.0)
     assert state.leaving_since_s == 11.0
-    state.apply_heartbeat(make_heartbeat(born_ms=2), 13.0)
-    assert state.accepts_new(False, 13.0)
+    start_later_life(state, 2, 14.0)
+    assert state.accepts_new(False, 14.0)
 
 
 def test_a_later_life_has_no_limit(state):
     state.limit.record(TargetNotice(2.0), 10.0, 10.1)
     assert state.target(10.2).limit_per_s == 2.0
-    state.apply_heartbeat(make_heartbeat(born_ms=2), 13.0)
+    start_later_life(state, 2, 13.0)
     assert state.target(13.0).limit_per_s is None
 
 
