Acknowledge that a target leaves once the control group has recorded it

Those that it ran when it exited were lost. **Cause:** the daemon acknowledged from its memory, the leader knew it in its own; after both were gone, a late heartbeat that says `ready` made the target one that is ready. The same for a heartbeat that says `draining`. **Change:** the lives that leave are in the replicated state. A leader takes a target that the state lists for one that leaves, whatever its daemon reports.

--- a/standin/fleet_target.py
+++ b/standin/fleet_target.py
@@ -118,12 +118,15 @@
             await asyncio.sleep((0.05 if more else HEARTBEAT_S) + late_s)
 
     async def _send_heartbeat(self):
-        self.sequence += 1
         sent_s = time.monotonic()
-        if sent_s >= self._held_until_s:
+        return await self._post("heartbeat", self._next_heartbeat(), sent_s)
+
+    def _next_heartbeat(self):
+        self.sequence += 1
+        if time.monotonic() >= self._held_until_s:
             self.held_by_range = {}
         rows = [[*keys, fence] for keys, fence in self.held_by_range.items()]
-        document = {
+        return {
             "address": f"{self.host}:{TARGET_PORT}",
             "born": self.born_ms,
             "info": {
@@ -140,7 +143,6 @@
             "active_holds": rows,
             "released": self._released,
         }
-        return await self._post("heartbeat", document, sent_s)
 
     async def _post(self, action, document, sent_s):
         """Send a heartbeat or leave request; return whether holds were released.
@@ -148,7 +150,14 @@
         If so, the next heartbeat is due soon, to report the release.
         ``sent_s`` is the ``time.monotonic()`` of sending, in seconds.
         """
-        answer = await call(
+        answer = await self._call(action, document)
+        if answer.status != 200:
+            return False
+        self._released = []
+        return self._apply_grants(json.loads(answer.body), sent_s)
+
+    async def _call(self, action, document):
+        return await call(
             self.host,
             PORTS["operators"],
             "POST",
@@ -158,14 +167,26 @@
             HEARTBEAT_TIMEOUT_S,
             self.head_pause_s,
         )
-        if answer.status != 200:
-            return False
-        self._released = []
-        return self._apply_grants(json.loads(answer.body), sent_s)
 
     async def send_leave(self):
-        """Send a leave request; the target goes on serving and sending heartbeats."""
-        await self._post("leave", {}, time.monotonic())
+        """Send a leave request; return whether it's acknowledged.
+
+        The target goes on serving and sending heartbeats.
+        """
+        answer = await self._call("leave", {"born": self.born_ms})
+        return answer.status == 200
+
+    async def send_draining(self):
+        """Say once by a heartbeat that it drains; return whether that is acknowledged.
+
+        Later ones say again that it's ready, as those do that come late.
+        """
+        self.state = "draining"
+        try:
+            answer = await self._call("heartbeat", self._next_heartbeat())
+        finally:
+            self.state = "ready"
+        return answer.status == 200
 
     def _apply_grants(self, response, sent_s):
         if "active_holds" not in response:
--- a/tamarackhaven/fleet/_control.py
+++ b/tamarackhaven/fleet/_control.py
@@ -20,6 +20,7 @@
 from tamarackhaven.fleet._group_log import GroupLog
 from tamarackhaven.fleet._leader_hints import LeaderHints
 from tamarackhaven.fleet._leadership import Leadership
+from tamarackhaven.fleet._leaving import RecordLeaving
 from tamarackhaven.fleet._machine import FleetMachine
 from tamarackhaven.fleet._messages import (
     CONTROL_CODEC,
@@ -275,13 +276,17 @@
             link.abort()
             return
         directory = self._leadership.directory
-        directory.record(report, boot_s())
         self._answers.add(link, report)
         daemon = self._sessions.daemon(link)
         with self.machine.lock:
+            leaving = self.machine.state.leaving
+            target = report.target
+            is_leaving = target is not None and target.life in leaving
+            directory.record(report, boot_s(), is_leaving)
             is_due = self._leadership.trials.record(
                 daemon, report, self.machine.state, boot_s()
             )
+            is_due |= self._leadership.leaves.record(report.leaving, leaving)
             self._sessions.record_report(
                 link, report, self.machine.state, directory.targets_view
             )
@@ -419,8 +424,8 @@
         with self.machine.lock:
             commands = leadership.tick(self.machine.state, boot_s())
             update = leadership.trials.update(self.machine.state, boot_s())
-        if update is not None:
-            commands.append(update)
+        updates = update, leadership.leaves.update()
+        commands += [each for each in updates if each is not None]
         for command in commands:
             future = self.consensus.propose(encode(command), leadership.term)
             future.add_done_callback(
@@ -446,6 +451,8 @@
     def _on_proposal_outcome(self, leadership, command, is_void):
         if isinstance(command, UpdateSuspects):
             leadership.trials.close(command, is_void)
+        elif isinstance(command, RecordLeaving):
+            leadership.leaves.close(command)
         elif is_void:
             leadership.discard_change(command)
         self._schedule_decision()
--- a/tamarackhaven/fleet/_directory.py
+++ b/tamarackhaven/fleet/_directory.py
@@ -55,7 +55,7 @@
         self._changed_by_life = {}
         self._gone_lives = []
 
-    def record(self, report, now):
+    def record(self, report, now, is_leaving=False):
         """Record a daemon's report.
 
         Parameters
@@ -64,6 +64,9 @@
             The daemon's newest.
         now : float
             When it was received, in seconds of the boot clock.
+        is_leaving : bool
+            Whether the replicated state says that the report's target leaves, which its
+            daemon and former leaders may have forgotten.
         """
         for life in report.ended_lives:
             self._end_life(life)
@@ -82,6 +85,8 @@
                 return
             self._end_life(former)
         self._life_by_address[address] = target.life
+        if is_leaving:
+            target = target.as_leaving()
         reported = self._reported_by_life.get(target.life)
         if reported is not None:
             # A daemon forgets that its target leaves when it restarts.
--- a/tamarackhaven/fleet/_leadership.py
+++ b/tamarackhaven/fleet/_leadership.py
@@ -10,6 +10,7 @@
 from tamarackhaven.fleet import _placement
 from tamarackhaven.fleet._directory import TargetDirectory
 from tamarackhaven.fleet._leases import LeaseTable
+from tamarackhaven.fleet._leaving import OpenLeaves
 from tamarackhaven.fleet._messages import LeaseGrant
 from tamarackhaven.fleet._model import (
     GrantId,
@@ -87,6 +88,7 @@
         self.leases = LeaseTable(lease_s, now)
         self.directory = TargetDirectory(term, self.leases)
         self.trials = Trials(lease_s)
+        self.leaves = OpenLeaves()
         self._pending_moves = []
         self._open_changes = OpenChanges()
         self._target_count_by_service = {}
@@ -104,29 +106,28 @@
         self._last_grant_number += 1
         grant = GrantId(self.term, self._last_grant_number)
         target = report.target
-        trials = self._grant_trials(daemon, report, state, now)
+        answer = LeaseGrant(
+            report.number,
+            grant,
+            self.leases.lease_s,
+            trials=self._grant_trials(daemon, report, state, now),
+            view=state.view_version(),
+            recorded_leaving=tuple(
+                life for life in report.leaving if life in state.leaving
+            ),
+        )
         if target is None or self.leases.has_ended(target.life):
-            return LeaseGrant(
-                report.number,
-                grant,
-                self.leases.lease_s,
-                trials=trials,
-                view=state.view_version(),
-            )
+            return answer
         ranges = state.ranges_by_service.get(target.service, ())
         owned = tuple(each for each in ranges if each.owner == target.life)
         owned = self._without_moving(owned, target.life)
         owned = self._open_changes.without(owned, target.service, ranges)
         self.leases.record_grant(target.life, now)
-        return LeaseGrant(
-            report.number,
-            grant,
-            self.leases.lease_s,
-            target.life,
-            owned,
-            state.index_by_service.get(target.service, -1),
-            trials,
-            state.view_version(),
+        return attrs.evolve(
+            answer,
+            life=target.life,
+            ranges=owned,
+            keys_index=state.index_by_service.get(target.service, -1),
         )
 
     def _grant_trials(self, daemon, report, state, now):
--- a/tamarackhaven/fleet/_messages.py
+++ b/tamarackhaven/fleet/_messages.py
@@ -205,6 +205,9 @@
     is_behind : bool
         Whether the view differed from the leader's at its newest answer. Then ``known``
         has all ``CONFIRMED_PARTS``.
+    leaving : tuple of str
+        Lives that have announced that they leave, and of which the daemon doesn't know
+        that this is recorded in the replicated state.
     """
 
     number: int
@@ -225,6 +228,7 @@
     trials: tuple[bytes, ...] = ()
     wanted_trials: tuple[bytes, ...] = ()
     is_behind: bool = False
+    leaving: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -266,6 +270,8 @@
     view : ViewVersion
         What the leader had when it answered. All changes up to it were sent on the
         same link before.
+    recorded_leaving : tuple of str
+        Those of the report's ``leaving`` that the replicated state has.
     """
 
     number: int
@@ -276,6 +282,7 @@
     keys_index: int = -1
     trials: tuple[bytes, ...] = ()
     view: ViewVersion = ViewVersion()
+    recorded_leaving: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/tamarackhaven/fleet/_model.py
+++ b/tamarackhaven/fleet/_model.py
@@ -130,7 +130,13 @@
 
         ``known`` may be None.
         """
-        if known is None or not known.is_leaving or self.is_leaving:
+        if known is None or not known.is_leaving:
+            return self
+        return self.as_leaving()
+
+    def as_leaving(self):
+        """Return this target as one that leaves."""
+        if self.is_leaving:
             return self
         return attrs.evolve(self, phase=TargetPhase.DRAINING, is_leaving=True)
 
--- a/tamarackhaven/fleet/_state.py
+++ b/tamarackhaven/fleet/_state.py
@@ -1,6 +1,7 @@
 """The replicated state of a fleet.
 
-Configuration, zones taken out, owners of keys, requests that ended targets.
+Configuration, zones taken out, owners of keys, requests that ended targets, targets
+that leave.
 
 The outcome of a command depends only on the state at its own log index, so all members
 reach the same one. Pure.
@@ -17,6 +18,7 @@
 from tamarackhaven._digests import record_digest
 from tamarackhaven.errors import ErrorKind, TamarackhavenError
 from tamarackhaven.fleet import _ranges
+from tamarackhaven.fleet._leaving import LeavingLives, RecordLeaving
 from tamarackhaven.fleet._messages import (
     CONFIGURATION_PART,
     SUSPECTS_PART,
@@ -94,7 +96,12 @@
 
 
 Command = (
-    ReplaceConfiguration | EditConfiguration | SetZoneOut | AssignKeys | UpdateSuspects
+    ReplaceConfiguration
+    | EditConfiguration
+    | SetZoneOut
+    | AssignKeys
+    | UpdateSuspects
+    | RecordLeaving
 )
 
 
@@ -131,6 +138,7 @@
     last_fence: int
     suspects: tuple[SuspectRequest, ...] = ()
     suspects_index: int = 0
+    leaving: tuple[str, ...] = ()
 
 
 def _make_converter():
@@ -175,6 +183,7 @@
         self.suspect_by_request = {}
         self.suspects_index = 0
         self._suspects_digest = suspects_digest({})
+        self.leaving = LeavingLives()
         self._last_fence = 0
         self._version_by_digest = collections.OrderedDict()
         # A snapshot contains only the present values; daemons that have older ones are
@@ -257,6 +266,7 @@
             self._last_fence,
             tuple(self.suspect_by_request.values()),
             self.suspects_index,
+            self.leaving.saved(),
         )
         return msgpack.packb(_CONVERTER.unstructure(saved))
 
@@ -275,6 +285,7 @@
         state._last_fence = saved.last_fence
         suspect_by_request = {each.request: each for each in saved.suspects}
         state._set_suspects(suspect_by_request, saved.suspects_index)
+        state.leaving = LeavingLives(saved.leaving)
         state._keep_present_values()
         return state
 
@@ -376,6 +387,11 @@
         self._suspects_digest = suspects_digest(suspect_by_request)
         self._suspects_by_index.keep(index, suspect_by_request)
 
+    @_apply.register
+    def _(self, command: RecordLeaving, _index):
+        self.leaving.add(command.lives)
+        return Outcome()
+
     @_apply.register
     def _(self, command: AssignKeys, index):
         ranges = self.ranges_by_service.get(command.service)
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -11,6 +11,7 @@
     Report,
     SuspectsView,
 )
+from tamarackhaven.fleet._model import TargetPhase
 from tamarackhaven.net import (
     HEARTBEAT_LIMITS,
     PROBE_LIMITS,
@@ -28,6 +29,7 @@
 from tamarackhaven.sidecar._heartbeat_order import Order
 from tamarackhaven.sidecar._inbound import Inbound
 from tamarackhaven.sidecar._key_calls import KeyCalls
+from tamarackhaven.sidecar._leaves import Leaves
 from tamarackhaven.sidecar._messages import PEER_CODEC
 from tamarackhaven.sidecar._peer_server import PeerServer
 from tamarackhaven.sidecar._peers import Peers
@@ -143,6 +145,7 @@
         self._view_updates = ViewUpdates(
             self.view, self._control.report_now, log, metrics
         )
+        self._leaves = Leaves(self._control.report_now, log, metrics)
         self._control.on_session_begun = self._view_updates.begin_session
         self._control.view_fields = lambda: self.view.configuration_stamp(
             boot_s()
@@ -309,6 +312,7 @@
             trials=tuple(trials),
             wanted_trials=self._permits.wanted(number),
             is_behind=self._view_updates.is_behind,
+            leaving=self._leaves.unrecorded(state.leaving_life),
         )
 
     def _apply_view_message(self, message):
@@ -374,6 +378,7 @@
         self._view_updates.confirm(requested_s, grant.view)
         self.state.apply_grant(grant, requested_s)
         self._permits.apply_grant(grant, requested_s)
+        self._leaves.apply_grant(grant)
         self.inbound.wake_key_waiters()
         self._key_calls.start_due_calls()
 
@@ -387,9 +392,18 @@
         return service.health_path if service is not None else None
 
     async def heartbeat(self, beat):
-        """Apply a heartbeat of the target; return its ``HeartbeatReply``."""
+        """Apply a heartbeat of the target; return its ``HeartbeatReply``.
+
+        None if it mustn't be acknowledged: it says that the target leaves, and the
+        control group hasn't recorded that.
+        """
         named = await self._ask_name(beat) if self.state.needs_proof(beat) else None
-        return self._apply_heartbeat(beat, named)
+        reply = self._apply_heartbeat(beat, named)
+        if beat.phase is TargetPhase.DRAINING:
+            life = self.state.life_named(beat.name, beat.born_ms)
+            if not await self._leaves.wait_recorded(life):
+                return None
+        return reply
 
     async def _ask_name(self, beat):
         """Return the name that the target gives after a heartbeat, None without one.
@@ -462,16 +476,28 @@
         )
         self.log.say("heartbeat refused", kind=error.kind.name, detail=error.detail)
 
-    def mark_target_leaving(self, name, born_ms=None):
+    async def mark_target_leaving(self, name, born_ms=None):
         """Mark the target as draining, since it announced that it leaves.
 
         ``born_ms`` is the start of the life that says so, None if it isn't known.
+
+        Returns
+        -------
+        bool
+            Whether that may be acknowledged: no process has to remember it any more.
         """
-        if self.state.leave(name, born_ms, boot_s()):
+        is_present = self.state.leave(name, born_ms, boot_s())
+        if is_present:
             self.log.say("target leaves", name=name)
             self._on_target_leaving()
         else:
             self.log.say("leave of another life", name=name, born_ms=born_ms)
+        life = self.state.life_named(name, born_ms)
+        if life is not None:
+            return await self._leaves.wait_recorded(life)
+        # One of another name that gives no start isn't the target that runs here. If
+        # none is known yet, it may be, and nothing can be recorded.
+        return not is_present
 
     def _on_target_end(self, life, requests):
         if life == self.state.life:
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -98,6 +98,21 @@
             return ""
         return life_of(beat.name, beat.born_ms, f"{self._host}:{self._port}")
 
+    @property
+    def leaving_life(self):
+        """Name of the current life if it leaves, else empty."""
+        return self.life if self.leaving_since_s is not None else ""
+
+    def life_named(self, name, born_ms):
+        """Return the name of a life of a target on this VM.
+
+        None if its start isn't given (None) and no such target is known to run.
+        """
+        if born_ms is not None:
+            return life_of(name, born_ms, f"{self._host}:{self._port}")
+        beat = self.heartbeat
+        return self.life if beat is not None and beat.name == name else None
+
     # Heartbeats.
 
     def needs_proof(self, beat):
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -26,6 +26,7 @@
             "_lasting_limits",
             "_leadership",
             "_leases",
+            "_leaving",
             "_model",
             "_open_changes",
             "_placement",
--- a/tests/fleet/test_state.py
+++ b/tests/fleet/test_state.py
@@ -4,6 +4,7 @@
 import pytest
 
 from tamarackhaven.errors import ErrorKind
+from tamarackhaven.fleet._leaving import MAX_LEAVING_LIVES, OpenLeaves, RecordLeaving
 from tamarackhaven.fleet._model import KEY_COUNT, KeyRange
 from tamarackhaven.fleet._state import (
     AssignKeys,
@@ -159,3 +160,28 @@
     assert state.configuration_index == 1
     after = ReplaceConfiguration(version, configuration(version + 1), "after")
     assert state.apply(3, after).kind is None
+
+
+def test_lives_that_leave_are_kept_over_a_snapshot_up_to_a_limit(state):
+    # Guards against: a control VM that restarts forgets that a target leaves.
+    lives = tuple(f"i{number}@1@h:1" for number in range(MAX_LEAVING_LIVES + 1))
+    for index, life in enumerate(lives):
+        command = decode(encode(RecordLeaving((life,))))
+        assert state.apply(100 + index, command).kind is None
+    copy = FleetState.restored(state.save())
+    assert lives[0] not in copy.leaving
+    assert all(life in copy.leaving for life in lives[1:])
+
+
+def test_a_leave_is_proposed_once_and_again_after_a_failure(state):
+    # Guards against: a target waits for a record that nobody writes.
+    open_leaves = OpenLeaves()
+    assert open_leaves.record(("a", "b"), state.leaving)
+    command = open_leaves.update()
+    assert command.lives == ("a", "b")
+    assert not open_leaves.record(("a", "b"), state.leaving)
+    open_leaves.close(command)
+    assert open_leaves.record(("a",), state.leaving)
+    state.apply(100, open_leaves.update())
+    assert not open_leaves.record(("a",), state.leaving)
+    assert open_leaves.update() is None
