Ask a target whether it is cold before it gets more than a cold one bears

Nothing bounded what it got while its last word was out of date. **Change:** the gate counts the starts of the last second since the target was last asked. After seven tenths of the bound it is asked by a health check; at the bound, nine tenths of what a cold target bears, requests wait for the reply. The reply counts from when the check was sent, under the name of the known life alone. A restarted daemon asks first. The bound is a setting, `cold`.

--- a/standin/fleet_target.py
+++ b/standin/fleet_target.py
@@ -64,6 +64,7 @@
         # Until when it's cold, and how late its next heartbeat is, in seconds.
         self.cold_until_s = 0.0
         self.next_heartbeat_late_s = 0.0
+        self.heartbeat_s = HEARTBEAT_S
         self.health_checks = 0
         self.ran = []
         self.begun = []
@@ -115,7 +116,7 @@
         while True:
             more = await self._send_heartbeat()
             late_s, self.next_heartbeat_late_s = self.next_heartbeat_late_s, 0.0
-            await asyncio.sleep((0.05 if more else HEARTBEAT_S) + late_s)
+            await asyncio.sleep((0.05 if more else self.heartbeat_s) + late_s)
 
     async def _send_heartbeat(self):
         sent_s = time.monotonic()
--- a/tamarackhaven/fleet/_settings.py
+++ b/tamarackhaven/fleet/_settings.py
@@ -133,6 +133,22 @@
     slack: int = _count(0, 0, 1_000_000)
 
 
+@attrs.frozen
+class ColdSettings:
+    """What a cold target bears in any second, over all daemons.
+
+    Parameters
+    ----------
+    ratio : float
+        Requests, as a multiple of the cold rate of its service.
+    slack : float
+        Requests in addition.
+    """
+
+    ratio: float = _seconds(1.25, 0.1, 100)
+    slack: float = _seconds(0.0, 0, 100_000)
+
+
 @attrs.frozen
 class DaemonSettings:
     """One daemon of a fleet, beside its target.
@@ -166,6 +182,8 @@
         Leases of targets.
     budget : BudgetSettings
         Limit of retries.
+    cold : ColdSettings
+        What a cold target bears.
     """
 
     name: str = _text()
@@ -184,3 +202,4 @@
     grace_s: float = _seconds(6.0, 0.5, 600)
     lease: FleetLeaseSettings = attrs.field(factory=FleetLeaseSettings)
     budget: BudgetSettings = attrs.field(factory=BudgetSettings)
+    cold: ColdSettings = attrs.field(factory=ColdSettings)
--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -25,7 +25,6 @@
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._control_link import ControlLink
 from tamarackhaven.sidecar._end_notices import EndNotices
-from tamarackhaven.sidecar._health_checks import HealthChecks
 from tamarackhaven.sidecar._heartbeat_order import Order
 from tamarackhaven.sidecar._inbound import Inbound
 from tamarackhaven.sidecar._key_calls import KeyCalls
@@ -81,7 +80,6 @@
         self.state = TargetState(settings, host, port)
         client = TargetClient(*split(settings.target))
         self.suspects = KnownSuspects()
-        self._health_checks = HealthChecks(client, dialect, self._health_path, metrics)
         self.inbound = Inbound(
             settings,
             self.state,
@@ -162,6 +160,7 @@
         self._peer_server.on_target_ended = self._end_notices.receive
         self.inbound.on_suspect_answered = self._permits.report_soon
         self.inbound.exchange.on_ended = self._control.report_now
+        self.inbound.on_cold = self._control.report_now
         self.inbound.notices.on_leaving = self._on_target_leaving
 
     async def start(self):
@@ -384,13 +383,6 @@
 
     # Target.
 
-    def _health_path(self):
-        """Return the path of the target's health check, None if it isn't known."""
-        if self.view.table is None:
-            return None
-        service = self.view.table.service_by_name.get(self.settings.service)
-        return service.health_path if service is not None else None
-
     async def heartbeat(self, beat):
         """Apply a heartbeat of the target; return its ``HeartbeatReply``.
 
@@ -412,7 +404,7 @@
         It may come from another writer, or late from a target of before.
         """
         known_life = self.state.life
-        checked = await self._health_checks.ask()
+        checked = await self.inbound.health_checks.ask()
         named = checked.health.name if checked is not None else None
         self.log.say(
             "target asked for its name",
--- a/tamarackhaven/sidecar/_gate.py
+++ b/tamarackhaven/sidecar/_gate.py
@@ -11,6 +11,7 @@
 import attrs
 
 from tamarackhaven.errors import ErrorKind
+from tamarackhaven.sidecar._cold_starts import ColdStarts
 from tamarackhaven.sidecar._rate_limit import RateLimit, RecentStarts
 
 # Weight of the newest answer in a route's mean processing time; the mean covers about
@@ -37,7 +38,6 @@
 RETRY_JITTER_FACTOR = 1.0
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 2.0
-COLD_WINDOW_S = 1.0
 # During lasting overload, refusing a short call fails the work elsewhere that waits for
 # it and wastes what that has used; admitting it takes a slot for a moment only. A
 # request counts as short if its mean is below this fraction of the mean of all routes.
@@ -47,17 +47,6 @@
 FAIRNESS_WINDOW_S = 4.0
 
 
-# A zone that comes back cold meets its former demand. At the bare cold rate most of it
-# is refused, though targets fail only well above that rate; half as much again is too
-# much.
-COLD_RATE_FACTOR = 1.25
-
-
-def cold_starts(per_s):
-    """Return how many starts per second a cold target is given, at least 1."""
-    return max(int(COLD_RATE_FACTOR * per_s), 1)
-
-
 @attrs.frozen
 class Offer:
     """A request that asks for admission; times in seconds of the boot clock.
@@ -132,14 +121,12 @@
     def __init__(self, slots, random, started_s=float("-inf")):
         self.slots = slots
         self._random = random
-        self._started_s = started_s
         self._work_by_route = collections.defaultdict(_MeanWork)
         self._overall_work = _MeanWork()
         self._running_by_number = {}
         self._waiting_by_number = {}
         self._arrival_order = itertools.count()
-        self._cold_rate_per_s = None
-        self._recent_starts_s = collections.deque()
+        self.cold = ColdStarts(started_s)
         self._last_empty_s = float("-inf")
         self._limit = None
         self._limited_starts = RecentStarts(FAIRNESS_WINDOW_S)
@@ -170,15 +157,6 @@
         work = self._work_by_route.get(route)
         return work.mean_s if work is not None and work.count else 0.0
 
-    @property
-    def is_cold(self):
-        """Whether starts are limited by the target's cold rate."""
-        return self._cold_rate_per_s is not None
-
-    def set_cold(self, per_s):
-        """Start at most ``per_s`` requests in any second; None removes the limit."""
-        self._cold_rate_per_s = per_s
-
     def set_limit(self, per_s, now):
         """Start at most ``per_s`` requests per second from now on; None for any number.
 
@@ -215,9 +193,9 @@
             return self._start(offer, now)
         wait_s = self._estimated_wait_s(offer, now)
         if not offer.waits:
-            return Refuse(offer.number, self._refusal_kind, wait_s)
+            return Refuse(offer.number, self._refusal_kind(now), wait_s)
         if not self.has_time_for(offer, wait_s, now):
-            return self.refuse(offer, wait_s)
+            return self.refuse(offer, wait_s, now)
         self._waiting_by_number[offer.number] = (next(self._arrival_order), offer)
         return None
 
@@ -246,9 +224,9 @@
         queue_s = self.expected_wait_s(offer, now)
         wait_s = max(transfer_s, queue_s)
         if not offer.waits and (queue_s or has_other_bodies):
-            return Refuse(offer.number, self._refusal_kind, wait_s)
+            return Refuse(offer.number, self._refusal_kind(now), wait_s)
         if not self.has_time_for(offer, wait_s, now):
-            return self.refuse(offer, wait_s)
+            return self.refuse(offer, wait_s, now)
         return None
 
     def latest_start_s(self, offer):
@@ -285,40 +263,27 @@
             return False
         if self._limit is not None and self._limit.wait_s(now):
             return False
-        return self._cold_rate_per_s is None or self._has_cold_room(now)
-
-    def _has_cold_room(self, now):
-        # What a former process of the daemon started in this window isn't known.
-        if now - self._started_s < COLD_WINDOW_S:
-            return False
-        while self._recent_starts_s and now - self._recent_starts_s[0] >= COLD_WINDOW_S:
-            self._recent_starts_s.popleft()
-        return len(self._recent_starts_s) < self._cold_rate_per_s
+        return self.cold.has_room(now)
 
     def _start(self, offer, now):
         self._running_by_number[offer.number] = (now, offer)
-        self._recent_starts_s.append(now)
+        self.cold.add(now)
         if self._limit is not None:
             self._limit.take(now)
             self._limited_starts.add(offer.key, now)
-        if (
-            self._cold_rate_per_s is None
-            and len(self._recent_starts_s) > self.slots * 64
-        ):
-            self._recent_starts_s.popleft()
         return Start(offer.number)
 
-    @property
-    def _refusal_kind(self):
+    def _refusal_kind(self, now):
         if self._limit is not None and self.running < self.slots:
             return ErrorKind.TARGET_LIMITED
-        return ErrorKind.TARGET_COLD if self.is_cold else ErrorKind.QUEUE_FULL
+        is_cold = self.cold.is_cold or not self.cold.has_room(now)
+        return ErrorKind.TARGET_COLD if is_cold else ErrorKind.QUEUE_FULL
 
-    def refuse(self, offer, wait_s):
+    def refuse(self, offer, wait_s, now):
         """Return the ``Refuse`` for a request with an expected wait of ``wait_s``."""
         retry_after_s = wait_s * (1 + RETRY_JITTER_FACTOR * self._random())
         retry_after_s = min(max(retry_after_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
-        return Refuse(offer.number, self._refusal_kind, retry_after_s)
+        return Refuse(offer.number, self._refusal_kind(now), retry_after_s)
 
     def _estimated_wait_s(self, offer, now):
         """Return the estimated wait of ``offer`` for its start, in seconds."""
@@ -328,9 +293,7 @@
             for _, waiting in self._waiting_by_number.values()
             if self._rank(waiting, now) <= rank
         ]
-        wait_s = self._slot_wait_s(ahead)
-        if self._cold_rate_per_s is not None:
-            wait_s = max(wait_s, (len(ahead) + 1) / self._cold_rate_per_s)
+        wait_s = max(self._slot_wait_s(ahead), self.cold.wait_s(len(ahead), now))
         if self._limit is not None:
             wait_s = max(wait_s, self._limit.wait_s(now, len(ahead)))
         return wait_s
@@ -400,7 +363,7 @@
         for number, (_, offer) in list(self._waiting_by_number.items()):
             if self._should_drop(offer, now):
                 del self._waiting_by_number[number]
-                decisions.append(self.refuse(offer, MIN_RETRY_AFTER_S))
+                decisions.append(self.refuse(offer, MIN_RETRY_AFTER_S, now))
         while self._waiting_by_number and self._has_room(now):
             number = min(self._waiting_by_number, key=self._start_order(now))
             _, offer = self._waiting_by_number.pop(number)
@@ -428,7 +391,7 @@
             _, offer = entry
             wait_s = self._estimated_wait_s(offer, now)
             if not self.has_time_for(offer, wait_s, now):
-                refusals.append(self.refuse(offer, wait_s))
+                refusals.append(self.refuse(offer, wait_s, now))
             else:
                 self._waiting_by_number[number] = entry
         return refusals
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -9,7 +9,9 @@
 from tamarackhaven._clock import boot_s
 from tamarackhaven.errors import ErrorKind
 from tamarackhaven.fleet._suspects import SuspectPhase
-from tamarackhaven.sidecar._gate import Gate, Offer, Refuse, Start, cold_starts
+from tamarackhaven.sidecar._cold_starts import cold_limits
+from tamarackhaven.sidecar._gate import Gate, Offer, Refuse, Start
+from tamarackhaven.sidecar._health_checks import HealthChecks
 from tamarackhaven.sidecar._intake import BodyReceiver
 from tamarackhaven.sidecar._key_load import KeyLoad
 from tamarackhaven.sidecar._messages import Answered, GateLoad
@@ -32,6 +34,8 @@
 # The gate is checked at this interval even when nothing else happens, so that requests
 # that can no longer start in time are refused.
 SETTLE_INTERVAL_S = 0.05
+# A target that didn't reply to a check is asked again after this time.
+CHECK_RETRY_INTERVAL_S = 0.1
 
 
 class Inbound:
@@ -77,6 +81,12 @@
             self.ends,
             metrics,
         )
+        self.health_checks = HealthChecks(
+            client, dialect, lambda: view.health_path(settings.service), metrics
+        )
+        self._log = log
+        self._cold_check = None
+        self.on_cold = lambda: None
         self._future_by_number = {}
         self._offer_numbers = itertools.count()
         self._sending = set()
@@ -132,13 +142,12 @@
         self._keys_changed.notify_all()
 
     def _update_limits(self):
-        """Apply the target's cold rate and the limit that it named to the gate."""
+        """Apply what the target bears while cold, and the limit that it named."""
         now = boot_s()
         service = self._view.service(self._state.heartbeat)
-        if service is None or not self._state.is_cold(now):
-            self._gate.set_cold(None)
-        else:
-            self._gate.set_cold(cold_starts(service.cold_per_s))
+        self._gate.cold.limits = cold_limits(
+            service, self._settings.cold, self._state.is_cold(now)
+        )
         self._gate.set_limit(self._state.limit.start_rate_per_s, now)
 
     def expected_wait_s(self, query):
@@ -334,6 +343,7 @@
         """Wait at the gate; return None once the request starts, else a ``Refuse``."""
         self._update_limits()
         decision = self._gate.offer(offer, boot_s())
+        self._check_cold_if_due()
         if isinstance(decision, Refuse):
             return decision
         if isinstance(decision, Start):
@@ -364,9 +374,47 @@
         self._settle_timer = None
         self._update_limits()
         self._apply(self._gate.settle(boot_s()))
+        self._check_cold_if_due()
         if self._future_by_number:
             self._schedule_settle()
 
+    def _check_cold_if_due(self):
+        """Ask the target whether it's cold before it has got too much."""
+        if self._cold_check is None and self._gate.cold.is_check_due(boot_s()):
+            loop = asyncio.get_running_loop()
+            self._cold_check = loop.create_task(self._check_cold())
+
+    async def _check_cold(self):
+        try:
+            while self._gate.cold.is_check_due(boot_s()):
+                life = self._state.life
+                checked = await self.health_checks.ask()
+                if checked is None or not self._state.is_named(life, checked):
+                    await asyncio.sleep(CHECK_RETRY_INTERVAL_S)
+                    continue
+                self._apply_check(checked)
+        finally:
+            self._cold_check = None
+
+    def _apply_check(self, checked):
+        """Apply what the target said about whether it's cold."""
+        now = boot_s()
+        if checked.health.cold_s:
+            unchecked = self._gate.cold.unchecked(now)
+            self._state.record_cold(now + checked.health.cold_s)
+            self._log.say(
+                "target is cold",
+                life=self._state.life,
+                cold_s=checked.health.cold_s,
+                check_age_s=round(now - checked.asked_s, 3),
+                unchecked_starts=unchecked,
+            )
+            self.on_cold()
+        else:
+            self._gate.cold.confirm_warm(checked.asked_s)
+        self._update_limits()
+        self._apply(self._gate.settle(now))
+
     def _apply(self, decisions):
         for decision in decisions:
             future = self._future_by_number.get(decision.number)
@@ -397,6 +445,7 @@
             "slots": self._gate.slots,
             "work_ms": round(self._gate.work_s * 1000),
             "is_cold": state.is_cold(now),
+            "unchecked_starts": self._gate.cold.unchecked(now),
             "arriving_bytes": self.intake.remaining_bytes,
             "link_bytes_per_s": round(self.intake.bytes_per_s),
             **self._limit_context(now),
@@ -416,4 +465,6 @@
 
     def close(self):
         """Close the connections to the target."""
+        if self._cold_check is not None:
+            self._cold_check.cancel()
         self.exchange.client.close()
--- a/tamarackhaven/sidecar/_intake.py
+++ b/tamarackhaven/sidecar/_intake.py
@@ -109,6 +109,6 @@
             self._transfers.drop(body)
             if not body.end.done():
                 body.end.set_result(
-                    self._gate.refuse(self._offer_by_body[body], wait_s)
+                    self._gate.refuse(self._offer_by_body[body], wait_s, boot_s())
                 )
         self._request_parts()
--- a/tamarackhaven/sidecar/_target_state.py
+++ b/tamarackhaven/sidecar/_target_state.py
@@ -81,7 +81,9 @@
         self._port = port
         self.heartbeat = None
         self.heartbeat_received_s = float("-inf")
-        self.cold_until_s = float("-inf")
+        self._cold_until_s = float("-inf")
+        # By its own word in a health check, which a late heartbeat doesn't take back.
+        self._checked_cold_until_s = float("-inf")
         self.leaving_since_s = None
         self.limit = NamedLimit()
         self._early_leave = None
@@ -132,7 +134,7 @@
             return HeartbeatReply()
         self.heartbeat = beat
         self.heartbeat_received_s = now
-        self.cold_until_s = now + beat.cold_s
+        self._cold_until_s = now + beat.cold_s
         has_left = self._early_leave and _is_life(beat, *self._early_leave)
         self._early_leave = None
         if has_left or beat.phase is TargetPhase.DRAINING:
@@ -148,7 +150,7 @@
         The next heartbeat tells. A later life might be cold, and mustn't be given the
         former one's keys under their fencing tokens.
         """
-        self.cold_until_s = max(self.cold_until_s, now + beat.cold_s)
+        self._cold_until_s = max(self._cold_until_s, now + beat.cold_s)
         if self._keys is not None:
             self._keys.may_have_ended = True
 
@@ -198,6 +200,7 @@
             del self.ended_lives[:-8]
         self.heartbeat = None
         self.leaving_since_s = None
+        self._checked_cold_until_s = float("-inf")
         self.limit = NamedLimit()
         self._keys = None
 
@@ -315,8 +318,19 @@
         )
 
     def is_cold(self, now):
-        """Whether the target is still slow after its start."""
-        return now < self.cold_until_s
+        """Whether the target bears little for now, as after its start."""
+        return now < max(self._cold_until_s, self._checked_cold_until_s)
+
+    def record_cold(self, until_s):
+        """Record that the target says that it's cold until ``until_s``."""
+        self._checked_cold_until_s = until_s
+
+    def is_named(self, life, checked):
+        """Whether ``life`` is still the current one, and gave its name in a check."""
+        beat = self.heartbeat
+        return (
+            beat is not None and life == self.life and checked.health.name == beat.name
+        )
 
     def target(self, now, load=0.0, work_s=0.0):
         """Return the ``Target`` for a report, None before the first heartbeat.
--- a/tamarackhaven/sidecar/_view.py
+++ b/tamarackhaven/sidecar/_view.py
@@ -273,6 +273,11 @@
             return None
         return self.table.service_by_name.get(heartbeat.service)
 
+    def health_path(self, service):
+        """Return the path of a service's health checks, None if it isn't known."""
+        spec = self.table and self.table.service_by_name.get(service)
+        return spec.health_path if spec else None
+
     def zone_out_since_s(self, zone):
         """Return when this daemon was notified that a zone is out, None if it's in.
 
--- a/tests/fleet/test_purity.py
+++ b/tests/fleet/test_purity.py
@@ -44,6 +44,7 @@
             "_budget",
             "_called_holds",
             "_choice",
+            "_cold_starts",
             "_draining",
             "_final_refusals",
             "_gate",
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -7,7 +7,8 @@
 import pytest
 
 from tamarackhaven.errors import ErrorKind
-from tamarackhaven.sidecar._gate import Gate, Offer, Refuse, Start, cold_starts
+from tamarackhaven.sidecar._cold_starts import ColdLimits, cold_starts
+from tamarackhaven.sidecar._gate import Gate, Offer, Refuse, Start
 
 MEAN_RANDOM = 0.5
 
@@ -82,7 +83,7 @@
 
 def test_starts_at_a_cold_target_stay_below_its_rate_in_any_second():
     gate = trained_gate(slots=100)
-    gate.set_cold(5)
+    gate.cold.limits = ColdLimits(cold=5)
     started = collections.deque()
     for number in range(400):
         now = 10 + number * 0.01
@@ -107,7 +108,7 @@
 
 def test_refusals_of_a_cold_target_have_their_own_kind():
     gate = trained_gate(slots=100)
-    gate.set_cold(1)
+    gate.cold.limits = ColdLimits(cold=1)
     gate.offer(offer(1), 10.0)
     decisions = [gate.offer(offer(n, 11, 11.5), 10.0) for n in range(2, 9)]
     refused = [each for each in decisions if isinstance(each, Refuse)]
@@ -316,12 +317,12 @@
     starts = []
     for started_s in (100.0, 100.4, 100.8):
         gate = Gate(100, lambda: MEAN_RANDOM, started_s)
-        gate.set_cold(5)
+        gate.cold.limits = ColdLimits(cold=5)
         for number in range(40):
             now = started_s + 0.01 * number
             if isinstance(gate.offer(offer(number, now + 9, now + 9), now), Start):
                 starts.append(now)
     assert len(starts) <= 5
     gate = Gate(100, lambda: MEAN_RANDOM, 100.0)
-    gate.set_cold(5)
+    gate.cold.limits = ColdLimits(cold=5)
     assert gate.offer(offer(1, 110.0, 110.0), 101.0) == Start(1)
