Take no answer whose first line is no status line, in both runtimes

What callers could see: a target's answer with status 600 or 999, in the newer runtime also with HTTP/9.9 or HTTP/2.0, in the older also `0200`, two spaces before the status, and 101 with its body as an answer. Status 000, which other operators reported, was no answer in either. **Cause:** the first line was left to parsers that accept more than the protocol. **Change:** one module says what can begin an answer. The older runtime checks each status line, also after interim responses, of which it takes 16; the newer one checks version and status of what h11 has parsed. The stand-ins' callers tell an odd line from none; the soak's targets send such lines, and its callers check for them.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -30,6 +30,7 @@
 )
 from soak._faults import inject, lose_power
 from soak._fleet import DEFAULT_VMS, SoakFleet
+from soak._lives import draw_life_faults
 from soak._load import STORM_FRACTION, Caller, Operator, describe
 from soak._undisturbed import draw_undisturbed_run_faults, draw_undisturbing_faults
 from standin.fleet_target import PORTS
@@ -99,6 +100,7 @@
         *draw_notice_faults(seed, seconds),
         *draw_poison_faults(seed, seconds),
         *draw_answer_faults(seed, seconds),
+        *draw_life_faults(seed, seconds),
         *draw_undisturbing_faults(seed, seconds),
     ]
     return sorted(faults, key=lambda fault: fault.at_s)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -15,15 +15,20 @@
 from soak._proxy import Proxy
 from soak._records import Records
 from soak._routes import CONFIG_DEADLINE_S, CONTACT_S, CONTROL_GROUP, MOVING_PREFIXES
-from soak._target import SoakTarget
+from soak._target import COLD_PER_S, SoakTarget
 from standin.call import call
-from standin.fleet import Fleet
+from standin.fleet import CONFIGURATION as BASE_CONFIGURATION, Fleet
 from standin.fleet_target import HEARTBEAT_S, PORTS, TARGET_PORT
 from standin.poison import RESTART_S
 
 # Processes listen on the usual port plus this offset; proxies take the usual ports.
 LISTEN_OFFSET = 10
 ZONES = ("z0", "z1")
+CONFIGURATION = BASE_CONFIGURATION | {
+    "services": [
+        each | {"cold_per_s": COLD_PER_S} for each in BASE_CONFIGURATION["services"]
+    ]
+}
 # Services of the targets of a small run; larger ones repeat them.
 SERVICES = ("owned", "owned", "owned", "shared", "shared")
 DEFAULT_VMS = len(SERVICES)
@@ -64,6 +69,8 @@
         Number of control VMs, and how many of them may be lost at once.
     """
 
+    configuration = CONFIGURATION
+
     def __init__(
         self,
         folder,
@@ -96,6 +103,7 @@
 
     def _new_target(self, host, service, zone):
         target = SoakTarget(host, service, zone, self.records)
+        target.address = f"{host}:{TARGET_PORT + LISTEN_OFFSET}"
         target.on_ended = self._restart_soon
         return target
 
--- a/soak/_load.py
+++ b/soak/_load.py
@@ -8,10 +8,11 @@
 import random
 import time
 
-from soak._fleet import read_version
+from soak._fleet import CONFIGURATION, read_version
 from soak._records import CallerRequest
 from soak._routes import MOVING_PREFIXES, draw_change, path_routes
-from standin.fleet import CONFIGURATION, SERVICE_BY_ROUTE
+from standin.call import status_of
+from standin.fleet import SERVICE_BY_ROUTE
 from standin.fleet_target import PORTS
 
 DEADLINE_S = 2.0
@@ -123,13 +124,15 @@
         if request.prefix in MOVING_PREFIXES:
             self._fleet.records.routes.sent(request.attempt, daemon, request.prefix)
         writer.write("\r\n".join(lines).encode() + request.sent)
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        status = status_of(head.split("\r\n", 1)[0])
+        head = head.lower()
         length = int(head.split("content-length:", 1)[1].split("\r\n", 1)[0])
         answer = await reader.readexactly(length)
         self._fleet.records.returned(daemon, head, answer)
         if "connection: close" in head:
             self._close()
-        return int(head.split()[1]), answer
+        return status, answer
 
     def _body(self, attempt):
         """Return a booking's body: the attempt id, sometimes repeated many times."""
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -9,6 +9,7 @@
 
 from soak._repeats import RepeatWatch
 from soak._routes import RouteWatch
+from standin.call import NO_STATUS
 from standin.notice_watch import WINDOW_S
 
 # Statuses from which a caller concludes that its request wasn't executed.
@@ -204,6 +205,8 @@
         """Record a completed request of a caller and check its response."""
         self.requests.append(request)
         self.counts[request.status] += 1
+        if request.status == NO_STATUS:
+            self.report_violation("status lines", request.attempt)
         if request.status == 404:
             self.check_route(request.attempt, None)
         if request.status == 200 and request.attempt.encode() not in request.body:
--- a/soak/_target.py
+++ b/soak/_target.py
@@ -11,6 +11,10 @@
 HOLD_TIME_FACTOR = 1.02
 # Time from the start of draining to the leave request, and from there to the stop.
 DRAIN_DURATION_S = 1.5
+# Requests in a second that a cold target is said to bear, and the most by the
+# platform's rule: half as much again, and five more.
+COLD_PER_S = 6.0
+MAX_COLD_ARRIVALS = 14
 # Makes the head of a heartbeat larger than any of a caller.
 HEARTBEAT_PADDING = 1000
 
@@ -31,11 +35,10 @@
         self._records = records
         self.watch = NoticeWatch(records.drain_s)
         self.ends_under = lambda started: records.poisons.arrived(self, started)
-        self.on_arrival = lambda attempt: records.repeats.arrived(
-            service, attempt, time.monotonic()
-        )
+        self.on_arrival = self._check_arrival
         self.is_up = False
         self.drain_end_s = None
+        self._cold_arrivals_s = []
 
     async def start(self):
         """Listen and start sending heartbeats."""
@@ -43,6 +46,18 @@
         self.is_up = True
         self._records.targets.append(self)
 
+    def _check_arrival(self, attempt):
+        now = time.monotonic()
+        self._records.repeats.arrived(self.service, attempt, now)
+        if not self.cold_s:
+            return
+        self._cold_arrivals_s = [t for t in self._cold_arrivals_s if now - t < 1.0]
+        self._cold_arrivals_s.append(now)
+        if len(self._cold_arrivals_s) > MAX_COLD_ARRIVALS:
+            self._records.report_violation(
+                "cold", f"{self.name} got {len(self._cold_arrivals_s)} in a second"
+            )
+
     async def _end(self):
         self.is_up = False
         self._records.poisons.ended(self)
@@ -53,6 +68,18 @@
         self.is_up = False
         await self.stop()
 
+    async def send_leave(self):
+        """Send a leave request; return whether it's acknowledged."""
+        is_acknowledged = await super().send_leave()
+        if is_acknowledged and self.drain_end_s is None:
+            self.drain_end_s = time.monotonic() + self._records.drain_s
+        return is_acknowledged
+
+    def become_cold(self, seconds):
+        """Bear little for so many seconds."""
+        self._cold_arrivals_s = []
+        self.cold_until_s = time.monotonic() + seconds
+
     async def leave(self):
         """Drain, send a leave request and stop; answers say so all the while."""
         self.state = "draining"
--- a/standin/fleet_target.py
+++ b/standin/fleet_target.py
@@ -14,6 +14,17 @@
 ATTEMPT_ID = "tamarackhaven-attempt-id"
 PORTS = {"operators": 18620, "links": 17600, "callers": 18629, "readiness": 18625}
 TARGET_PORT = 18628
+ODD_STATUS_LINES = (
+    *(
+        f"HTTP/1.1 {status} OK"
+        for status in ("000", "099", "600", "999", "0200", "20", "+20", "2e2", "")
+    ),
+    "HTTP/1.1  200 OK",
+    "HTTP/1.1 101 Switching",
+    "HTTP/9.9 200 OK",
+    "HTTP/2.0 200 OK",
+    "HTTP/1.1 200\0OK",
+)
 
 
 @attrs.frozen
@@ -46,6 +57,8 @@
         self.name = f"i-{host}"
         self.born_ms = next(self._next_born_ms)
         self.state = "ready"
+        # At which its daemon reaches it.
+        self.address = f"{host}:{TARGET_PORT}"
         self.work_s = 0.01
         # Value of the header that names a limit, None for no header.
         self.limit_text = None
@@ -66,6 +79,8 @@
         self.next_heartbeat_late_s = 0.0
         self.heartbeat_s = HEARTBEAT_S
         self.health_checks = 0
+        # Returns a status line that is none for an answer, or None.
+        self.odd_status_line = lambda: None
         self.ran = []
         self.begun = []
         self.held_by_range = {}
@@ -128,7 +143,7 @@
             self.held_by_range = {}
         rows = [[*keys, fence] for keys, fence in self.held_by_range.items()]
         return {
-            "address": f"{self.host}:{TARGET_PORT}",
+            "address": self.address,
             "born": self.born_ms,
             "info": {
                 "service": self.service,
@@ -269,10 +284,17 @@
         await asyncio.sleep(self.work_s)
         self.ran.append((attempt, key, time.monotonic()))
         text = f"{self.name} {line.split()[1]} ".encode() + body
+        status_line = self.odd_status_line() or "HTTP/1.1 200 OK"
         return (
-            b"HTTP/1.1 200 OK\r\nTamarackhaven-Attempt-Id: %s\r\n"
+            b"%s\r\nTamarackhaven-Attempt-Id: %s\r\n"
             b"Tamarackhaven-Response-Signature: s\r\n%sContent-Length: %d\r\n\r\n%s"
-        ) % (attempt.encode(), self._notice_headers(), len(text), text)
+        ) % (
+            status_line.encode(),
+            attempt.encode(),
+            self._notice_headers(),
+            len(text),
+            text,
+        )
 
     def _health(self, attempt):
         """Return the answer to a health check, which echoes its id."""
--- a/standin/odd_heartbeat.py
+++ b/standin/odd_heartbeat.py
@@ -3,7 +3,7 @@
 import json
 
 from standin.call import call
-from standin.fleet_target import PORTS, TARGET_PORT
+from standin.fleet_target import PORTS
 
 HUGE = (1 << 53) - 1
 NESTED_TEXT = "NESTED"
@@ -16,7 +16,7 @@
     The value ``NESTED_TEXT`` stands for deeply nested lists, and None for no field.
     """
     document = {
-        "address": f"{target.host}:{TARGET_PORT}",
+        "address": target.address,
         "born": target.born_ms,
         "info": {
             "service": target.service,
--- a/tamarackhaven/net/_http_client.py
+++ b/tamarackhaven/net/_http_client.py
@@ -16,12 +16,11 @@
 import h11
 
 from tamarackhaven._clock import boot_s
+from tamarackhaven._status_line import MAX_INTERIM_RESPONSES, VERSIONS, is_final
 from tamarackhaven.net._http_head import MAX_EVENTS_PER_TURN, find_header
 
 MAX_REPLY_HEAD_BYTES = 64 << 10
 MAX_REPLY_BYTES = 70 << 20
-# A server that sends more of these before its response never gets to it.
-MAX_INTERIM_RESPONSES = 16
 # The ids that a connection has carried are kept until it is closed.
 MAX_REQUESTS_PER_CONNECTION = 256
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
@@ -226,7 +225,8 @@
                     self._abort_request("too many interim responses")
                     return
             elif isinstance(event, h11.Response):
-                self._begin_reply(event)
+                if not self._begin_reply(event):
+                    return
             elif isinstance(event, h11.Data):
                 if not self._add_to_body(event.data):
                     return
@@ -249,9 +249,14 @@
             self._abort_request(f"response is not valid HTTP/1.1: {error}")
 
     def _begin_reply(self, head):
+        """Begin a reply; return false if its head is none of an answer."""
+        if not is_final(head.status_code) or head.http_version not in VERSIONS:
+            self._abort_request("response has no valid status line")
+            return False
         self._response_head = head
         self._body = bytearray()
         self._has_length = any(name == b"content-length" for name, _ in head.headers)
+        return True
 
     def _add_to_body(self, data):
         """Add to the reply's body; return false if the reply was given up."""
