Take a request that HTTP has no form for as not sent

Found while reading health checks: a health path with a space, as operators can declare it, raised an error of the parser in each heartbeat that asks the target for its name; the heartbeat would end in an internal error, and the target be lost to the fleet. **Change:** the client says that such a request wasn't sent, and the check counts as unanswered. **Measured:** four paths, red on, green now.

--- a/tamarackhaven/net/_http_client.py
+++ b/tamarackhaven/net/_http_client.py
@@ -153,7 +153,7 @@
         Raises
         ------
         RequestNotSentError
-            If the connection was already closed.
+            If the connection was already closed, or the request can't be written.
         RequestUnansweredError
             If the connection failed before a complete reply arrived.
         """
@@ -165,11 +165,7 @@
         headers = list(headers)
         if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             headers.append((b"Content-Length", str(len(body)).encode()))
-        self._request_event = h11.Request(
-            method=method.encode("ascii"),
-            target=target.encode("latin-1"),
-            headers=headers,
-        )
+        self._request_event = _request_event(method, target, headers)
         self._request_id = request_id
         self._read_id = read_id
         self._request_body = body
@@ -342,3 +338,21 @@
         """Abort the connection without flushing unsent bytes."""
         self.is_reusable = False
         self._transport.abort()
+
+
+def _request_event(method, target, headers):
+    """Return the ``h11.Request``.
+
+    Raises
+    ------
+    RequestNotSentError
+        If HTTP has no form for it, such as a declared path with a space.
+    """
+    try:
+        return h11.Request(
+            method=method.encode("ascii"),
+            target=target.encode("latin-1"),
+            headers=headers,
+        )
+    except (UnicodeEncodeError, h11.LocalProtocolError) as error:
+        raise RequestNotSentError(f"request can't be written: {error}") from error
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -133,6 +133,27 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("path", ["/a path", "/\u0663", "", "/\n"])
+def test_a_request_that_cannot_be_written_is_not_sent(path):
+    # Guards against: a health path that operators declared ends each heartbeat in an
+    # internal error.
+    async def main():
+        async def serve(reader, writer):
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await ClientConnection.open("127.0.0.1", port, 1.0, BUDGET)
+        with pytest.raises(RequestNotSentError):
+            headers = [(b"Host", b"h")]
+            await connection.request("GET", path, headers, b"", "id-0", read_id)
+        connection.close()
+        server.close()
+
+    asyncio.run(main())
+
+
 def test_keep_alive_timeout_of_the_server_is_read():
     response = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=7\r\nContent-Length: 0\r\n\r\n"
     _, connection = send_requests(response)
