--- a/standin/endless_target.py
+++ b/standin/endless_target.py
@@ -31,7 +31,15 @@
 
 
 class EndlessTarget(Target):
-    """Answers a request whose path has ``/endless/KIND`` until its caller closes."""
+    """Answers a request whose path has ``/endless/KIND`` until its caller closes.
+
+    Attributes
+    ----------
+    health_kind : str or None
+        Of its endless answers to health checks; None for answers that end.
+    """
+
+    health_kind = None
 
     async def _serve(self, reader, writer):
         self._writer_by_task = getattr(self, "_writer_by_task", {})
@@ -43,7 +51,16 @@
         path = line.split()[1]
         if ENDLESS_PATH not in path or b" 421 " in answer:
             return answer
-        kind = path.partition(ENDLESS_PATH)[2].partition("?")[0]
+        return await self._send_endless(
+            path.partition(ENDLESS_PATH)[2].partition("?")[0], headers
+        )
+
+    async def _health(self, headers):
+        if self.health_kind is None:
+            return await super()._health(headers)
+        return await self._send_endless(self.health_kind, headers)
+
+    async def _send_endless(self, kind, headers):
         start, repeated = _PARTS_BY_KIND[kind]
         attempt = headers["tamarackhaven-attempt-id"].encode()
         writer = self._writer_by_task[asyncio.current_task()]
--- a/standin/fleet_target.py
+++ b/standin/fleet_target.py
@@ -269,7 +269,7 @@
         key = int(headers.get("tamarackhaven-shard-key", -1))
         if line.startswith("GET /health "):
             self.health_checks += 1
-            return self._health(attempt)
+            return await self._health(headers)
         self.on_arrival(attempt)
         misdirected = headers.get("tamarackhaven-expected-instance") != self.name
         if misdirected or (self.service == "owned" and not self.holds(key)):
@@ -296,10 +296,10 @@
             text,
         )
 
-    def _health(self, attempt):
+    async def _health(self, headers):
         """Return the answer to a health check, which echoes its id."""
         return (
-            f"HTTP/1.1 200 OK\r\nTamarackhaven-Attempt-Id: {attempt}\r\n"
+            f"HTTP/1.1 200 OK\r\nTamarackhaven-Attempt-Id: {headers[ATTEMPT_ID]}\r\n"
             f"Tamarackhaven-Instance-Id: {self.name}\r\n"
             f"Tamarackhaven-Cold-Ms: {int(1000 * self.cold_s)}\r\n"
             "Content-Length: 0\r\n\r\n"
--- a/tests/fleet/test_endless_bytes.py
+++ b/tests/fleet/test_endless_bytes.py
@@ -9,7 +9,7 @@
 
 from standin.call import call
 from standin.endless_target import KINDS, EndlessTarget
-from standin.fleet import Fleet
+from standin.fleet import CONFIGURATION, Fleet
 from standin.fleet_target import PORTS
 from tests.fleet import real_fleet
 
@@ -87,6 +87,38 @@
     real_fleet.run(test, (tmp_path, next(NETWORK_NUMBERS)), fleet_class=EndlessFleet)
 
 
+class EndlessHealthFleet(EndlessFleet):
+    """The target that owns keys is asked for its health under load."""
+
+    configuration = CONFIGURATION | {
+        "services": [each | {"cold_per_s": 4.0} for each in CONFIGURATION["services"]]
+    }
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_target_whose_health_answers_never_end_is_bounded(tmp_path, kind):
+    # Guards against a daemon that its own checks fill or keep busy.
+    async def test(fleet):
+        fleet.targets[0].health_kind = kind
+        until_s = time.monotonic() + 2 * DEADLINE_S
+        innocent = asyncio.create_task(ask_innocently(fleet, until_s))
+        asked = []
+        while time.monotonic() < until_s:
+            asked.append(asyncio.create_task(fleet.ask("/owned/", KEY, 0)))
+            await asyncio.sleep(INNOCENT_INTERVAL_S)
+        answers = await asyncio.gather(*asked)
+        # Unasked it gets what a cold target bears; the rest is refused.
+        assert {each.status for each in answers} <= {200, 503}
+        assert sum(each.status == 200 for each in answers) >= 4
+        innocent = await innocent
+        served = sum(answer.status == 200 for answer in innocent)
+        assert served >= MIN_SERVED_FRACTION * len(innocent)
+        assert fleet.peak_mb(0) < MAX_DAEMON_MB
+        assert not fleet.daemons[0].has_ended
+
+    real_fleet.run(test, (tmp_path, next(NETWORK_NUMBERS)), EndlessHealthFleet)
+
+
 CALLER_HEAD = b"POST /owned/x HTTP/1.1\r\nHost: h.example\r\n"
 CALLER_CHUNKED = CALLER_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 # What a caller starts with, and what it repeats until the daemon closes.
--- a/tests/test_send.py
+++ b/tests/test_send.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+import tracemalloc
 
 import pytest
 
@@ -251,3 +252,56 @@
         for number in range(count):
             send(connections, outgoing(f"r{number}"), never)
         assert connections.opened == 2
+
+
+ENDLESS_CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+# What a faulty target starts with, and what it repeats until its caller closes.
+ENDLESS_PARTS = {
+    "status line": (b"HTTP/1.1 200 ", b"x"),
+    "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "header": (b"HTTP/1.1 200 OK\r\nY: ", b"x"),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"Y: x\r\n"),
+    "no length": (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    "body": (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", b"x"),
+    "chunks": (ENDLESS_CHUNKED, b"1000\r\n" + 4096 * b"x" + b"\r\n"),
+    "tiny chunks": (ENDLESS_CHUNKED, b"1\r\nx\r\n"),
+    "chunk size": (ENDLESS_CHUNKED, b"0"),
+    "trailers": (ENDLESS_CHUNKED + b"0\r\n", b"Y: x\r\n"),
+}
+MAX_PEAK_BYTES = 16 << 20
+
+
+@contextlib.contextmanager
+def endless_server(start, repeated):
+    """Yield the port of a server that sends bytes until its caller closes."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def serve():
+            sock, _ = listener.accept()
+            with sock, contextlib.suppress(OSError):
+                sock.recv(65536)
+                sock.sendall(start)
+                while True:
+                    sock.sendall(repeated * (65536 // len(repeated)))
+
+        thread = threading.Thread(target=serve, daemon=True)
+        thread.start()
+        yield listener.getsockname()[1]
+        thread.join(10)
+
+
+@pytest.mark.parametrize("kind", ENDLESS_PARTS)
+def test_bytes_without_end_are_bounded_in_memory_and_by_the_deadline(kind):
+    # Guards against: what a faulty target sends is kept until the process ends.
+    with endless_server(*ENDLESS_PARTS[kind]) as port:
+        connections = Connections("127.0.0.1", port, 1)
+        tracemalloc.start()
+        started_s = time.monotonic()
+        try:
+            with pytest.raises(TamarackhavenError):
+                send(connections, outgoing(wait_s=1.0), never)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert time.monotonic() - started_s < 3.0
+        assert peak_bytes < MAX_PEAK_BYTES
