Split the daemon's gauges and the checks for cold targets into modules of their own

Nothing changes in what they do: names of metrics, log lines and messages are the same (docs/OUTER-NAMES.txt), the tests of the sidecar and of cold, leaving and noticed targets over real processes pass.

--- a/tamarackhaven/sidecar/_daemon.py
+++ b/tamarackhaven/sidecar/_daemon.py
@@ -24,6 +24,7 @@
 from tamarackhaven.sidecar._call_client import CallClient
 from tamarackhaven.sidecar._callers import Callers
 from tamarackhaven.sidecar._control_link import ControlLink
+from tamarackhaven.sidecar._daemon_gauges import DaemonGauges
 from tamarackhaven.sidecar._end_notices import EndNotices
 from tamarackhaven.sidecar._heartbeat_order import Order
 from tamarackhaven.sidecar._inbound import Inbound
@@ -105,7 +106,6 @@
         self._link_server = LinkServer(
             PEER_CODEC, self._peer_server.on_message, self._peer_server.on_closed
         )
-        metrics.add_source(self._update_gauges)
         self._permits = Permits(self.suspects, self.view, log.part("caller"), metrics)
         self._caller_requests = Callers(
             settings,
@@ -149,6 +149,16 @@
             boot_s()
         ).log_fields()
         self._view_updates.on_taken = self._control.send
+        gauges = DaemonGauges(
+            self.state,
+            self.inbound,
+            self.view,
+            self._view_updates,
+            self._link_server,
+            self._peers,
+            metrics,
+        )
+        metrics.add_source(gauges.update)
         self._tasks = []
         self._is_leaving = False
         self._permits.report_now = self._control.report_now
@@ -160,7 +170,7 @@
         self._peer_server.on_target_ended = self._end_notices.receive
         self.inbound.on_suspect_answered = self._permits.report_soon
         self.inbound.exchange.on_ended = self._control.report_now
-        self.inbound.on_cold = self._control.report_now
+        self.inbound.cold_checks.on_cold = self._control.report_now
         self.inbound.notices.on_leaving = self._on_target_leaving
 
     async def start(self):
@@ -238,44 +248,6 @@
         self._caller_requests.is_closing = True
         self._caller_server.stop_listening()
 
-    def _update_gauges(self):
-        """Set the gauges of the view, of the link and of the target's limit."""
-        self._update_view_gauges()
-        limit_per_s = self.state.limit.per_s
-        self.metrics.gauge(
-            "tamarackhaven_target_limits_in_force", int(limit_per_s is not None)
-        )
-        self.metrics.gauge("tamarackhaven_target_limit_per_second", limit_per_s or 0.0)
-        self.metrics.gauge(
-            "tamarackhaven_target_heartbeat_age_seconds",
-            boot_s() - self.state.heartbeat_received_s,
-        )
-        intake = self.inbound.intake
-        self.metrics.gauge("tamarackhaven_body_announced_bytes", intake.remaining_bytes)
-        self.metrics.gauge(
-            "tamarackhaven_link_arriving_bytes", self._link_server.arriving_bytes
-        )
-        self.metrics.gauge("tamarackhaven_link_bytes_per_second", intake.bytes_per_s)
-        self.metrics.gauge(
-            "tamarackhaven_link_unsent_bytes", self._peers.unsent_bytes()
-        )
-
-    def _update_view_gauges(self):
-        stamp = self.view.configuration_stamp(boot_s())
-        self.metrics.gauge("tamarackhaven_configuration_version", stamp.version)
-        self.metrics.gauge("tamarackhaven_configuration_index", stamp.index)
-        self.metrics.gauge(
-            "tamarackhaven_configuration_digest", int(stamp.digest or "0", 16)
-        )
-        self.metrics.gauge(
-            "tamarackhaven_view_age_seconds",
-            float("inf") if stamp.age_s is None else stamp.age_s,
-        )
-
-        self.metrics.gauge(
-            "tamarackhaven_view_behind_seconds", self._view_updates.behind_s()
-        )
-
     # Control group.
 
     def _seeds(self):
--- a/tamarackhaven/sidecar/_inbound.py
+++ b/tamarackhaven/sidecar/_inbound.py
@@ -9,6 +9,7 @@
 from tamarackhaven._clock import boot_s
 from tamarackhaven.errors import ErrorKind
 from tamarackhaven.fleet._suspects import SuspectPhase
+from tamarackhaven.sidecar._cold_checks import ColdChecks
 from tamarackhaven.sidecar._cold_starts import cold_limits
 from tamarackhaven.sidecar._gate import Gate, Offer, Refuse, Start
 from tamarackhaven.sidecar._health_checks import HealthChecks
@@ -34,8 +35,6 @@
 # The gate is checked at this interval even when nothing else happens, so that requests
 # that can no longer start in time are refused.
 SETTLE_INTERVAL_S = 0.05
-# A target that didn't reply to a check is asked again after this time.
-CHECK_RETRY_INTERVAL_S = 0.1
 
 
 class Inbound:
@@ -84,9 +83,9 @@
         self.health_checks = HealthChecks(
             client, dialect, lambda: view.health_path(settings.service), metrics
         )
-        self._log = log
-        self._cold_check = None
-        self.on_cold = lambda: None
+        self.cold_checks = ColdChecks(
+            self._gate.cold, state, self.health_checks, log, self.apply_target_state
+        )
         self._future_by_number = {}
         self._offer_numbers = itertools.count()
         self._sending = set()
@@ -343,7 +342,7 @@
         """Wait at the gate; return None once the request starts, else a ``Refuse``."""
         self._update_limits()
         decision = self._gate.offer(offer, boot_s())
-        self._check_cold_if_due()
+        self.cold_checks.start_if_due()
         if isinstance(decision, Refuse):
             return decision
         if isinstance(decision, Start):
@@ -374,47 +373,10 @@
         self._settle_timer = None
         self._update_limits()
         self._apply(self._gate.settle(boot_s()))
-        self._check_cold_if_due()
+        self.cold_checks.start_if_due()
         if self._future_by_number:
             self._schedule_settle()
 
-    def _check_cold_if_due(self):
-        """Ask the target whether it's cold before it has got too much."""
-        if self._cold_check is None and self._gate.cold.is_check_due(boot_s()):
-            loop = asyncio.get_running_loop()
-            self._cold_check = loop.create_task(self._check_cold())
-
-    async def _check_cold(self):
-        try:
-            while self._gate.cold.is_check_due(boot_s()):
-                life = self._state.life
-                checked = await self.health_checks.ask()
-                if checked is None or not self._state.is_named(life, checked):
-                    await asyncio.sleep(CHECK_RETRY_INTERVAL_S)
-                    continue
-                self._apply_check(checked)
-        finally:
-            self._cold_check = None
-
-    def _apply_check(self, checked):
-        """Apply what the target said about whether it's cold."""
-        now = boot_s()
-        if checked.health.cold_s:
-            unchecked = self._gate.cold.unchecked(now)
-            self._state.record_cold(now + checked.health.cold_s)
-            self._log.say(
-                "target is cold",
-                life=self._state.life,
-                cold_s=checked.health.cold_s,
-                check_age_s=round(now - checked.asked_s, 3),
-                unchecked_starts=unchecked,
-            )
-            self.on_cold()
-        else:
-            self._gate.cold.confirm_warm(checked.asked_s)
-        self._update_limits()
-        self._apply(self._gate.settle(now))
-
     def _apply(self, decisions):
         for decision in decisions:
             future = self._future_by_number.get(decision.number)
@@ -465,6 +427,5 @@
 
     def close(self):
         """Close the connections to the target."""
-        if self._cold_check is not None:
-            self._cold_check.cancel()
+        self.cold_checks.close()
         self.exchange.client.close()
